--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,363 @@
+// Package agent is the daemon beside a backend server. It is the only path to
+// its backend server: it checks every rule, limits the load, gives the orders
+// to the engine, and runs a call that may not be repeated at most once.
+package agent
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/oklog/ulid/v2"
+	"github.com/thejerf/suture/v4"
+
+	"hyssoploom/admission"
+	"hyssoploom/config"
+	"hyssoploom/control"
+	"hyssoploom/ledger"
+	"hyssoploom/link"
+	"hyssoploom/once"
+	"hyssoploom/platform"
+	"hyssoploom/provider"
+	"hyssoploom/rollout"
+	"hyssoploom/settings"
+	"hyssoploom/supervise"
+	"hyssoploom/telemetry"
+)
+
+const (
+	statusInterval   = 500 * time.Millisecond // engine load report
+	evidenceInterval = time.Second
+	vmListInterval   = 2 * time.Second
+	ordersInterval   = time.Second
+	expireInterval   = 50 * time.Millisecond
+	// ledgerWindow is the group commit window of an agent. An agent writes
+	// only the rows that an entry left behind, so it can wait longer.
+	ledgerWindow = 500 * time.Millisecond
+)
+
+// Deps are the outside systems of an agent.
+type Deps struct {
+	Store   platform.Store
+	VMs     platform.VMList
+	Engine  platform.Engine  // nil for a plain service
+	Service platform.Service // nil for an engine
+	Log     *telemetry.Logger
+	Tracing *telemetry.Tracing
+}
+
+// Agent is one running agent.
+type Agent struct {
+	settings *settings.Agent
+	deps     Deps
+	log      *telemetry.Logger
+	metrics  *telemetry.Metrics
+	bootID   string
+	started  time.Time
+
+	snapshot *config.Snapshot
+	poller   *provider.Poller
+	server   *link.Server
+	tree     *suture.Supervisor
+
+	gate     *gate
+	evidence *evidence
+	once     *once.Log
+	ledger   *ledger.Writer
+	held     *ledger.Holder
+
+	draining  atomic.Bool
+	vmLeaving atomic.Bool
+	loaded    atomic.Pointer[engineView]
+
+	runs supervise.Inflight
+}
+
+// engineView is what the engine reported last.
+type engineView struct {
+	status platform.EngineStatus
+	ok     bool
+}
+
+// New returns an agent that has not started yet.
+func New(s *settings.Agent, deps Deps) *Agent {
+	a := &Agent{
+		settings: s,
+		deps:     deps,
+		log:      deps.Log,
+		metrics:  telemetry.NewMetrics(),
+		bootID:   ulid.Make().String(),
+		started:  time.Now(),
+		snapshot: config.NewSnapshot(),
+		once:     once.New(deps.Store),
+		held:     ledger.NewHolder(),
+	}
+	a.loaded.Store(&engineView{})
+	a.gate = newGate(admission.New(admission.Config{
+		ColdLimit:  1,
+		WarmLimit:  1,
+		QueueLimit: s.QueueLimit,
+	}), a.clock)
+	a.evidence = newEvidence(a.bootID, a.snapshot, a.broadcast)
+	a.ledger = ledger.NewWriter(deps.Store, a.bootID, func() time.Duration { return ledgerWindow })
+	a.poller = provider.NewPoller(deps.Store, a.snapshot, deps.Log.Part("provider"))
+	a.server = link.NewServer(link.ServerConfig{
+		Hello:       link.Hello{Name: s.Name, BootID: a.bootID, DataCentre: s.DataCentre},
+		FleetKey:    []byte(s.FleetKey),
+		Heartbeat:   a.heartbeat,
+		Handler:     a.handle,
+		OnPeer:      a.onPeer,
+		OnHeartbeat: a.onHeartbeat,
+		OnControl:   a.onControl,
+		OnPeerGone:  a.onPeerGone,
+		Log:         deps.Log.Part("link"),
+	})
+	a.publishMetrics()
+	a.tree = a.buildTree()
+	return a
+}
+
+func (a *Agent) buildTree() *suture.Supervisor {
+	tree := supervise.New("agent", a.log)
+	tree.Add(a.poller)
+	tree.Add(a.ledger)
+	tree.Add(supervise.Every("status", statusInterval, a.readStatus))
+	tree.Add(supervise.Every("evidence", evidenceInterval, func(context.Context) { a.evidence.tick() }))
+	tree.Add(supervise.Every("vm list", vmListInterval, a.readVMList))
+	tree.Add(supervise.Every("queue", expireInterval, func(context.Context) { a.gate.expire() }))
+	tree.Add(supervise.Func{Name: "limits", Run: a.followLimits})
+	if a.deps.Engine != nil {
+		tree.Add(newOrders(a))
+	}
+	return tree
+}
+
+// Serve accepts links on the settings' listen address until ctx ends.
+func (a *Agent) Serve(ctx context.Context) error {
+	listener, err := net.Listen("tcp", a.settings.Listen)
+	if err != nil {
+		return err
+	}
+	admin, err := net.Listen("tcp", a.settings.AdminListen)
+	if err != nil {
+		return errors.Join(err, listener.Close())
+	}
+	return a.ServeOn(ctx, listener, admin)
+}
+
+// ServeOn accepts links on listener and serves the admin interface on admin.
+func (a *Agent) ServeOn(ctx context.Context, listener, admin net.Listener) error {
+	a.log.Info("Started.", "backend_server", a.settings.Name, "listen", listener.Addr().String())
+	a.tree.Add(supervise.Func{Name: "links", Run: func(ctx context.Context) error {
+		return a.server.Serve(ctx, listener)
+	}})
+	a.tree.Add(supervise.HTTP("admin", admin, a.adminHandler()))
+	a.readStatus(ctx)
+	err := a.tree.Serve(ctx)
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// Drain refuses new work, finishes what runs within the drain grace, and
+// writes the charges that no entry has made durable.
+func (a *Agent) Drain(ctx context.Context) error {
+	a.draining.Store(true)
+	a.server.Drain()
+	a.gate.drain()
+	graceCtx, cancel := context.WithTimeout(ctx, a.settings.DrainGrace)
+	defer cancel()
+	if err := a.server.Wait(graceCtx); err != nil {
+		a.log.Warn("Drain grace ended with open streams.", "error", err.Error())
+	}
+	if err := a.runs.Wait(graceCtx); err != nil {
+		a.log.Warn("Drain grace ended with running calls.", "calls", a.runs.Count())
+	}
+	return a.flushCharges(ctx)
+}
+
+// clock is the agent's monotonic clock; deadlines of requests are expressed
+// in it.
+func (a *Agent) clock() time.Duration { return time.Since(a.started) }
+
+func (a *Agent) heartbeat() link.Heartbeat {
+	report := a.gate.report()
+	view := a.loaded.Load()
+	load := &link.LoadReport{
+		Running:    report.Running,
+		Queued:     report.Queued,
+		Limit:      report.Limit,
+		Cold:       report.Cold,
+		FirstToken: report.FirstToken,
+		Resumes:    view.status.Resumes,
+	}
+	for _, ref := range view.status.Loaded {
+		load.Loaded = append(load.Loaded, ref.Model+"@"+ref.Version)
+	}
+	return link.Heartbeat{
+		Clock:    a.clock(),
+		Revision: a.snapshot.Revision(),
+		Digest:   a.snapshot.Digest(),
+		Load:     load,
+		Draining: a.draining.Load(),
+	}
+}
+
+func (a *Agent) onPeer(peer link.Hello) {
+	a.log.Info("Entry connected.", "entry", peer.Name)
+}
+
+// onPeerGone takes over the charges that a lost entry has not made durable.
+func (a *Agent) onPeerGone(peer link.Hello) {
+	rows := a.held.Orphans(peer.BootID)
+	for _, row := range rows {
+		a.ledger.Add(row)
+	}
+	if len(rows) > 0 {
+		a.log.Warn("Writing charges of a lost entry.", "entry", peer.Name, "rows", len(rows))
+	}
+}
+
+func (a *Agent) onHeartbeat(peer link.Hello, hb link.Heartbeat) {
+	for _, m := range control.SplitRecords(control.Missing(a.snapshot, hb.Revision, hb.Digest)) {
+		_ = a.server.SendTo(peer.BootID, m)
+	}
+}
+
+func (a *Agent) onControl(peer link.Hello, c link.Control) {
+	if err := a.dispatch(peer, c); err != nil {
+		a.log.Warn("Dropped a control message.", "peer", peer.Name, "error", err.Error())
+	}
+}
+
+func (a *Agent) dispatch(peer link.Hello, c link.Control) error {
+	switch c.Kind {
+	case control.KindRecords:
+		var m control.Records
+		if err := control.Decode(c, &m); err != nil {
+			return err
+		}
+		a.snapshot.Adopt(m.Records)
+	case control.KindWanted:
+		var m control.Wanted
+		if err := control.Decode(c, &m); err != nil {
+			return err
+		}
+		for _, out := range control.SplitRecords(a.snapshot.After(m.After)) {
+			if err := a.server.SendTo(peer.BootID, out); err != nil {
+				return err
+			}
+		}
+	case control.KindDurable:
+		var m control.Durable
+		if err := control.Decode(c, &m); err != nil {
+			return err
+		}
+		a.held.Release(m.Keys)
+	case control.KindRating:
+		var m control.Rating
+		if err := control.Decode(c, &m); err != nil {
+			return err
+		}
+		a.evidence.rated(m)
+	default:
+		return a.evidence.dispatch(c)
+	}
+	return nil
+}
+
+func (a *Agent) broadcast(c link.Control) { a.server.Broadcast(c) }
+
+func (a *Agent) flushCharges(ctx context.Context) error {
+	for _, row := range a.held.All() {
+		a.ledger.Add(row)
+	}
+	flushCtx, cancel := context.WithTimeout(ctx, a.settings.DrainGrace)
+	defer cancel()
+	return a.ledger.Flush(flushCtx)
+}
+
+// readStatus asks the backend server for its state.
+func (a *Agent) readStatus(ctx context.Context) {
+	if a.deps.Engine == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, 2*statusInterval)
+	defer cancel()
+	status, err := a.deps.Engine.Status(ctx)
+	if err != nil {
+		a.metrics.Add("engine_status_errors", 1)
+		last := *a.loaded.Load()
+		last.ok = false
+		a.loaded.Store(&last)
+		return
+	}
+	a.loaded.Store(&engineView{status: status, ok: true})
+	a.gate.engineStatus(status.BootID, status.Uptime)
+}
+
+// readVMList learns whether the platform is about to stop this VM. The list
+// lags, so it only adds to what the record says.
+func (a *Agent) readVMList(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, vmListInterval)
+	defer cancel()
+	vms, err := a.deps.VMs.VMs(ctx)
+	if err != nil {
+		return
+	}
+	for _, vm := range vms {
+		if vm.Name == a.settings.VM {
+			a.vmLeaving.Store(vm.Leaving)
+		}
+	}
+	a.poller.SetFleetSize(len(vms))
+}
+
+// followLimits applies the record's limits whenever the configuration changes.
+func (a *Agent) followLimits(ctx context.Context) error {
+	for {
+		changed := a.snapshot.Changed()
+		if server, ok := a.snapshot.View().BackendServers[a.settings.Name]; ok {
+			a.gate.setLimits(server.ColdLimit, server.WarmLimit)
+		}
+		a.evidence.reconcile()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		}
+	}
+}
+
+func (a *Agent) publishMetrics() {
+	a.metrics.Func("revision", func() any { return a.snapshot.Revision() })
+	a.metrics.Func("digest", func() any { return a.snapshot.Digest() })
+	a.metrics.Func("config_age_seconds", func() any { return a.poller.Age().Seconds() })
+	a.metrics.Func("load", func() any { return a.gate.report() })
+	a.metrics.Func("draining", func() any { return a.draining.Load() })
+	a.metrics.Func("held_charges", func() any { return len(a.held.All()) })
+	a.metrics.Func("ledger", func() any { return a.ledger.Stats() })
+	a.metrics.Func("quarantined", func() any { return a.evidence.quarantined() })
+}
+
+func (a *Agent) adminHandler() http.Handler {
+	r := mux.NewRouter()
+	r.Handle("/debug/vars", a.metrics)
+	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	r.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if a.draining.Load() || a.snapshot.Revision() == 0 {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return r
+}
+
+// versionKey names a version in evidence and quarantines.
+func versionKey(model, version string) rollout.VersionKey {
+	return rollout.VersionKey{Model: model, Version: version}
+}
--- /dev/null
+++ b/agent/chat.go
@@ -0,0 +1,135 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+
+	"hyssoploom/admission"
+	"hyssoploom/ledger"
+	"hyssoploom/link"
+	"hyssoploom/platform"
+)
+
+// The outcomes in charge rows.
+const (
+	outcomeComplete = "complete"
+	outcomeCut      = "cut"
+)
+
+// generation follows one run of the engine.
+type generation struct {
+	started    time.Time
+	firstToken time.Duration
+	tokens     int64
+}
+
+// runChat generates the answer. It returns a refusal only when the engine did
+// not start.
+func (a *Agent) runChat(ctx context.Context, in *link.Incoming, ticket uint64) *link.Refusal {
+	r := in.Request
+	runCtx, cancel := a.deadlineContext(ctx, r.Deadline)
+	defer cancel()
+	runCtx, span := a.deps.Tracing.Tracer.Start(runCtx, "backend server")
+	defer span.End()
+
+	g := generation{started: time.Now()}
+	generated, err := a.deps.Engine.Generate(runCtx, a.generateRequest(r), func(t platform.Token) error {
+		if g.tokens == 0 {
+			g.firstToken = time.Since(g.started)
+		}
+		g.tokens++
+		return in.Send(runCtx, []byte(t.Text))
+	})
+	span.SetAttributes(attribute.Int64("tokens", g.tokens))
+
+	if refusal := a.notStarted(err, g, r, ticket); refusal != nil {
+		a.evidence.release(r)
+		return refusal
+	}
+	engineFault := err != nil && ctx.Err() == nil && runCtx.Err() == nil
+	a.gate.done(admission.Result{ID: ticket, FirstToken: g.firstToken, OK: err == nil})
+	a.evidence.answered(r, engineFault)
+	a.finishChat(in, generated, g, err)
+	return nil
+}
+
+func (a *Agent) generateRequest(r *link.Request) platform.GenerateRequest {
+	return platform.GenerateRequest{
+		RequestID:  r.RequestID,
+		Model:      r.Model,
+		Version:    r.Version,
+		Body:       r.Body,
+		Priority:   r.Priority,
+		ResumeFrom: r.ResumeFrom,
+		ResumeText: r.ResumeText,
+	}
+}
+
+// notStarted returns a refusal when the error shows that the engine rejected
+// the request before it ran.
+func (a *Agent) notStarted(err error, g generation, r *link.Request, ticket uint64) *link.Refusal {
+	if g.tokens > 0 {
+		return nil
+	}
+	switch {
+	case errors.Is(err, platform.ErrRefusedConnection):
+		a.gate.done(admission.Result{ID: ticket, RefusedConnection: true, NotRun: true})
+		return a.refuse(codeUnreachable, fmt.Sprintf("backend server %q refused the connection", a.settings.Name))
+	case errors.Is(err, platform.ErrOverloaded):
+		a.gate.done(admission.Result{ID: ticket, Overloaded: true, NotRun: true})
+		return a.refuse(codeOverloaded, fmt.Sprintf("backend server %q is overloaded", a.settings.Name))
+	case errors.Is(err, platform.ErrNotLoaded):
+		a.gate.done(admission.Result{ID: ticket, NotRun: true})
+		return a.refuse(codeNotLoaded, fmt.Sprintf("%s@%s is not loaded on %q", r.Model, r.Version, a.settings.Name))
+	}
+	return nil
+}
+
+func (a *Agent) finishChat(in *link.Incoming, generated platform.Generated, g generation, err error) {
+	r := in.Request
+	end := link.End{
+		Complete:     err == nil,
+		TokensIn:     generated.Usage.TokensIn,
+		TokensOut:    max(generated.Usage.TokensOut, r.ResumeFrom+g.tokens),
+		FinishReason: generated.FinishReason,
+	}
+	row := a.rowOf(r)
+	row.TokensIn, row.TokensOut = end.TokensIn, end.TokensOut
+	row.Outcome = outcomeComplete
+	if err != nil {
+		row.Outcome = outcomeCut
+		end.Code, end.Message = failureCode(err), err.Error()
+	}
+	if v := modelVersion(a.snapshot.View(), r.Model, r.Version); v != nil {
+		row.Amount = row.TokensIn*v.PriceIn + row.TokensOut*v.PriceOut
+	}
+	end.Charge = a.charge(in.Peer, row)
+	a.metrics.Add("answers", 1)
+	if err := in.Finish(end); err != nil {
+		a.log.Debug("End of answer was not delivered.", "request", r.RequestID, "error", err.Error())
+	}
+}
+
+func failureCode(err error) string {
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
+		return codeDeadline
+	case errors.Is(err, context.Canceled):
+		return codeCancelled
+	case errors.Is(err, platform.ErrTruncated):
+		return "answer_truncated"
+	default:
+		return "backend_failed"
+	}
+}
+
+// attemptID names one run of the backend server in charge rows.
+func attemptID(bootID string, r *link.Request) string {
+	return fmt.Sprintf("%s/%s/%d", bootID, r.RequestID, r.Attempt)
+}
+
+var _ = ledger.Row{}
--- /dev/null
+++ b/agent/gate.go
@@ -0,0 +1,113 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"hyssoploom/admission"
+)
+
+// gate serializes the calls to the admission controller and wakes the
+// requests that it starts or drops.
+type gate struct {
+	clock func() time.Duration
+
+	mu         sync.Mutex
+	controller *admission.Controller
+	nextID     uint64
+	waiting    map[uint64]chan string // receives "" to start, else the drop code
+}
+
+func newGate(c *admission.Controller, clock func() time.Duration) *gate {
+	return &gate{clock: clock, controller: c, waiting: make(map[uint64]chan string)}
+}
+
+// enter waits until the request may run. It returns the ticket id, or the code
+// of the refusal.
+func (g *gate) enter(ctx context.Context, t admission.Ticket) (id uint64, code string) {
+	g.mu.Lock()
+	g.nextID++
+	t.ID = g.nextID
+	verdict := g.controller.Arrive(g.clock(), t)
+	switch verdict.Action {
+	case admission.Run:
+		g.mu.Unlock()
+		return t.ID, ""
+	case admission.Refused:
+		g.mu.Unlock()
+		return 0, verdict.Code
+	}
+	woken := make(chan string, 1)
+	g.waiting[t.ID] = woken
+	g.mu.Unlock()
+
+	select {
+	case code := <-woken:
+		return t.ID, code
+	case <-ctx.Done():
+		return g.abandon(t.ID, woken)
+	}
+}
+
+// abandon gives up a queued ticket. A ticket that was started in the same
+// moment is handed back.
+func (g *gate) abandon(id uint64, woken chan string) (uint64, string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.waiting, id)
+	g.apply(g.controller.Cancel(g.clock(), id))
+	select {
+	case code := <-woken:
+		if code != "" {
+			return 0, code
+		}
+	default:
+	}
+	return 0, codeCancelled
+}
+
+// done ends a running ticket.
+func (g *gate) done(r admission.Result) {
+	g.change(func(now time.Duration) admission.Changes { return g.controller.Done(now, r) })
+}
+
+func (g *gate) engineStatus(bootID string, uptime time.Duration) {
+	g.change(func(now time.Duration) admission.Changes { return g.controller.EngineStatus(now, bootID, uptime) })
+}
+
+func (g *gate) setLimits(cold, warm int) {
+	g.change(func(time.Duration) admission.Changes { return g.controller.SetLimits(cold, warm) })
+}
+
+func (g *gate) expire() { g.change(g.controller.Expire) }
+
+func (g *gate) drain() { g.change(g.controller.Drain) }
+
+func (g *gate) report() admission.Report {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.controller.Report()
+}
+
+func (g *gate) change(f func(now time.Duration) admission.Changes) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.apply(f(g.clock()))
+}
+
+func (g *gate) apply(c admission.Changes) {
+	for _, id := range c.Start {
+		g.wake(id, "")
+	}
+	for _, d := range c.Drop {
+		g.wake(d.ID, d.Code)
+	}
+}
+
+func (g *gate) wake(id uint64, code string) {
+	if woken, ok := g.waiting[id]; ok {
+		delete(g.waiting, id)
+		woken <- code
+	}
+}
--- /dev/null
+++ b/agent/handler.go
@@ -0,0 +1,190 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+
+	"hyssoploom/admission"
+	"hyssoploom/config"
+	"hyssoploom/control"
+	"hyssoploom/ledger"
+	"hyssoploom/link"
+	"hyssoploom/telemetry"
+)
+
+// catchUpWait bounds how long a request waits for records that the entry has
+// and this agent lacks.
+const catchUpWait = 500 * time.Millisecond
+
+// handle runs one attempt from its arrival to its end.
+func (a *Agent) handle(ctx context.Context, in *link.Incoming) {
+	defer a.runs.Begin()()
+	r := in.Request
+	ctx = telemetry.WithTraceParent(ctx, r.TraceParent)
+	ctx, span := a.deps.Tracing.Tracer.Start(ctx, "agent")
+	defer span.End()
+	span.SetAttributes(attribute.String("request_id", r.RequestID), attribute.Int("attempt", int(r.Attempt)))
+
+	refusal := a.admit(ctx, in)
+	if refusal != nil {
+		a.metrics.Add("refused_"+refusal.Code, 1)
+		span.SetStatus(codes.Error, refusal.Code)
+		if err := in.Refuse(*refusal); err != nil {
+			a.log.Debug("Refusal was not delivered.", "request", r.RequestID, "error", err.Error())
+		}
+	}
+}
+
+// admit checks the request, waits for its turn, and runs it. A non-nil result
+// means that the backend server did not hear of the request.
+func (a *Agent) admit(ctx context.Context, in *link.Incoming) *link.Refusal {
+	r := in.Request
+	a.catchUp(ctx, in.Peer, r.Revision)
+	if refusal := a.check(r); refusal != nil {
+		a.informEntry(in.Peer, r.Revision)
+		return refusal
+	}
+	if !a.evidence.acquire(r) {
+		return a.refuse(codeExposure, "the exposure budget of this version is used up until answers are rated")
+	}
+	id, code := a.gate.enter(ctx, a.ticket(r))
+	if code != "" {
+		a.evidence.release(r)
+		return a.refuse(code, "the request was dropped before it ran")
+	}
+	// The configuration may have changed while the request was queued.
+	if refusal := a.check(r); refusal != nil {
+		a.evidence.release(r)
+		a.gate.done(admission.Result{ID: id, NotRun: true})
+		return refusal
+	}
+	if r.Kind == link.KindService {
+		return a.runService(ctx, in, id)
+	}
+	return a.runChat(ctx, in, id)
+}
+
+// catchUp waits for the records that the request was decided on.
+func (a *Agent) catchUp(ctx context.Context, peer link.Hello, revision uint64) {
+	if a.snapshot.Revision() >= revision {
+		return
+	}
+	wanted := control.Encode(control.KindWanted, control.Wanted{After: a.snapshot.Revision()})
+	if err := a.server.SendTo(peer.BootID, wanted); err != nil {
+		return
+	}
+	timer := time.NewTimer(catchUpWait)
+	defer timer.Stop()
+	for a.snapshot.Revision() < revision {
+		changed := a.snapshot.Changed()
+		if a.snapshot.Revision() >= revision {
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// informEntry sends the records that an entry lacked when it decided.
+func (a *Agent) informEntry(peer link.Hello, revision uint64) {
+	if revision >= a.snapshot.Revision() {
+		return
+	}
+	for _, m := range control.SplitRecords(a.snapshot.After(revision)) {
+		if err := a.server.SendTo(peer.BootID, m); err != nil {
+			return
+		}
+	}
+}
+
+// check judges the request by the newest records that this agent has.
+func (a *Agent) check(r *link.Request) *link.Refusal {
+	view := a.snapshot.View()
+	if a.snapshot.Revision() < r.Revision {
+		return refuse(view, codeConfigBehind, "the agent has not received revision %d yet", r.Revision)
+	}
+	if r.Deadline > 0 && a.clock() >= r.Deadline {
+		return refuse(view, codeDeadline, "the deadline passed before the request ran")
+	}
+	return checkRules(view, a.standing(), r)
+}
+
+func (a *Agent) standing() standing {
+	loaded := a.loaded.Load()
+	return standing{
+		name:        a.settings.Name,
+		dataCentre:  a.settings.DataCentre,
+		vmLeaving:   a.vmLeaving.Load(),
+		draining:    a.draining.Load(),
+		quarantined: a.evidence.isQuarantined,
+		loaded: func(model, version string) bool {
+			for _, ref := range loaded.status.Loaded {
+				if ref.Model == model && ref.Version == version {
+					return true
+				}
+			}
+			return false
+		},
+	}
+}
+
+func (a *Agent) ticket(r *link.Request) admission.Ticket {
+	weight := 1.0
+	if w, ok := a.snapshot.View().Workspaces[r.Workspace]; ok && w.Weight > 0 {
+		weight = w.Weight
+	}
+	return admission.Ticket{Workspace: r.Workspace, Weight: weight, Priority: r.Priority, Deadline: r.Deadline}
+}
+
+func (a *Agent) refuse(code, message string) *link.Refusal {
+	return refuse(a.snapshot.View(), code, "%s", message)
+}
+
+// deadlineContext ends when the agent's clock reaches the deadline.
+func (a *Agent) deadlineContext(ctx context.Context, deadline time.Duration) (context.Context, context.CancelFunc) {
+	if deadline <= 0 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, a.started.Add(deadline))
+}
+
+// charge keeps the row until the entry reports it durable and returns its
+// encoded form for the end of the answer.
+func (a *Agent) charge(peer link.Hello, row ledger.Row) []byte {
+	a.held.Hold(peer.BootID, row)
+	return ledger.EncodeRow(row)
+}
+
+// rowOf fills in what all charge rows of a request share.
+func (a *Agent) rowOf(r *link.Request) ledger.Row {
+	return ledger.Row{
+		Workspace: r.Workspace,
+		RequestID: r.RequestID,
+		BodyHash:  ledger.HashBody(r.Body),
+		Stage:     r.Stage,
+		Attempt:   attemptID(a.bootID, r),
+		Model:     r.Model,
+		Version:   r.Version,
+		Service:   r.Service,
+		At:        time.Now().UTC(),
+	}
+}
+
+// modelVersion returns the record of the request's version, nil when it left
+// the configuration.
+func modelVersion(view *config.View, name, version string) *config.ModelVersion {
+	if m, ok := view.Models[name]; ok {
+		if v, ok := m.Version(version); ok {
+			return v
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/agent/rules.go
@@ -0,0 +1,127 @@
+package agent
+
+import (
+	"fmt"
+
+	"hyssoploom/config"
+	"hyssoploom/link"
+)
+
+// The codes of refusals. Each refusal is made before the backend server hears
+// of the request.
+const (
+	codeDraining         = "agent_draining"
+	codeConfigBehind     = "config_behind"
+	codeNoConfig         = "no_config"
+	codeWorkspace        = "workspace_unknown"
+	codeModelForbidden   = "model_forbidden"
+	codeServiceForbidden = "service_forbidden"
+	codeVersionWithdrawn = "version_withdrawn"
+	codeVersionDraining  = "version_draining"
+	codeQuarantined      = "version_quarantined"
+	codeDataCentreOut    = "data_centre_out"
+	codeLeaving          = "backend_server_leaving"
+	codeNotServed        = "not_served"
+	codeNotLoaded        = "not_loaded"
+	codeDeadline         = "deadline_passed"
+	codeExposure         = "exposure_budget"
+	codeUnreachable      = "backend_unreachable"
+	codeOverloaded       = "backend_overloaded"
+	codeCancelled        = "cancelled"
+	codeStore            = "store_unavailable"
+	codeSuperseded       = "reservation_superseded"
+)
+
+// standing is what the rules need to know besides the configuration.
+type standing struct {
+	name        string // backend server
+	dataCentre  string
+	vmLeaving   bool
+	draining    bool
+	quarantined func(model, version string) bool
+	loaded      func(model, version string) bool
+}
+
+// checkRules returns nil when the request may run on this backend server now,
+// judged by view alone.
+func checkRules(view *config.View, s standing, r *link.Request) *link.Refusal {
+	if refusal := checkPlace(view, s, r); refusal != nil {
+		return refusal
+	}
+	workspace, ok := view.Workspaces[r.Workspace]
+	if !ok {
+		return refuse(view, codeWorkspace, "workspace %q does not exist", r.Workspace)
+	}
+	if r.Kind == link.KindService {
+		return checkService(view, s, workspace, r)
+	}
+	return checkModel(view, s, workspace, r)
+}
+
+func checkPlace(view *config.View, s standing, _ *link.Request) *link.Refusal {
+	server, ok := view.BackendServers[s.name]
+	switch {
+	case s.draining:
+		return refuse(view, codeDraining, "the agent of backend server %q is draining", s.name)
+	case view.Revision == 0:
+		return refuse(view, codeNoConfig, "the agent has no configuration yet")
+	case !ok:
+		return refuse(view, codeLeaving, "backend server %q has no record", s.name)
+	case server.State != config.BackendServerIn || s.vmLeaving:
+		return refuse(view, codeLeaving, "backend server %q is leaving", s.name)
+	}
+	centre, ok := view.DataCentres[s.dataCentre]
+	if !ok || centre.State != config.DataCentreIn {
+		return refuse(view, codeDataCentreOut, "data centre %q is out", s.dataCentre)
+	}
+	return nil
+}
+
+func checkModel(view *config.View, s standing, w *config.Workspace, r *link.Request) *link.Refusal {
+	if !w.Allows(r.Model, r.Version) {
+		return refuse(view, codeModelForbidden, "workspace %q may not use %s@%s", w.Name, r.Model, r.Version)
+	}
+	model, ok := view.Models[r.Model]
+	if !ok {
+		return refuse(view, codeModelForbidden, "model %q does not exist", r.Model)
+	}
+	version, ok := model.Version(r.Version)
+	switch {
+	case !ok || version.State == config.VersionWithdrawn:
+		return refuse(view, codeVersionWithdrawn, "%s@%s is withdrawn", r.Model, r.Version)
+	case s.quarantined(r.Model, r.Version):
+		return refuse(view, codeQuarantined, "%s@%s is in quarantine", r.Model, r.Version)
+	case version.State == config.VersionDraining && !r.Pinned:
+		return refuse(view, codeVersionDraining, "%s@%s takes no new sessions", r.Model, r.Version)
+	}
+	if !serves(view.BackendServers[s.name], r.Model, r.Version) {
+		return refuse(view, codeNotServed, "backend server %q does not serve %s@%s", s.name, r.Model, r.Version)
+	}
+	if !s.loaded(r.Model, r.Version) {
+		return refuse(view, codeNotLoaded, "%s@%s is not loaded on %q", r.Model, r.Version, s.name)
+	}
+	return nil
+}
+
+func checkService(view *config.View, s standing, w *config.Workspace, r *link.Request) *link.Refusal {
+	if !w.AllowsService(r.Service) {
+		return refuse(view, codeServiceForbidden, "workspace %q may not use service %q", w.Name, r.Service)
+	}
+	if view.BackendServers[s.name].Service != r.Service {
+		return refuse(view, codeNotServed, "backend server %q does not serve %q", s.name, r.Service)
+	}
+	return nil
+}
+
+func serves(server *config.BackendServer, model, version string) bool {
+	for _, p := range server.Serves {
+		if p.Model == model && p.Version == version {
+			return true
+		}
+	}
+	return false
+}
+
+func refuse(view *config.View, code, format string, args ...any) *link.Refusal {
+	return &link.Refusal{Code: code, Message: fmt.Sprintf(format, args...), Revision: view.Revision}
+}
--- /dev/null
+++ b/control/control.go
@@ -0,0 +1,110 @@
+// Package control defines the control messages that entries and agents
+// exchange over their links, outside any stream.
+package control
+
+import (
+	"fmt"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"hyssoploom/config"
+	"hyssoploom/ledger"
+	"hyssoploom/link"
+	"hyssoploom/rollout"
+)
+
+// The kinds of control messages.
+const (
+	// KindRecords carries configuration records; see Records.
+	KindRecords = "records"
+	// KindWanted asks the peer for its records; see Wanted.
+	KindWanted = "wanted"
+	// KindEvidence carries a rollout.Delta.
+	KindEvidence = "evidence"
+	// KindQuarantine carries quarantines that the store may not have yet.
+	KindQuarantine = "quarantine"
+	// KindRating tells an agent that an answer was rated; see Rating.
+	KindRating = "rating"
+	// KindDurable tells an agent which ledger rows are in the store; see Durable.
+	KindDurable = "durable"
+)
+
+// maxRecordBytes bounds the records in one message, so that it fits a frame.
+const maxRecordBytes = 512 << 10
+
+// Records carries configuration records.
+type Records struct {
+	Records []config.Record `msgpack:"r"`
+}
+
+// Wanted asks for all records above a revision.
+type Wanted struct {
+	After uint64 `msgpack:"a"`
+}
+
+// Rating is the verdict on one answer, for the agent that ran it.
+type Rating struct {
+	RequestID string             `msgpack:"i"`
+	Key       rollout.VersionKey `msgpack:"k"`
+}
+
+// Durable lists ledger rows that are in the store.
+type Durable struct {
+	Keys []ledger.RowKey `msgpack:"k"`
+}
+
+// Encode returns the control message of a kind. It panics when v cannot be
+// encoded, because all message types are fixed.
+func Encode(kind string, v any) link.Control {
+	body, err := msgpack.Marshal(v)
+	if err != nil {
+		panic(fmt.Sprintf("control: encode %s: %v", kind, err))
+	}
+	return link.Control{Kind: kind, Body: body}
+}
+
+// Decode reads the body of a control message into v.
+func Decode(c link.Control, v any) error {
+	if err := msgpack.Unmarshal(c.Body, v); err != nil {
+		return fmt.Errorf("decode control message %q: %w", c.Kind, err)
+	}
+	return nil
+}
+
+// SplitRecords returns control messages that carry all records and each fit a
+// frame.
+func SplitRecords(records []config.Record) []link.Control {
+	var out []link.Control
+	var batch []config.Record
+	size := 0
+	flush := func() {
+		if len(batch) > 0 {
+			out = append(out, Encode(KindRecords, Records{Records: batch}))
+		}
+		batch, size = nil, 0
+	}
+	for _, r := range records {
+		if size+len(r.Raw) > maxRecordBytes {
+			flush()
+		}
+		batch = append(batch, r)
+		size += len(r.Raw) + len(r.Key)
+	}
+	flush()
+	return out
+}
+
+// Missing returns what a peer with the given revision and digest lacks of the
+// snapshot. Equal revisions with different digests mean that one side missed
+// an older change, so everything is sent.
+func Missing(snap *config.Snapshot, revision, digest uint64) []config.Record {
+	mine := snap.Revision()
+	switch {
+	case revision < mine:
+		return snap.After(revision)
+	case revision == mine && digest != snap.Digest():
+		return snap.All()
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/entry/api.go
@@ -0,0 +1,217 @@
+package entry
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"regexp"
+	"strings"
+
+	"github.com/gorilla/mux"
+	"github.com/oklog/ulid/v2"
+
+	"hyssoploom/config"
+)
+
+// The headers of the callers' API.
+const (
+	headerRequestID      = "X-Request-Id"
+	headerSessionID      = "X-Session-Id"
+	headerSessionToken   = "X-Session-Token"
+	headerTaskClass      = "X-Task-Class"
+	headerModelVersion   = "X-Model-Version"
+	headerIdempotencyKey = "Idempotency-Key"
+)
+
+// idPattern limits ids that become part of store keys.
+var idPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:-]{0,127}$`)
+
+// RunState tells a caller whether its request ran.
+type RunState string
+
+// The values of the field "run" in an error.
+const (
+	NotRun  RunState = "not_run"
+	Unknown RunState = "unknown"
+)
+
+// apiError is a refusal or failure as the caller sees it.
+type apiError struct {
+	Status     int
+	Code       string
+	Message    string
+	Run        RunState
+	RetryAfter int // seconds, 0 for none
+}
+
+// Error returns the code and the message.
+func (e *apiError) Error() string { return e.Code + ": " + e.Message }
+
+func refusal(status int, code, format string, args ...any) *apiError {
+	return &apiError{Status: status, Code: code, Message: fmt.Sprintf(format, args...), Run: NotRun}
+}
+
+// busy returns a refusal that a caller may try again soon.
+func busy(code, format string, args ...any) *apiError {
+	err := refusal(http.StatusServiceUnavailable, code, format, args...)
+	err.RetryAfter = 1
+	return err
+}
+
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Code      string   `json:"code"`
+	Message   string   `json:"message"`
+	Type      string   `json:"type"`
+	Run       RunState `json:"run"`
+	RequestID string   `json:"request_id,omitempty"`
+}
+
+func (e *apiError) body(requestID string) errorBody {
+	kind := "server_error"
+	switch {
+	case e.Status == http.StatusTooManyRequests:
+		kind = "rate_limit_error"
+	case e.Status == http.StatusUnauthorized:
+		kind = "authentication_error"
+	case e.Status < http.StatusInternalServerError:
+		kind = "invalid_request_error"
+	}
+	return errorBody{Error: errorDetail{
+		Code: e.Code, Message: e.Message, Type: kind, Run: e.Run, RequestID: requestID,
+	}}
+}
+
+func writeError(w http.ResponseWriter, requestID string, err *apiError) {
+	w.Header().Set("Content-Type", "application/json")
+	if err.RetryAfter > 0 {
+		w.Header().Set("Retry-After", fmt.Sprint(err.RetryAfter))
+	}
+	w.WriteHeader(err.Status)
+	_ = json.NewEncoder(w).Encode(err.body(requestID))
+}
+
+// Handler returns the callers' API.
+func (e *Entry) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/v1/chat/completions", e.tracked(e.serveChat)).Methods(http.MethodPost)
+	r.HandleFunc("/v1/models", e.tracked(e.serveModels)).Methods(http.MethodGet)
+	r.HandleFunc("/services/{service}/{path:.*}", e.tracked(e.serveService))
+	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	r.HandleFunc("/readyz", e.serveReady)
+	r.Handle("/debug/vars", e.metrics)
+	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		writeError(w, "", refusal(http.StatusNotFound, "path_unknown", "there is nothing at %s", r.URL.Path))
+	})
+	r.MethodNotAllowedHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		writeError(w, "", refusal(http.StatusMethodNotAllowed, "method_not_allowed", "%s is not allowed at %s", r.Method, r.URL.Path))
+	})
+	return r
+}
+
+func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !e.ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// call is what all requests of callers have in common.
+type call struct {
+	requestID string
+	view      *config.View
+	workspace *config.Workspace
+}
+
+// tracked identifies the caller and counts the request for draining.
+func (e *Entry) tracked(serve func(http.ResponseWriter, *http.Request, *call) *apiError) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		defer e.requests.Begin()()
+		e.metrics.Add("requests", 1)
+		c, apiErr := e.identify(r)
+		if c.requestID != "" {
+			w.Header().Set(headerRequestID, c.requestID)
+		}
+		if apiErr == nil {
+			apiErr = serve(w, r, c)
+		}
+		if apiErr != nil {
+			e.metrics.Add("refused_"+apiErr.Code, 1)
+			writeError(w, c.requestID, apiErr)
+		}
+	}
+}
+
+func (e *Entry) identify(r *http.Request) (*call, *apiError) {
+	c := &call{requestID: r.Header.Get(headerRequestID), view: e.snapshot.View()}
+	if c.requestID == "" {
+		c.requestID = ulid.Make().String()
+	}
+	if !idPattern.MatchString(c.requestID) {
+		c.requestID = ""
+		return c, refusal(http.StatusBadRequest, "request_id_invalid",
+			"header %s must be 1 to 128 letters, digits, dots, colons, hyphens or underscores", headerRequestID)
+	}
+	if e.snapshot.Revision() == 0 {
+		return c, busy("not_ready", "this entry has no configuration yet")
+	}
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok || key == "" {
+		return c, refusal(http.StatusUnauthorized, "key_missing", "header Authorization must hold a bearer key")
+	}
+	workspace, ok := c.view.WorkspaceByKey(key)
+	if !ok {
+		return c, refusal(http.StatusUnauthorized, "key_unknown", "the key belongs to no workspace")
+	}
+	c.workspace = workspace
+	return c, nil
+}
+
+// readBody reads a body within the size limit.
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *apiError) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.settings.MaxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, refusal(http.StatusRequestEntityTooLarge, "body_too_large", "the body is larger than %d bytes", tooLarge.Limit)
+	case err != nil:
+		return nil, refusal(http.StatusBadRequest, "body_unreadable", "the body could not be read: %v", err)
+	}
+	return body, nil
+}
+
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelItem `json:"data"`
+}
+
+type modelItem struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// serveModels lists the models and cascades that the workspace may use.
+func (e *Entry) serveModels(w http.ResponseWriter, _ *http.Request, c *call) *apiError {
+	list := modelList{Object: "list", Data: []modelItem{}}
+	add := func(id, owner string) {
+		list.Data = append(list.Data, modelItem{ID: id, Object: "model", OwnedBy: owner})
+	}
+	for _, grant := range c.workspace.Allow {
+		if _, ok := c.view.Models[grant.Model]; ok {
+			add(grant.Model, "hyssoploom")
+		}
+	}
+	for _, name := range c.workspace.Cascades {
+		if _, ok := c.view.Cascades[name]; ok {
+			add(name, "hyssoploom-cascade")
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(list)
+	return nil
+}
--- /dev/null
+++ b/entry/attempt.go
@@ -0,0 +1,274 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+
+	"hyssoploom/link"
+	"hyssoploom/rollout"
+	"hyssoploom/route"
+	"hyssoploom/telemetry"
+)
+
+const (
+	// noEndpointWait bounds the wait for a backend server to become available,
+	// for example while links are dialled anew.
+	noEndpointWait = 2 * time.Second
+	// pollInterval is the pause between two looks for a backend server.
+	pollInterval = 25 * time.Millisecond
+)
+
+// stageRun is one stage of a request: the attempts that produce one answer.
+type stageRun struct {
+	*chat
+	index   int
+	stage   *stage
+	out     *output
+	gated   bool
+	tried   map[string]bool
+	attempt uint32
+	// text and tokens are what earlier attempts have produced and the caller may
+	// have seen.
+	text    strings.Builder
+	tokens  int64
+	refused *link.Refusal // last refusal
+}
+
+// runStage produces the answer of one stage.
+func (ch *chat) runStage(ctx context.Context, index int, out *output, gated bool) (*answer, *apiError) {
+	run := &stageRun{chat: ch, index: index, stage: &ch.stages[index], out: out, gated: gated, tried: make(map[string]bool)}
+	except := ""
+	var waited time.Duration
+	for {
+		if err := run.renew(ctx, run.stage, except); err != nil {
+			return nil, run.refusedError(err)
+		}
+		peer, err := run.pick()
+		if err != nil {
+			if waited >= noEndpointWait || run.allRefused() {
+				return nil, run.noEndpoint(err)
+			}
+			waited += pollInterval
+			if !sleep(ctx, pollInterval) {
+				return nil, run.timedOut()
+			}
+			continue
+		}
+		result, next := run.try(ctx, peer)
+		switch {
+		case result != nil:
+			return result, nil
+		case next.err != nil:
+			return nil, next.err
+		case next.avoidVersion && !run.idOnly && run.tokens == 0:
+			except = run.stage.version
+			delete(run.pins, run.stage.model)
+			run.stage.bound = false
+		case next.avoidVersion:
+			// The session already uses the version: wait for ratings.
+			clear(run.tried)
+			if !sleep(ctx, pollInterval) {
+				return nil, run.timedOut()
+			}
+		}
+	}
+}
+
+// allRefused reports whether every candidate refused; waiting would not help.
+func (run *stageRun) allRefused() bool { return run.refused != nil && len(run.tried) > 0 }
+
+// pick chooses a backend server for the stage's version.
+func (run *stageRun) pick() (*peer, error) {
+	e := run.entry
+	request := route.Request{
+		Model: run.stage.model, Version: run.stage.version, Session: run.sessionID,
+		DataCentre: e.settings.DataCentre, Region: e.region(), Tried: run.tried,
+	}
+	return e.pick(request)
+}
+
+// follow says how to go on after an attempt that gave no answer.
+type follow struct {
+	err          *apiError // end of the request
+	avoidVersion bool      // another version should take a new session
+}
+
+// try runs one attempt on one backend server.
+func (run *stageRun) try(ctx context.Context, p *peer) (*answer, follow) {
+	run.attempt++
+	run.tried[p.name] = true
+	ctx, span := run.entry.deps.Tracing.Tracer.Start(ctx, "link")
+	defer span.End()
+	span.SetAttributes(attribute.String("backend_server", p.name), attribute.Int("attempt", int(run.attempt)))
+
+	p.sent.Add(1)
+	defer p.sent.Add(-1)
+	run.entry.metrics.Add("attempts", 1)
+	stream, err := p.client.Open(ctx, run.request(ctx, p))
+	if err != nil {
+		return nil, run.afterBreak(ctx, p, err)
+	}
+	err = run.receive(ctx, stream)
+	if !errors.Is(err, io.EOF) {
+		stream.Cancel()
+		return nil, run.afterBreak(ctx, p, err)
+	}
+	end := stream.End()
+	run.handed = true
+	run.entry.charge(p, end.Charge)
+	if !end.Complete {
+		return nil, run.afterFailure(p, end)
+	}
+	return &answer{
+		stage: run.index, model: run.stage.model, version: run.stage.version,
+		text: run.text.String(), tokensIn: end.TokensIn, tokensOut: end.TokensOut,
+		finishReason: end.FinishReason, backend: p.name,
+	}, follow{}
+}
+
+// receive passes on the payloads until the end of the stream.
+func (run *stageRun) receive(ctx context.Context, stream *link.Stream) error {
+	for {
+		payload, err := stream.Recv(ctx)
+		if err != nil {
+			return err
+		}
+		run.handed = true
+		run.tokens++
+		run.text.Write(payload)
+		if run.gated || !run.out.streaming() {
+			continue
+		}
+		current := &answer{stage: run.index, model: run.stage.model, version: run.stage.version}
+		if err := run.out.write(string(payload), current); err != nil {
+			return errCallerGone
+		}
+	}
+}
+
+var errCallerGone = errors.New("caller closed the connection")
+
+func (run *stageRun) request(ctx context.Context, p *peer) *link.Request {
+	deadline, _ := ctx.Deadline()
+	now := time.Now()
+	return &link.Request{
+		Kind: link.KindChat, RequestID: run.requestID, Attempt: run.attempt + uint32(run.index)<<16,
+		Workspace: run.workspace.Name, Model: run.stage.model, Version: run.stage.version,
+		Pinned: run.stage.pinned, Session: run.sessionID, TaskClass: run.taskClass, Stage: run.index,
+		Priority: run.workspace.Priority,
+		Deadline: p.client.Status().AgentClock(now) + deadline.Sub(now),
+		Revision: run.entry.snapshot.Revision(),
+		Body:     run.body, ResumeFrom: run.tokens, ResumeText: run.text.String(),
+		TraceParent: telemetry.TraceParent(ctx),
+	}
+}
+
+// afterBreak decides what follows a refusal or a lost stream.
+func (run *stageRun) afterBreak(ctx context.Context, p *peer, err error) follow {
+	var refused *link.RefusedError
+	var broken *link.BrokenError
+	var notSent *link.NotSentError
+	switch {
+	case errors.As(err, &refused):
+		run.refused = &refused.Refusal
+		return follow{avoidVersion: refused.Refusal.Code == "exposure_budget"}
+	case errors.As(err, &notSent):
+		return follow{}
+	case errors.Is(err, errCallerGone):
+		run.chargeCut(p)
+		return follow{err: callerGone()}
+	case ctx.Err() != nil:
+		run.handed = true
+		run.chargeCut(p)
+		return follow{err: run.timedOut()}
+	case errors.As(err, &broken):
+		run.handed = run.handed || broken.Handed
+		if broken.Handed {
+			run.chargeCut(p)
+		}
+	default:
+		run.handed = true
+		run.chargeCut(p)
+	}
+	run.entry.log.Warn("Attempt was lost.", "request", run.requestID, "backend_server", p.name, "error", err.Error())
+	return run.retry("attempt_lost", err.Error())
+}
+
+// afterFailure decides what follows an answer that the backend server cut.
+func (run *stageRun) afterFailure(p *peer, end *link.End) follow {
+	run.entry.log.Warn("Attempt failed.", "request", run.requestID, "backend_server", p.name, "code", end.Code)
+	return run.retry(end.Code, end.Message)
+}
+
+// retry allows another attempt within the retry budget. A caller that has
+// seen a part of the answer needs an engine that can resume.
+func (run *stageRun) retry(code, message string) follow {
+	if !run.entry.budget.allow() {
+		return follow{err: run.failed(code, message+"; the retry budget is used up")}
+	}
+	visible := run.tokens > 0 && !run.gated && run.out.streaming()
+	if visible && !run.entry.links.resumable(run.stage.model, run.stage.version, run.tried) {
+		return follow{err: run.failed(code, message+"; no other backend server can resume the answer")}
+	}
+	if !visible {
+		run.text.Reset()
+		run.tokens = 0
+	}
+	run.entry.metrics.Add("retries", 1)
+	return follow{}
+}
+
+// chargeCut charges what this entry has received of an attempt whose end it
+// will not see. The agent may write a larger row for the same stage; readers
+// keep the larger one.
+func (run *stageRun) chargeCut(p *peer) {
+	run.entry.chargeCut(cutCharge{
+		call: run.call, body: run.body, stage: run.index, attempt: run.attempt, peer: p,
+		model: run.stage.model, version: run.stage.version, tokensOut: run.tokens,
+	})
+}
+
+func (run *stageRun) timedOut() *apiError {
+	err := run.failed("deadline_exceeded", "the request was not answered in time")
+	err.Status = http.StatusGatewayTimeout
+	return err
+}
+
+// noEndpoint names the reason why no backend server took the request.
+func (run *stageRun) noEndpoint(err error) *apiError {
+	if run.refused != nil {
+		apiErr := busy(run.refused.Code, "%s", run.refused.Message)
+		return run.refusedError(apiErr)
+	}
+	return run.refusedError(busy("no_backend_server", "%v", err))
+}
+
+// refusedError corrects the run state of a refusal that comes after an attempt
+// that ran.
+func (run *stageRun) refusedError(err *apiError) *apiError {
+	if run.handed {
+		err.Run = Unknown
+	}
+	return err
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func versionKey(model, version string) rollout.VersionKey {
+	return rollout.VersionKey{Model: model, Version: version}
+}
--- /dev/null
+++ b/entry/duties.go
@@ -0,0 +1,64 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"hyssoploom/config"
+	"hyssoploom/ledger"
+	"hyssoploom/platform"
+)
+
+const (
+	// dutyTTL is the lease of the entry that holds the duties. Safety does not
+	// rest on it: each write of a duty is a compare-and-swap.
+	dutyTTL = 30 * time.Second
+	dutyKey = "duty/housekeeping"
+	// dutyTimeout bounds one round of duties.
+	dutyTimeout = 20 * time.Second
+)
+
+// runDuties does the work that one entry does for all, if the lease is free.
+func (e *Entry) runDuties(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, dutyTimeout)
+	defer cancel()
+	lease, err := e.deps.Store.Grant(ctx, dutyTTL)
+	if err != nil {
+		return
+	}
+	defer func() {
+		_ = e.deps.Store.Revoke(context.WithoutCancel(ctx), lease)
+	}()
+	if _, err := e.deps.Store.Swap(ctx, platform.Write{Key: dutyKey, Value: []byte(e.settings.Name), Lease: lease}); err != nil {
+		return
+	}
+	if err := ledger.Compact(ctx, e.deps.Store); err != nil {
+		e.log.Warn("Ledger was not compacted.", "error", err.Error())
+	}
+	if err := e.once.Sweep(ctx); err != nil {
+		e.log.Warn("Old idempotency records were not removed.", "error", err.Error())
+	}
+}
+
+// storeQuarantines writes the quarantines that the store does not have yet.
+// Every entry tries; the compare-and-swap lets one of them win.
+func (e *Entry) storeQuarantines(ctx context.Context) {
+	for _, q := range e.health.Pending() {
+		raw, err := config.EncodeQuarantine(q.Model, q.Version, q.Reason, e.settings.Name, q.ID)
+		if err != nil {
+			e.log.Error("Quarantine cannot be encoded.", "error", err.Error())
+			continue
+		}
+		key := config.QuarantineKey(q.Model, q.Version)
+		revision, err := e.deps.Store.Swap(ctx, platform.Write{Key: key, Value: raw, Expect: q.BaseRevision})
+		var conflict *platform.ConflictError
+		switch {
+		case err == nil:
+			e.snapshot.Adopt([]config.Record{{Key: key, Revision: revision, Raw: raw}})
+		case errors.As(err, &conflict):
+			current := conflict.Current
+			e.snapshot.Adopt([]config.Record{{Key: key, Revision: current.Revision, Raw: current.Value}})
+		}
+	}
+}
--- /dev/null
+++ b/entry/endpoints.go
@@ -0,0 +1,120 @@
+package entry
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"hyssoploom/config"
+	"hyssoploom/route"
+)
+
+// region returns the region of this entry's data centre, "" when unknown.
+func (e *Entry) region() string {
+	if centre, ok := e.snapshot.View().DataCentres[e.settings.DataCentre]; ok {
+		return centre.Region
+	}
+	return ""
+}
+
+// pick chooses a backend server among the linked ones.
+func (e *Entry) pick(r route.Request) (*peer, error) {
+	peers := e.links.all()
+	slices.SortFunc(peers, func(a, b *peer) int { return strings.Compare(a.name, b.name) })
+	view := e.snapshot.View()
+	leaving := e.links.leavingVMs()
+	endpoints := make([]route.Endpoint, 0, len(peers))
+	for _, p := range peers {
+		if endpoint, ok := endpoint(view, p, leaving); ok {
+			endpoints = append(endpoints, endpoint)
+		}
+	}
+	e.randMu.Lock()
+	decision, err := e.router.Pick(endpoints, r, e.rand)
+	e.randMu.Unlock()
+	if err != nil {
+		return nil, err
+	}
+	i := slices.IndexFunc(peers, func(p *peer) bool { return p.name == decision.Endpoint.Name })
+	return peers[i], nil
+}
+
+// endpoint describes one linked backend server for the router.
+func endpoint(view *config.View, p *peer, leavingVMs map[string]bool) (route.Endpoint, bool) {
+	server, ok := view.BackendServers[p.name]
+	if !ok {
+		return route.Endpoint{}, false
+	}
+	centre, known := view.DataCentres[server.DataCentre]
+	status := p.client.Status()
+	out := route.Endpoint{
+		Name: p.name, DataCentre: server.DataCentre, Service: server.Service,
+		Alive: status.Alive, Draining: status.Draining,
+		Leaving: server.State != config.BackendServerIn || leavingVMs[server.VM],
+		Out:     !known || centre.State != config.DataCentreIn,
+		Sent:    int(p.sent.Load()),
+	}
+	if known {
+		out.Region = centre.Region
+	}
+	if load := status.Load; load != nil {
+		out.Loaded = load.Loaded
+		out.Running, out.Queued, out.Limit = load.Running, load.Queued, load.Limit
+		out.Cold, out.FirstToken = load.Cold, load.FirstToken
+	}
+	return out, true
+}
+
+func (l *links) leavingVMs() map[string]bool {
+	out := make(map[string]bool)
+	for _, vm := range l.vmList() {
+		if vm.Leaving {
+			out[vm.Name] = true
+		}
+	}
+	return out
+}
+
+// serving reports whether a linked backend server has the version loaded.
+func (l *links) serving(model, version string) bool {
+	for _, p := range l.all() {
+		status := p.client.Status()
+		if status.Alive && status.Load != nil && slices.Contains(status.Load.Loaded, model+"@"+version) {
+			return true
+		}
+	}
+	return false
+}
+
+// resumable reports whether an untried backend server can continue an answer.
+func (l *links) resumable(model, version string, tried map[string]bool) bool {
+	for _, p := range l.all() {
+		status := p.client.Status()
+		if tried[p.name] || !status.Alive || status.Load == nil || !status.Load.Resumes {
+			continue
+		}
+		if slices.Contains(status.Load.Loaded, model+"@"+version) {
+			return true
+		}
+	}
+	return false
+}
+
+type linkSummary struct {
+	Alive int `json:"alive"`
+	Total int `json:"total"`
+}
+
+func (l *links) summary() linkSummary {
+	var out linkSummary
+	for _, p := range l.all() {
+		out.Total++
+		if p.client.Status().Alive {
+			out.Alive++
+		}
+	}
+	return out
+}
+
+// clock is the entry's monotonic clock.
+func (e *Entry) clock() time.Duration { return time.Since(e.started) }
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,271 @@
+// Package entry is the daemon that callers talk to. It chooses the version, the
+// stage and the backend server of each request, retries, and charges.
+package entry
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/thejerf/suture/v4"
+
+	"hyssoploom/cascade"
+	"hyssoploom/config"
+	"hyssoploom/health"
+	"hyssoploom/ledger"
+	"hyssoploom/once"
+	"hyssoploom/platform"
+	"hyssoploom/provider"
+	"hyssoploom/route"
+	"hyssoploom/session"
+	"hyssoploom/settings"
+	"hyssoploom/supervise"
+	"hyssoploom/telemetry"
+)
+
+const (
+	evidenceInterval   = time.Second
+	linksInterval      = time.Second
+	quarantineInterval = time.Second
+	vmListInterval     = 2 * time.Second
+	dutyInterval       = 10 * time.Second
+	// minLedgerWindow is the shortest group commit window.
+	minLedgerWindow = 20 * time.Millisecond
+	// ledgerWritesPerSecond is the part of the store's write rate that the
+	// ledgers of all entries share.
+	ledgerWritesPerSecond = 200
+)
+
+// Deps are the outside systems of an entry.
+type Deps struct {
+	Store   platform.Store
+	VMs     platform.VMList
+	Rater   platform.Rater
+	Log     *telemetry.Logger
+	Tracing *telemetry.Tracing
+	// Seed makes the random choices repeatable; 0 takes a random seed.
+	Seed uint64
+}
+
+// Entry is one running entry.
+type Entry struct {
+	settings *settings.Entry
+	deps     Deps
+	log      *telemetry.Logger
+	metrics  *telemetry.Metrics
+	bootID   string
+
+	snapshot *config.Snapshot
+	watcher  *provider.Watcher
+	links    *links
+	tree     *suture.Supervisor
+
+	router   *route.Router
+	budget   *retryBudget
+	policy   *policy
+	health   *health.Keeper
+	ratings  *ratings
+	signer   *session.Signer
+	sessions *session.Binder
+	once     *once.Log
+	ledger   *ledger.Writer
+
+	entries  atomic.Int64 // number of entries in the VM list, at least 1
+	draining atomic.Bool
+	requests supervise.Inflight
+
+	randMu sync.Mutex
+	rand   *rand.Rand
+}
+
+// New returns an entry that has not started yet.
+func New(s *settings.Entry, deps Deps) *Entry {
+	e := &Entry{
+		settings: s,
+		deps:     deps,
+		log:      deps.Log,
+		metrics:  telemetry.NewMetrics(),
+		bootID:   ulid.Make().String(),
+		snapshot: config.NewSnapshot(),
+		router:   route.NewRouter(route.Config{}),
+		budget:   newRetryBudget(),
+		signer:   session.NewSigner([]byte(s.FleetKey)),
+		sessions: session.NewBinder(deps.Store),
+		once:     once.New(deps.Store),
+		rand:     newRand(deps.Seed),
+	}
+	e.entries.Store(1)
+	e.tree = supervise.New("entry", deps.Log)
+	e.links = newLinks(e)
+	e.health = health.New(e.bootID, e.snapshot, e.links.broadcast, deps.Log.Part("health"))
+	e.policy = newPolicy(cascade.NewPolicy(cascade.Config{}))
+	e.ratings = newRatings(e)
+	e.ledger = ledger.NewWriter(deps.Store, e.bootID, e.ledgerWindow)
+	e.ledger.OnDurable = e.links.reportDurable
+	e.watcher = provider.NewWatcher(deps.Store, e.snapshot, deps.Log.Part("provider"))
+	e.publishMetrics()
+	e.addServices()
+	return e
+}
+
+func (e *Entry) addServices() {
+	e.tree.Add(e.watcher)
+	e.tree.Add(e.ledger)
+	e.tree.Add(e.links)
+	e.tree.Add(supervise.Every("evidence", evidenceInterval, func(context.Context) { e.health.Tick() }))
+	e.tree.Add(supervise.Every("quarantines", quarantineInterval, e.storeQuarantines))
+	e.tree.Add(supervise.Every("vm list", vmListInterval, e.readVMList))
+	e.tree.Add(supervise.Every("duties", dutyInterval, e.runDuties))
+}
+
+// Serve answers callers on the settings' listen address until ctx ends.
+func (e *Entry) Serve(ctx context.Context) error {
+	listener, err := net.Listen("tcp", e.settings.Listen)
+	if err != nil {
+		return err
+	}
+	return e.ServeOn(ctx, listener)
+}
+
+// ServeOn answers callers on listener until ctx ends.
+func (e *Entry) ServeOn(ctx context.Context, listener net.Listener) error {
+	e.log.Info("Started.", "entry", e.settings.Name, "listen", listener.Addr().String())
+	e.readVMList(ctx)
+	e.tree.Add(supervise.HTTP("api", listener, e.Handler()))
+	err := e.tree.Serve(ctx)
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// Drain fails readiness, lets running requests end within the drain grace, and
+// writes all charges.
+func (e *Entry) Drain(ctx context.Context) error {
+	e.draining.Store(true)
+	graceCtx, cancelGrace := context.WithTimeout(ctx, e.settings.DrainGrace)
+	defer cancelGrace()
+	// The balancer still sends requests until it has seen that the entry is not
+	// ready; these are served as well.
+	time.Sleep(min(e.settings.DrainGrace/4, balancerDelay))
+	if err := errors.Join(e.requests.Wait(graceCtx), e.ratings.running.Wait(graceCtx)); err != nil {
+		e.log.Warn("Drain grace ended with open requests.", "requests", e.requests.Count())
+	}
+	flushCtx, cancel := context.WithTimeout(ctx, e.settings.DrainGrace)
+	defer cancel()
+	return e.ledger.Flush(flushCtx)
+}
+
+// balancerDelay is how long the platform's balancer may take to stop sending
+// requests to an entry that is not ready.
+const balancerDelay = 2 * time.Second
+
+// ledgerWindow grows with the number of entries, so that the whole fleet stays
+// within its part of the store's write rate.
+func (e *Entry) ledgerWindow() time.Duration {
+	return max(minLedgerWindow, time.Duration(e.entries.Load())*time.Second/ledgerWritesPerSecond)
+}
+
+func (e *Entry) readVMList(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, vmListInterval)
+	defer cancel()
+	vms, err := e.deps.VMs.VMs(ctx)
+	if err != nil {
+		return
+	}
+	entries := int64(0)
+	for _, vm := range vms {
+		if vm.Role == "entry" {
+			entries++
+		}
+	}
+	e.entries.Store(max(entries, 1))
+	e.links.setVMs(vms)
+}
+
+// uniform returns a random number in [0, 1).
+func (e *Entry) uniform() float64 {
+	e.randMu.Lock()
+	defer e.randMu.Unlock()
+	return e.rand.Float64()
+}
+
+func newRand(seed uint64) *rand.Rand {
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
+	return rand.New(rand.NewPCG(seed, 0))
+}
+
+// ready reports whether the balancer should send requests here.
+func (e *Entry) ready() bool {
+	if e.draining.Load() || e.snapshot.Revision() == 0 {
+		return false
+	}
+	centre, ok := e.snapshot.View().DataCentres[e.settings.DataCentre]
+	return ok && centre.State == config.DataCentreIn
+}
+
+func (e *Entry) publishMetrics() {
+	e.metrics.Func("revision", func() any { return e.snapshot.Revision() })
+	e.metrics.Func("digest", func() any { return e.snapshot.Digest() })
+	e.metrics.Func("config_age_seconds", func() any { return e.watcher.Age().Seconds() })
+	e.metrics.Func("ledger", func() any { return e.ledger.Stats() })
+	e.metrics.Func("links", func() any { return e.links.summary() })
+	e.metrics.Func("draining", func() any { return e.draining.Load() })
+}
+
+// retryBudget makes route.RetryBudget safe for concurrent use.
+type retryBudget struct {
+	mu     sync.Mutex
+	bucket *route.RetryBudget
+}
+
+func newRetryBudget() *retryBudget { return &retryBudget{bucket: route.NewRetryBudget()} }
+
+func (b *retryBudget) request() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.bucket.OnRequest()
+}
+
+func (b *retryBudget) allow() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.bucket.Allow()
+}
+
+// policy makes cascade.Policy safe for concurrent use.
+type policy struct {
+	mu    sync.Mutex
+	inner *cascade.Policy
+	start time.Time
+}
+
+func newPolicy(p *cascade.Policy) *policy { return &policy{inner: p, start: time.Now()} }
+
+func (p *policy) plan(r cascade.PlanRequest, u float64) cascade.Plan {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.inner.Plan(time.Since(p.start), r, u)
+}
+
+func (p *policy) observe(o cascade.Observation) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.inner.Observe(time.Since(p.start), o)
+}
+
+func (p *policy) next(plan cascade.Plan, stage int, rating cascade.Rating) cascade.Step {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.inner.Next(plan, stage, rating)
+}
+
+var _ http.Handler = (*telemetry.Metrics)(nil)
--- /dev/null
+++ b/entry/links.go
@@ -0,0 +1,293 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+
+	"hyssoploom/config"
+	"hyssoploom/control"
+	"hyssoploom/ledger"
+	"hyssoploom/link"
+	"hyssoploom/platform"
+	"hyssoploom/route"
+	"hyssoploom/supervise"
+)
+
+// fullMeshLimit is the number of agents up to which an entry links to all.
+const fullMeshLimit = 48
+
+// peer is the link to one agent.
+type peer struct {
+	name    string // backend server
+	addr    string
+	client  *link.Client
+	service suture.ServiceToken
+	// sent counts the streams of this entry that the agent's last report may
+	// not include.
+	sent atomic.Int64
+}
+
+// links keeps a link to every agent that this entry uses.
+type links struct {
+	entry *Entry
+	tree  *suture.Supervisor
+
+	mu    sync.Mutex
+	peers map[string]*peer
+	vms   []platform.VM
+	// held maps ledger rows to the agent that holds them too.
+	held map[ledger.RowKey]string
+}
+
+func newLinks(e *Entry) *links {
+	return &links{
+		entry: e,
+		tree:  supervise.New("links", e.log),
+		peers: make(map[string]*peer),
+		held:  make(map[ledger.RowKey]string),
+	}
+}
+
+// String names the service in the supervisor tree.
+func (l *links) String() string { return "links" }
+
+// Serve follows the records and the VM list until ctx ends.
+func (l *links) Serve(ctx context.Context) error {
+	treeDone := l.tree.ServeBackground(ctx)
+	ticker := time.NewTicker(linksInterval)
+	defer ticker.Stop()
+	for {
+		changed := l.entry.snapshot.Changed()
+		l.reconcile()
+		l.pushRecords()
+		l.entry.health.Reconcile()
+		select {
+		case <-ctx.Done():
+			<-treeDone
+			return ctx.Err()
+		case <-changed:
+		case <-ticker.C:
+		}
+	}
+}
+
+// reconcile opens the links that are wanted and closes the others.
+func (l *links) reconcile() {
+	wanted := l.wanted()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for name, p := range l.peers {
+		if wanted[name] != p.addr {
+			delete(l.peers, name)
+			_ = l.tree.Remove(p.service)
+		}
+	}
+	for name, addr := range wanted {
+		if _, ok := l.peers[name]; !ok {
+			l.peers[name] = l.connect(name, addr)
+		}
+	}
+}
+
+// wanted maps backend servers to the addresses of their agents. Without any
+// record, for example after a start in a store outage, the VM list leads to
+// agents that have the records.
+func (l *links) wanted() map[string]string {
+	view := l.entry.snapshot.View()
+	out := make(map[string]string)
+	if len(view.BackendServers) == 0 {
+		for _, vm := range l.vmList() {
+			if vm.Role == "backend" {
+				out["vm:"+vm.Name] = vm.Addr
+			}
+		}
+		return out
+	}
+	for name, server := range view.BackendServers {
+		if server.State != config.BackendServerOut {
+			out[name] = server.AgentAddr
+		}
+	}
+	if len(out) > fullMeshLimit {
+		return l.subset(view, out)
+	}
+	return out
+}
+
+func (l *links) subset(view *config.View, all map[string]string) map[string]string {
+	agents := make([]route.AgentRef, 0, len(all))
+	for name := range all {
+		server := view.BackendServers[name]
+		ref := route.AgentRef{Name: name, DataCentre: server.DataCentre, Service: server.Service}
+		if centre, ok := view.DataCentres[server.DataCentre]; ok {
+			ref.Region = centre.Region
+		}
+		for _, p := range server.Serves {
+			ref.Serves = append(ref.Serves, p.Model+"@"+p.Version)
+		}
+		agents = append(agents, ref)
+	}
+	e := l.entry
+	out := make(map[string]string)
+	for _, name := range route.Subset(e.settings.Name, e.settings.DataCentre, e.region(), agents, route.DefaultSubsetLimits()) {
+		out[name] = all[name]
+	}
+	return out
+}
+
+func (l *links) connect(name, addr string) *peer {
+	e := l.entry
+	p := &peer{name: name, addr: addr}
+	expect := name
+	if len(e.snapshot.View().BackendServers) == 0 {
+		expect = "" // the VM list does not name backend servers
+	}
+	p.client = link.NewClient(link.ClientConfig{
+		Addr:     addr,
+		Expect:   expect,
+		FleetKey: []byte(e.settings.FleetKey),
+		Hello:    link.Hello{Name: e.settings.Name, BootID: e.bootID, DataCentre: e.settings.DataCentre},
+		Heartbeat: func() link.Heartbeat {
+			return link.Heartbeat{
+				Clock:    e.clock(),
+				Revision: e.snapshot.Revision(),
+				Digest:   e.snapshot.Digest(),
+				Draining: e.draining.Load(),
+			}
+		},
+		OnHello:     func(link.Hello) { l.greet(p) },
+		OnHeartbeat: func(hb link.Heartbeat) { l.sendMissing(p, hb.Revision, hb.Digest) },
+		OnControl:   func(c link.Control) { l.onControl(p, c) },
+		Log:         e.log.Part("link"),
+	})
+	p.service = l.tree.Add(p.client)
+	return p
+}
+
+// greet sends a new peer the evidence and quarantines of this process.
+func (l *links) greet(p *peer) {
+	for _, c := range l.entry.health.Greeting() {
+		l.sendTo(p, c)
+	}
+}
+
+func (l *links) sendMissing(p *peer, revision, digest uint64) {
+	for _, c := range control.SplitRecords(control.Missing(l.entry.snapshot, revision, digest)) {
+		l.sendTo(p, c)
+	}
+}
+
+// pushRecords sends new records to the agents without waiting for their next
+// heartbeat.
+func (l *links) pushRecords() {
+	for _, p := range l.all() {
+		status := p.client.Status()
+		if status.Alive && status.Revision < l.entry.snapshot.Revision() {
+			l.sendMissing(p, status.Revision, status.Digest)
+		}
+	}
+}
+
+func (l *links) onControl(p *peer, c link.Control) {
+	if err := l.dispatch(p, c); err != nil {
+		l.entry.log.Warn("Dropped a control message.", "peer", p.name, "error", err.Error())
+	}
+}
+
+func (l *links) dispatch(p *peer, c link.Control) error {
+	switch c.Kind {
+	case control.KindRecords:
+		var m control.Records
+		if err := control.Decode(c, &m); err != nil {
+			return err
+		}
+		l.entry.snapshot.Adopt(m.Records)
+		return nil
+	case control.KindWanted:
+		var m control.Wanted
+		if err := control.Decode(c, &m); err != nil {
+			return err
+		}
+		for _, out := range control.SplitRecords(l.entry.snapshot.After(m.After)) {
+			l.sendTo(p, out)
+		}
+		return nil
+	}
+	handled, err := l.entry.health.Handle(c)
+	if err == nil && !handled {
+		err = fmt.Errorf("unknown kind %q", c.Kind)
+	}
+	return err
+}
+
+func (l *links) sendTo(p *peer, c link.Control) {
+	if err := p.client.Send(c); err != nil {
+		l.entry.log.Debug("Control message was not sent.", "peer", p.name, "error", err.Error())
+	}
+}
+
+// send delivers a message to the agent of one backend server.
+func (l *links) send(name string, c link.Control) {
+	l.mu.Lock()
+	p := l.peers[name]
+	l.mu.Unlock()
+	if p != nil {
+		l.sendTo(p, c)
+	}
+}
+
+func (l *links) broadcast(c link.Control) {
+	for _, p := range l.all() {
+		if p.client.Status().Alive {
+			l.sendTo(p, c)
+		}
+	}
+}
+
+// holds remembers which agent holds a row until it is durable.
+func (l *links) holds(p *peer, key ledger.RowKey) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.held[key] = p.name
+}
+
+// reportDurable tells the agents which rows they no longer need to hold.
+func (l *links) reportDurable(keys []ledger.RowKey) {
+	byAgent := make(map[string][]ledger.RowKey)
+	l.mu.Lock()
+	for _, key := range keys {
+		if name, ok := l.held[key]; ok {
+			byAgent[name] = append(byAgent[name], key)
+			delete(l.held, key)
+		}
+	}
+	l.mu.Unlock()
+	for name, keys := range byAgent {
+		l.send(name, control.Encode(control.KindDurable, control.Durable{Keys: keys}))
+	}
+}
+
+func (l *links) setVMs(vms []platform.VM) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.vms = vms
+}
+
+func (l *links) vmList() []platform.VM {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.vms)
+}
+
+func (l *links) all() []*peer {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Collect(maps.Values(l.peers))
+}
--- /dev/null
+++ b/entry/ratings.go
@@ -0,0 +1,106 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"hyssoploom/cascade"
+	"hyssoploom/control"
+	"hyssoploom/platform"
+	"hyssoploom/rollout"
+	"hyssoploom/supervise"
+)
+
+const (
+	// defaultRateWait bounds the wait for a rating that gates an answer.
+	defaultRateWait = 2 * time.Second
+	// auditWait bounds a rating in the background.
+	auditWait = 30 * time.Second
+	// maxAudits bounds the ratings that wait in the background.
+	maxAudits = 256
+)
+
+// ratingJob is one answer to be rated.
+type ratingJob struct {
+	request platform.RateRequest
+	wait    time.Duration
+	stage   int
+	backend string // backend server that produced the answer
+}
+
+// ratings asks the rater and passes its verdicts on.
+type ratings struct {
+	entry   *Entry
+	running supervise.Inflight
+}
+
+func newRatings(e *Entry) *ratings { return &ratings{entry: e} }
+
+// rate waits for a rating. When it does not come in time, the answer is still
+// rated in the background, because a version under test needs the evidence.
+func (r *ratings) rate(ctx context.Context, job ratingJob) cascade.Rating {
+	result := make(chan cascade.Rating, 1)
+	r.start(ctx, job, result)
+	timer := time.NewTimer(job.wait)
+	defer timer.Stop()
+	select {
+	case rating := <-result:
+		return rating
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	r.entry.metrics.Add("ratings_late", 1)
+	return cascade.Rating{}
+}
+
+// later rates an answer that the caller already has.
+func (r *ratings) later(ctx context.Context, job ratingJob) { r.start(ctx, job, nil) }
+
+func (r *ratings) start(ctx context.Context, job ratingJob, result chan<- cascade.Rating) {
+	if r.running.Count() >= maxAudits {
+		r.entry.metrics.Add("ratings_dropped", 1)
+		if result != nil {
+			result <- cascade.Rating{}
+		}
+		return
+	}
+	end := r.running.Begin()
+	ctx = context.WithoutCancel(ctx)
+	go func() {
+		defer end()
+		rating := r.ask(ctx, job)
+		if result != nil {
+			result <- rating
+		}
+	}()
+}
+
+// ask calls the rater and records the verdict.
+func (r *ratings) ask(ctx context.Context, job ratingJob) cascade.Rating {
+	ctx, cancel := context.WithTimeout(ctx, auditWait)
+	defer cancel()
+	ctx, span := r.entry.deps.Tracing.Tracer.Start(ctx, "rater")
+	defer span.End()
+	verdict, err := r.entry.deps.Rater.Rate(ctx, job.request)
+	if err != nil {
+		if !errors.Is(err, context.Canceled) {
+			r.entry.metrics.Add("ratings_failed", 1)
+		}
+		return cascade.Rating{}
+	}
+	r.record(job, verdict)
+	return cascade.Rating{Known: true, Pass: verdict.Pass}
+}
+
+func (r *ratings) record(job ratingJob, verdict platform.Rating) {
+	e := r.entry
+	e.metrics.Add("ratings", 1)
+	key := versionKey(job.request.Model, job.request.Version)
+	e.health.Record(key, rollout.Observation{Rated: true, Passed: verdict.Pass})
+	e.policy.observe(cascade.Observation{
+		Workspace: job.request.Workspace, TaskClass: job.request.TaskClass,
+		Stage: job.stage, Model: key.Model, Version: key.Version, Passed: verdict.Pass,
+	})
+	e.links.send(job.backend, control.Encode(control.KindRating, control.Rating{RequestID: job.request.RequestID, Key: key}))
+}
--- /dev/null
+++ b/entry/service.go
@@ -0,0 +1,374 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+
+	"hyssoploom/config"
+	"hyssoploom/ledger"
+	"hyssoploom/link"
+	"hyssoploom/once"
+	"hyssoploom/route"
+	"hyssoploom/telemetry"
+)
+
+const (
+	// defaultServiceTimeout bounds one call to a plain service.
+	defaultServiceTimeout = 30 * time.Second
+	// outcomePoll is the pause between two looks at the record of a call whose
+	// answer did not arrive.
+	outcomePoll = 100 * time.Millisecond
+	// outcomeWait bounds the wait for the record of a call whose answer did not
+	// arrive.
+	outcomeWait = 5 * time.Second
+	// cancelTimeout bounds the cancelling of a reservation.
+	cancelTimeout = 2 * time.Second
+)
+
+// serviceCall is one call to a plain service on its way.
+type serviceCall struct {
+	*call
+	entry   *Entry
+	service *config.Service
+	method  string
+	path    string
+	header  http.Header
+	body    []byte
+	// onceKey and nonce are set for calls that may not be repeated.
+	onceKey string
+	nonce   string
+	tried   map[string]bool
+	attempt uint32
+	refused *link.Refusal
+	handed  bool
+}
+
+// serveService answers /services/{service}/{path}.
+func (e *Entry) serveService(w http.ResponseWriter, r *http.Request, c *call) *apiError {
+	ctx := telemetry.Propagator.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	ctx, span := e.deps.Tracing.Tracer.Start(ctx, "entry")
+	defer span.End()
+	span.SetAttributes(attribute.String("request_id", c.requestID), attribute.String("workspace", c.workspace.Name))
+
+	s, apiErr := e.newServiceCall(w, r, c)
+	if apiErr != nil {
+		return apiErr
+	}
+	timeout := defaultServiceTimeout
+	if s.service.Timeout > 0 {
+		timeout = s.service.Timeout.Std()
+	}
+	ctx, cancel := context.WithTimeout(ctx, min(timeout, e.settings.RequestTimeout))
+	defer cancel()
+	e.budget.request()
+	if s.onceKey == "" {
+		return s.repeatable(ctx, w)
+	}
+	w.Header().Set(headerIdempotencyKey, s.onceKey)
+	// A caller that leaves must not stop a call that may not be repeated between
+	// its reservation and its end.
+	return s.atMostOnce(context.WithoutCancel(ctx), timeout, w)
+}
+
+func (e *Entry) newServiceCall(w http.ResponseWriter, r *http.Request, c *call) (*serviceCall, *apiError) {
+	vars := mux.Vars(r)
+	service, ok := c.view.Services[vars["service"]]
+	if !ok || !c.workspace.AllowsService(vars["service"]) {
+		return nil, refusal(http.StatusNotFound, "service_unknown", "service %q does not exist or is not allowed", vars["service"])
+	}
+	body, apiErr := e.readBody(w, r)
+	if apiErr != nil {
+		return nil, apiErr
+	}
+	path := "/" + vars["path"]
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	s := &serviceCall{
+		call: c, entry: e, service: service, method: r.Method, path: path,
+		header: forwardedHeader(r.Header), body: body, tried: make(map[string]bool),
+	}
+	if service.RepeatableMethod(r.Method) {
+		return s, nil
+	}
+	s.onceKey = r.Header.Get(headerIdempotencyKey)
+	if s.onceKey == "" {
+		s.onceKey = c.requestID
+	}
+	if !idPattern.MatchString(s.onceKey) {
+		return nil, refusal(http.StatusBadRequest, "idempotency_key_invalid",
+			"header %s must be 1 to 128 letters, digits, dots, colons, hyphens or underscores", headerIdempotencyKey)
+	}
+	return s, nil
+}
+
+// forwardedHeader keeps the headers that the service may see. The workspace's
+// key stays here.
+func forwardedHeader(h http.Header) http.Header {
+	out := make(http.Header)
+	for _, name := range []string{"Accept", "Accept-Language", "Content-Type", "User-Agent"} {
+		if v := h.Values(name); len(v) > 0 {
+			out[name] = v
+		}
+	}
+	return out
+}
+
+// serviceAnswer is the whole answer of a service.
+type serviceAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// repeatable sends a call until an attempt gives an answer.
+func (s *serviceCall) repeatable(ctx context.Context, w http.ResponseWriter) *apiError {
+	for {
+		result, err := s.tryNext(ctx)
+		switch {
+		case err == nil:
+			return s.answer(ctx, w, result)
+		case errors.Is(err, errNoPeer):
+			return s.notServed(err)
+		case ctx.Err() != nil:
+			return s.failure("deadline_exceeded", "the service did not answer in time")
+		case s.handed && !s.entry.budget.allow():
+			return s.failure("attempt_lost", err.Error()+"; the retry budget is used up")
+		}
+	}
+}
+
+// atMostOnce runs a call that may not be repeated under its record.
+func (s *serviceCall) atMostOnce(ctx context.Context, timeout time.Duration, w http.ResponseWriter) *apiError {
+	reserved, err := s.reserve(ctx, timeout)
+	if err != nil {
+		return refusedByStore()
+	}
+	switch reserved.Outcome {
+	case once.Finished:
+		s.entry.metrics.Add("duplicates_answered", 1)
+		return s.writeAnswer(w, storedAnswer(reserved.Answer))
+	case once.InProgress:
+		return &apiError{Status: http.StatusConflict, Code: "in_progress", Message: "a request with this key is being worked on", Run: Unknown, RetryAfter: 1}
+	case once.Unknown:
+		return &apiError{Status: http.StatusConflict, Code: "outcome_unknown", Message: "a request with this key was started and its outcome is not known", Run: Unknown}
+	case once.Mismatch:
+		return &apiError{Status: http.StatusUnprocessableEntity, Code: "idempotency_key_reused", Message: "the key was used with another request", Run: NotRun}
+	}
+	s.nonce = reserved.Nonce
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return s.runReserved(ctx, w)
+}
+
+func (s *serviceCall) reserve(ctx context.Context, timeout time.Duration) (once.Result, error) {
+	ctx, span := s.entry.deps.Tracing.Tracer.Start(ctx, "store")
+	defer span.End()
+	return s.entry.once.Reserve(ctx, once.Reservation{
+		Workspace: s.workspace.Name, Key: s.onceKey, RequestID: s.requestID,
+		BodyHash: s.hash(), Owner: s.entry.bootID, Timeout: timeout,
+	})
+}
+
+// hash identifies the call: the same key with another method, path or body is
+// another call.
+func (s *serviceCall) hash() string {
+	text := s.method + "\n" + s.service.Name + "\n" + s.path + "\n"
+	return ledger.HashBody(append([]byte(text), s.body...))
+}
+
+// runReserved offers the reserved call to agents until one takes it. Only the
+// agent that moves the record to started calls the service.
+func (s *serviceCall) runReserved(ctx context.Context, w http.ResponseWriter) *apiError {
+	for {
+		result, err := s.tryNext(ctx)
+		var refused *link.RefusedError
+		var notSent *link.NotSentError
+		switch {
+		case err == nil:
+			return s.answer(ctx, w, result)
+		case errors.As(err, &refused), errors.As(err, &notSent):
+			continue
+		case errors.Is(err, errNoPeer):
+			return s.cancel(ctx, w, s.notServed(err))
+		default:
+			return s.awaitOutcome(ctx, w, err)
+		}
+	}
+}
+
+// cancel withdraws the reservation; only then is "not run" certain.
+func (s *serviceCall) cancel(ctx context.Context, w http.ResponseWriter, reason *apiError) *apiError {
+	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
+	defer stop()
+	result, answer, err := s.entry.once.Cancel(ctx, s.workspace.Name, s.onceKey, s.nonce)
+	switch {
+	case err == nil && result == once.Cancelled:
+		reason.Run = NotRun
+		return reason
+	case err == nil && result == once.CancelFinished:
+		return s.writeAnswer(w, storedAnswer(answer))
+	}
+	reason.Run = Unknown
+	return reason
+}
+
+// awaitOutcome looks for the stored answer of a call whose stream was lost.
+func (s *serviceCall) awaitOutcome(ctx context.Context, w http.ResponseWriter, lost error) *apiError {
+	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), outcomeWait)
+	defer stop()
+	for sleep(ctx, outcomePoll) {
+		result, answer, err := s.entry.once.Cancel(ctx, s.workspace.Name, s.onceKey, s.nonce)
+		switch {
+		case err != nil:
+			continue
+		case result == once.CancelFinished:
+			return s.writeAnswer(w, storedAnswer(answer))
+		case result == once.Cancelled:
+			return refusal(http.StatusServiceUnavailable, "attempt_lost", "the call did not start: %v", lost)
+		case result == once.Superseded:
+			return s.failure("reservation_superseded", "another request with this key took over")
+		}
+	}
+	return s.failure("outcome_unknown", "the call was started and its answer did not arrive: "+lost.Error())
+}
+
+var errNoPeer = errors.New("no backend server takes the call")
+
+// tryNext makes one attempt on a backend server that was not tried yet.
+func (s *serviceCall) tryNext(ctx context.Context) (*serviceAnswer, error) {
+	e := s.entry
+	p, err := e.pick(route.Request{
+		Service: s.service.Name, DataCentre: e.settings.DataCentre, Region: e.region(), Tried: s.tried,
+	})
+	if err != nil {
+		return nil, errors.Join(errNoPeer, err)
+	}
+	s.tried[p.name] = true
+	s.attempt++
+	p.sent.Add(1)
+	defer p.sent.Add(-1)
+	e.metrics.Add("attempts", 1)
+	ctx, span := e.deps.Tracing.Tracer.Start(ctx, "link")
+	defer span.End()
+	stream, err := p.client.Open(ctx, s.request(ctx, p))
+	if err != nil {
+		return nil, s.note(p, err)
+	}
+	var body []byte
+	for {
+		payload, err := stream.Recv(ctx)
+		if errors.Is(err, io.EOF) {
+			return s.end(p, stream.End(), body)
+		}
+		if err != nil {
+			stream.Cancel()
+			return nil, s.note(p, err)
+		}
+		body = append(body, payload...)
+	}
+}
+
+func (s *serviceCall) end(p *peer, end *link.End, body []byte) (*serviceAnswer, error) {
+	s.handed = true
+	s.entry.charge(p, end.Charge)
+	if !end.Complete {
+		return nil, &link.BrokenError{Reason: end.Code + ": " + end.Message, Handed: true}
+	}
+	return &serviceAnswer{status: end.Status, header: end.Header, body: body}, nil
+}
+
+// note remembers what an error says about whether the call ran.
+func (s *serviceCall) note(p *peer, err error) error {
+	var refused *link.RefusedError
+	var notSent *link.NotSentError
+	var broken *link.BrokenError
+	switch {
+	case errors.As(err, &refused):
+		s.refused = &refused.Refusal
+	case errors.As(err, &notSent):
+	case errors.As(err, &broken) && !broken.Handed:
+	default:
+		s.handed = true
+		if s.onceKey == "" {
+			s.entry.chargeCut(cutCharge{call: s.call, body: s.body, attempt: s.attempt, peer: p, service: s.service.Name})
+		}
+	}
+	return err
+}
+
+func (s *serviceCall) request(ctx context.Context, p *peer) *link.Request {
+	deadline, _ := ctx.Deadline()
+	now := time.Now()
+	return &link.Request{
+		Kind: link.KindService, RequestID: s.requestID, Attempt: s.attempt,
+		Workspace: s.workspace.Name, Priority: s.workspace.Priority,
+		Deadline: p.client.Status().AgentClock(now) + deadline.Sub(now),
+		Revision: s.entry.snapshot.Revision(),
+		OnceKey:  s.onceKey, OnceNonce: s.nonce,
+		Service: s.service.Name, Method: s.method, Path: s.path, Header: s.header, Body: s.body,
+		TraceParent: telemetry.TraceParent(ctx),
+	}
+}
+
+func (s *serviceCall) answer(ctx context.Context, w http.ResponseWriter, a *serviceAnswer) *apiError {
+	s.entry.waitDurable(ctx, s.requestID)
+	return s.writeAnswer(w, a)
+}
+
+func (s *serviceCall) writeAnswer(w http.ResponseWriter, a *serviceAnswer) *apiError {
+	for name, values := range a.header {
+		w.Header()[name] = values
+	}
+	w.WriteHeader(a.status)
+	if _, err := w.Write(a.body); err != nil {
+		s.entry.metrics.Add("callers_gone", 1)
+	}
+	return nil
+}
+
+func storedAnswer(a once.Answer) *serviceAnswer {
+	return &serviceAnswer{status: a.Status, header: answerHeaders(a.Header), body: a.Body}
+}
+
+// answerHeaders marks an answer that comes from the record of an earlier call.
+func answerHeaders(h http.Header) http.Header {
+	out := h.Clone()
+	if out == nil {
+		out = make(http.Header)
+	}
+	out.Del("Content-Length")
+	out.Set("Idempotent-Replayed", "true")
+	return out
+}
+
+func (s *serviceCall) notServed(err error) *apiError {
+	if s.handed {
+		return s.failure("attempt_lost", err.Error())
+	}
+	if s.refused != nil {
+		return busy(s.refused.Code, "%s", s.refused.Message)
+	}
+	return busy("no_backend_server", "%v", err)
+}
+
+func (s *serviceCall) failure(code, message string) *apiError {
+	err := &apiError{Status: http.StatusBadGateway, Code: code, Message: message, Run: NotRun}
+	if s.handed {
+		err.Run = Unknown
+	}
+	return err
+}
+
+// refusedByStore is the refusal of a call that could not be reserved. Whatever
+// the store holds, no agent was given the call.
+func refusedByStore() *apiError {
+	return busy("store_unavailable", "a call that may not be repeated needs the store, which does not answer")
+}
