--- /dev/null
+++ b/config/check.go
@@ -0,0 +1,200 @@
+package config
+
+import (
+	"encoding/hex"
+	"fmt"
+	"math"
+	"net/netip"
+	"regexp"
+	"strings"
+	"time"
+)
+
+// Bounds of numeric fields.
+const (
+	MaxWeight           = 1000.0
+	MaxConcurrency      = 100_000       // concurrent requests on one backend server
+	MaxPrice            = 1_000_000_000 // micro-units per token or call
+	MaxExposureBudget   = 100_000
+	MaxRateWait         = time.Minute
+	MaxGrace            = time.Hour
+	MaxServiceTimeout   = time.Hour
+	maxPriority         = 100
+	keyHashLen          = 32 // bytes of a SHA-256 digest
+	agentAddrMinPort    = 1
+	reasonMissing       = "is missing"
+	reasonListedTwice   = "is listed twice"
+	reasonInvalidNaming = "is not a valid name (letters, digits, '.', '_', '-', at most 63)"
+)
+
+// FieldError names the key of a record that is wrong and why.
+type FieldError struct {
+	Key    string
+	Reason string
+}
+
+func (e *FieldError) Error() string { return e.Key + ": " + e.Reason }
+
+// checker collects the field errors of one record.
+type checker struct{ errs []error }
+
+func (c *checker) fail(key, format string, args ...any) {
+	c.errs = append(c.errs, &FieldError{Key: key, Reason: fmt.Sprintf(format, args...)})
+}
+
+func (c *checker) within(key string, v, low, high float64) {
+	if math.IsNaN(v) || v < low || v > high {
+		c.fail(key, "%v is not between %v and %v", v, low, high)
+	}
+}
+
+func (c *checker) duration(key string, d Duration, high time.Duration) {
+	if v := time.Duration(d); v <= 0 || v > high {
+		c.fail(key, "%v is not above 0 and at most %v", v, high)
+	}
+}
+
+func oneOf[T ~string](c *checker, key string, v T, allowed ...T) {
+	for _, a := range allowed {
+		if v == a {
+			return
+		}
+	}
+	if v == "" {
+		c.fail(key, reasonMissing+"; use one of %q", allowed)
+		return
+	}
+	c.fail(key, "%q is not one of %q", v, allowed)
+}
+
+// unique fails for an element that occurs twice.
+func unique[T comparable](c *checker, key string, list []T) {
+	seen := make(map[T]bool, len(list))
+	for _, v := range list {
+		if seen[v] {
+			c.fail(key, "%v "+reasonListedTwice, v)
+		}
+		seen[v] = true
+	}
+}
+
+func (c *checker) name(key, v string) {
+	if !ValidName(v) {
+		c.fail(key, "%q "+reasonInvalidNaming, v)
+	}
+}
+
+func (w *Workspace) check(c *checker) {
+	c.name("name", w.Name)
+	for _, h := range w.KeyHashes {
+		b, err := hex.DecodeString(h)
+		if err != nil || len(b) != keyHashLen || strings.ToLower(h) != h {
+			c.fail("key_hashes", "%q is not a lower-case hex SHA-256 digest", h)
+		}
+	}
+	unique(c, "key_hashes", w.KeyHashes)
+	models := make([]string, 0, len(w.Allow))
+	for i, g := range w.Allow {
+		c.name(fmt.Sprintf("allow[%d].model", i), g.Model)
+		unique(c, fmt.Sprintf("allow[%d].versions", i), g.Versions)
+		models = append(models, g.Model)
+	}
+	unique(c, "allow", models)
+	unique(c, "cascades", w.Cascades)
+	unique(c, "services", w.Services)
+	// A weight of 0 would stop the workspace in fair queues.
+	if w.Weight <= 0 || w.Weight > MaxWeight {
+		c.fail("weight", "%v is not above 0 and at most %v", w.Weight, MaxWeight)
+	}
+	c.within("priority", float64(w.Priority), -maxPriority, maxPriority)
+}
+
+func (m *Model) check(c *checker) {
+	c.name("name", m.Name)
+	if len(m.Versions) == 0 {
+		c.fail("versions", reasonMissing)
+	}
+	names := make([]string, 0, len(m.Versions))
+	for _, v := range m.Versions {
+		names = append(names, v.Version)
+	}
+	unique(c, "versions", names)
+	for i, v := range m.Versions {
+		v.check(c, fmt.Sprintf("versions[%d].", i), m)
+	}
+}
+
+func (v ModelVersion) check(c *checker, at string, m *Model) {
+	c.name(at+"version", v.Version)
+	oneOf(c, at+"state", v.State, VersionActive, VersionDraining, VersionWithdrawn)
+	oneOf(c, at+"on_withdraw", v.OnWithdraw, WithdrawRefuse, WithdrawRepin)
+	c.within(at+"weight", v.Weight, 0, MaxWeight)
+	c.within(at+"price_in", float64(v.PriceIn), 0, MaxPrice)
+	c.within(at+"price_out", float64(v.PriceOut), 0, MaxPrice)
+	c.within(at+"exposure_budget", float64(v.ExposureBudget), 0, MaxExposureBudget)
+	if v.Baseline == "" {
+		return
+	}
+	if _, ok := m.Version(v.Baseline); !ok || v.Baseline == v.Version {
+		c.fail(at+"baseline", "%q is not another version of this model", v.Baseline)
+	}
+}
+
+func (k *Cascade) check(c *checker) {
+	c.name("name", k.Name)
+	if len(k.Stages) == 0 {
+		c.fail("stages", reasonMissing)
+	}
+	unique(c, "stages", k.Stages)
+	if k.QualityTarget <= 0 || k.QualityTarget > 1 {
+		c.fail("quality_target", "%v is not above 0 and at most 1", k.QualityTarget)
+	}
+	c.duration("rate_wait", k.RateWait, MaxRateWait)
+	oneOf(c, "on_rater_down", k.OnRaterDown, RaterDownPass, RaterDownEscalate)
+}
+
+func (d *DataCentre) check(c *checker) {
+	c.name("name", d.Name)
+	if d.Region == "" {
+		c.fail("region", reasonMissing)
+	}
+	oneOf(c, "state", d.State, DataCentreIn, DataCentreOut)
+	c.duration("grace", d.Grace, MaxGrace)
+}
+
+func (b *BackendServer) check(c *checker) {
+	c.name("name", b.Name)
+	if b.VM == "" {
+		c.fail("vm", reasonMissing)
+	}
+	c.name("data_centre", b.DataCentre)
+	if a, err := netip.ParseAddrPort(b.AgentAddr); err != nil || a.Port() < agentAddrMinPort {
+		c.fail("agent_addr", "%q is not an IP address and port", b.AgentAddr)
+	}
+	oneOf(c, "state", b.State, BackendServerIn, BackendServerLeaving, BackendServerOut)
+	if b.Service != "" && len(b.Serves) > 0 {
+		c.fail("service", "is set together with serves; a backend server has only one of them")
+	}
+	unique(c, "serves", b.Serves)
+	c.within("warm_limit", float64(b.WarmLimit), 1, MaxConcurrency)
+	c.within("cold_limit", float64(b.ColdLimit), 1, float64(max(1, b.WarmLimit)))
+}
+
+var methodPattern = regexp.MustCompile(`^[A-Z]+$`)
+
+func (s *Service) check(c *checker) {
+	c.name("name", s.Name)
+	for _, m := range s.Repeatable {
+		if !methodPattern.MatchString(m) {
+			c.fail("repeatable", "%q is not an HTTP method", m)
+		}
+	}
+	unique(c, "repeatable", s.Repeatable)
+	c.within("price", float64(s.Price), 0, MaxPrice)
+	c.duration("timeout", s.Timeout, MaxServiceTimeout)
+}
+
+func (q *Quarantine) check(c *checker) {
+	c.name("model", q.Model)
+	c.name("version", q.Version)
+}
--- /dev/null
+++ b/config/declare.go
@@ -0,0 +1,179 @@
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"maps"
+	"path"
+	"slices"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// schemaKey is the optional key of a declaration that selects its schema version.
+const schemaKey = "schema_version"
+
+// Declaration is one record as an operator declares it in a TOML file, in a
+// table named [kind.name].
+type Declaration struct {
+	File          string
+	Kind          Kind
+	Name          string
+	SchemaVersion int
+	Spec          any // pointer to the kind's type, with defaults filled in
+}
+
+// Key returns the store key of the declared record.
+func (d Declaration) Key() string { return Key(d.Kind, d.Name) }
+
+// Issue is one fault of a declaration or of a record in force.
+type Issue struct {
+	File   string `json:"file,omitempty"`
+	Record string `json:"record,omitempty"` // "kind/name"
+	Key    string `json:"key,omitempty"`
+	Reason string `json:"reason"`
+}
+
+func (i Issue) Error() string {
+	s := i.Reason
+	for _, part := range []string{i.Key, i.Record, i.File} {
+		if part != "" {
+			s = part + ": " + s
+		}
+	}
+	return s
+}
+
+// LoadFS reads the declarations in all *.toml files at the top of a directory,
+// sorted by kind, in the order of Kinds, and name. Faulty records are left out
+// and reported.
+func LoadFS(fsys fs.FS) ([]Declaration, []Issue) {
+	files, err := fs.Glob(fsys, "*.toml")
+	if err != nil {
+		return nil, []Issue{{Reason: err.Error()}}
+	}
+	// Glob hides a directory that cannot be read.
+	if _, err := fs.ReadDir(fsys, "."); err != nil {
+		return nil, []Issue{{Reason: err.Error()}}
+	}
+	var decls []Declaration
+	var issues []Issue
+	for _, file := range files {
+		d, i := loadFile(fsys, file)
+		decls, issues = append(decls, d...), append(issues, i...)
+	}
+	issues = append(issues, duplicates(decls)...)
+	order := Kinds()
+	slices.SortStableFunc(decls, func(a, b Declaration) int {
+		if a.Kind != b.Kind {
+			return slices.Index(order, a.Kind) - slices.Index(order, b.Kind)
+		}
+		return strings.Compare(a.Name, b.Name)
+	})
+	return decls, issues
+}
+
+func loadFile(fsys fs.FS, file string) ([]Declaration, []Issue) {
+	b, err := fs.ReadFile(fsys, file)
+	if err != nil {
+		return nil, []Issue{{File: file, Reason: err.Error()}}
+	}
+	var tables map[string]map[string]map[string]any
+	if err := toml.Unmarshal(b, &tables); err != nil {
+		return nil, []Issue{tomlIssue(file, err)}
+	}
+	var decls []Declaration
+	var issues []Issue
+	for _, kind := range slices.Sorted(maps.Keys(tables)) {
+		if !slices.Contains(Kinds(), Kind(kind)) {
+			issues = append(issues, Issue{File: file, Key: kind, Reason: fmt.Sprintf("is not a kind; use one of %q", Kinds())})
+			continue
+		}
+		for _, name := range slices.Sorted(maps.Keys(tables[kind])) {
+			d, err := declare(Kind(kind), name, tables[kind][name])
+			if err != nil {
+				issues = append(issues, recordIssues(file, Kind(kind), name, err)...)
+				continue
+			}
+			d.File = file
+			decls = append(decls, d)
+		}
+	}
+	return decls, issues
+}
+
+// tomlIssue locates a syntax error, or a value where a table is expected.
+func tomlIssue(file string, err error) Issue {
+	var d *toml.DecodeError
+	if !errors.As(err, &d) {
+		return Issue{File: file, Reason: err.Error()}
+	}
+	row, column := d.Position()
+	i := Issue{File: fmt.Sprintf("%s:%d:%d", file, row, column), Reason: err.Error()}
+	if key := d.Key(); len(key) > 0 {
+		i.Key = path.Join(key...)
+	}
+	return i
+}
+
+// declare turns a table into a declaration. It goes through the decoder of
+// stored records, so that both accept exactly the same specs.
+func declare(kind Kind, name string, table map[string]any) (Declaration, error) {
+	d := Declaration{Kind: kind, Name: name, SchemaVersion: LatestSchema(kind)}
+	if v, ok := table[schemaKey]; ok {
+		n, isInt := v.(int64)
+		if !isInt {
+			return d, &FieldError{Key: schemaKey, Reason: "is not an integer"}
+		}
+		d.SchemaVersion = int(n)
+		delete(table, schemaKey)
+	}
+	raw, err := json.Marshal(table)
+	if err != nil {
+		return d, err
+	}
+	d.Spec, err = decodeSpec(kind, d.SchemaVersion, name, raw)
+	return d, err
+}
+
+// recordIssues splits the joined errors of one record.
+func recordIssues(file string, kind Kind, name string, err error) []Issue {
+	errs := []error{err}
+	if joined, ok := err.(interface{ Unwrap() []error }); ok {
+		errs = joined.Unwrap()
+	}
+	issues := make([]Issue, 0, len(errs))
+	for _, err := range errs {
+		i := Issue{File: file, Record: recordName(kind, name), Reason: err.Error()}
+		var field *FieldError
+		var schema *SchemaError
+		switch {
+		case errors.As(err, &field):
+			i.Key, i.Reason = field.Key, field.Reason
+		case errors.As(err, &schema):
+			i.Key = schemaKey
+		}
+		issues = append(issues, i)
+	}
+	return issues
+}
+
+func recordName(kind Kind, name string) string { return string(kind) + "/" + name }
+
+// duplicates reports records that several files declare.
+func duplicates(decls []Declaration) []Issue {
+	first := map[string]string{}
+	var issues []Issue
+	for _, d := range decls {
+		if file, ok := first[d.Key()]; ok {
+			issues = append(issues, Issue{File: d.File, Record: recordName(d.Kind, d.Name),
+				Reason: "is declared in " + file + " too"})
+			continue
+		}
+		first[d.Key()] = d.File
+	}
+	return issues
+}
--- /dev/null
+++ b/config/keys.go
@@ -0,0 +1,69 @@
+package config
+
+import (
+	"fmt"
+	"regexp"
+	"strings"
+)
+
+// KindQuarantine names the records under QuarantinePrefix. They are not
+// operator records: apply neither writes nor prunes them.
+const KindQuarantine Kind = "quarantine"
+
+// The prefixes of the keys that a snapshot holds.
+const (
+	RecordPrefix     = "config/"
+	QuarantinePrefix = "state/quarantine/"
+)
+
+// Kinds lists the kinds of operator records in the order in which apply writes
+// them: a record comes after those it refers to.
+func Kinds() []Kind {
+	return []Kind{KindDataCentre, KindModel, KindService, KindCascade, KindBackendServer, KindWorkspace}
+}
+
+// Prefixes lists the prefixes of the keys that a snapshot holds.
+func Prefixes() []string { return []string{RecordPrefix, QuarantinePrefix} }
+
+// Key returns the store key of an operator record.
+func Key(kind Kind, name string) string { return RecordPrefix + string(kind) + "/" + name }
+
+// QuarantineKey returns the store key of the quarantine of a model version.
+func QuarantineKey(model, version string) string {
+	return QuarantinePrefix + model + "/" + version
+}
+
+// ParseKey returns the kind and name that a key stands for. The name of a
+// quarantine is "model/version".
+func ParseKey(key string) (Kind, string, error) {
+	if name, ok := strings.CutPrefix(key, QuarantinePrefix); ok {
+		model, version, _ := strings.Cut(name, "/")
+		if !ValidName(model) || !ValidName(version) {
+			return "", "", fmt.Errorf("key %q is not of the form %s<model>/<version>", key, QuarantinePrefix)
+		}
+		return KindQuarantine, name, nil
+	}
+	rest, ok := strings.CutPrefix(key, RecordPrefix)
+	kind, name, found := strings.Cut(rest, "/")
+	if !ok || !found || !ValidName(name) {
+		return "", "", fmt.Errorf("key %q is not of the form %s<kind>/<name>", key, RecordPrefix)
+	}
+	return Kind(kind), name, nil
+}
+
+// prefixOf returns the snapshot prefix of a key, or "" for a foreign key.
+func prefixOf(key string) string {
+	for _, p := range Prefixes() {
+		if strings.HasPrefix(key, p) {
+			return p
+		}
+	}
+	return ""
+}
+
+// Names are parts of store keys and of "model@version", so they contain
+// neither "/" nor "@".
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
+
+// ValidName tells whether s may name a record or a version.
+func ValidName(s string) bool { return namePattern.MatchString(s) }
--- /dev/null
+++ b/standin/lease.go
@@ -0,0 +1,63 @@
+package standin
+
+import (
+	"context"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+
+	"hyssoploom/platform"
+)
+
+// Grant creates a lease.
+func (s *Store) Grant(ctx context.Context, ttl time.Duration) (platform.Lease, error) {
+	if err := s.begin(ctx, true); err != nil {
+		return "", err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id := platform.Lease(ulid.Make().String())
+	s.leases[id] = &lease{ttl: ttl, timer: time.AfterFunc(ttl, func() { s.ExpireLease(id) })}
+	return id, nil
+}
+
+// KeepAlive restarts the time to live of a lease.
+func (s *Store) KeepAlive(ctx context.Context, id platform.Lease) error {
+	if err := s.begin(ctx, true); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.leases[id]
+	if l == nil {
+		return platform.ErrLeaseEnded
+	}
+	l.timer.Reset(l.ttl)
+	return nil
+}
+
+// Revoke ends a lease and deletes its keys.
+func (s *Store) Revoke(ctx context.Context, id platform.Lease) error {
+	if err := s.begin(ctx, true); err != nil {
+		return err
+	}
+	s.ExpireLease(id)
+	return nil
+}
+
+// ExpireLease ends a lease at once, as if its time to live had passed.
+func (s *Store) ExpireLease(id platform.Lease) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.leases[id]
+	if l == nil {
+		return
+	}
+	l.timer.Stop()
+	delete(s.leases, id)
+	for key, owner := range s.owners {
+		if owner == id {
+			s.remove(key)
+		}
+	}
+}
--- /dev/null
+++ b/standin/store.go
@@ -0,0 +1,223 @@
+// Package standin holds fakes of the platform's services for tests and the
+// demo, with fault switches and call counters.
+package standin
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"hyssoploom/platform"
+)
+
+// DefaultHistory is the number of changes that watches can go back.
+const DefaultHistory = 10_000
+
+// Counts are the calls that a Store has received.
+type Counts struct {
+	Reads  int // Get, List and Watch
+	Writes int // Swap and the lease calls
+	// WaitingWatches is the number of watches that wait now.
+	WaitingWatches int
+}
+
+// Store is an in-memory key-value store. It implements platform.Store directly,
+// for tests in one process, and through Handler.
+type Store struct {
+	mu       sync.Mutex
+	keys     map[string]platform.KV
+	owners   map[string]platform.Lease // by key
+	leases   map[platform.Lease]*lease
+	events   []platform.Event // oldest first, at most history
+	history  int
+	revision uint64
+	changed  chan struct{}
+	counts   Counts
+	faults   faults
+}
+
+type lease struct {
+	ttl   time.Duration
+	timer *time.Timer
+}
+
+var _ platform.Store = (*Store)(nil)
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{keys: map[string]platform.KV{}, owners: map[string]platform.Lease{},
+		leases: map[platform.Lease]*lease{}, history: DefaultHistory, changed: make(chan struct{})}
+}
+
+// Counts returns the call counters.
+func (s *Store) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts
+}
+
+// Revision returns the revision of the last change.
+func (s *Store) Revision() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
+// Get reads one key.
+func (s *Store) Get(ctx context.Context, key string) (platform.KV, error) {
+	if err := s.begin(ctx, false); err != nil {
+		return platform.KV{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	kv, ok := s.keys[key]
+	if !ok {
+		return platform.KV{}, platform.ErrNotFound
+	}
+	return kv, nil
+}
+
+// List reads all keys with a prefix, in order.
+func (s *Store) List(ctx context.Context, prefix string) ([]platform.KV, uint64, error) {
+	if err := s.begin(ctx, false); err != nil {
+		return nil, 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []platform.KV
+	for key, kv := range s.keys {
+		if strings.HasPrefix(key, prefix) {
+			out = append(out, kv)
+		}
+	}
+	slices.SortFunc(out, func(a, b platform.KV) int { return strings.Compare(a.Key, b.Key) })
+	return out, s.revision, nil
+}
+
+// Swap performs a compare-and-swap.
+func (s *Store) Swap(ctx context.Context, w platform.Write) (uint64, error) {
+	if err := s.begin(ctx, true); err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if take(&s.faults.dropRequests) {
+		return 0, fmt.Errorf("%w: request lost", platform.ErrUnknownOutcome)
+	}
+	rev, err := s.swap(w)
+	if take(&s.faults.loseResponses) {
+		return 0, fmt.Errorf("%w: response lost", platform.ErrUnknownOutcome)
+	}
+	return rev, err
+}
+
+func (s *Store) swap(w platform.Write) (uint64, error) {
+	if len(w.Value) > platform.MaxValueBytes {
+		return 0, platform.ErrValueTooLarge
+	}
+	if w.Lease != "" && s.leases[w.Lease] == nil {
+		return 0, platform.ErrLeaseEnded
+	}
+	current, exists := s.keys[w.Key]
+	if current.Revision != w.Expect {
+		current.Key = w.Key
+		return 0, &platform.ConflictError{Current: current}
+	}
+	if w.Delete {
+		if exists {
+			s.remove(w.Key)
+		}
+		return s.revision, nil
+	}
+	s.revision++
+	kv := platform.KV{Key: w.Key, Value: slices.Clone(w.Value), Revision: s.revision}
+	s.keys[w.Key] = kv
+	delete(s.owners, w.Key)
+	if w.Lease != "" {
+		s.owners[w.Key] = w.Lease
+	}
+	s.record(platform.Event{KV: kv})
+	return s.revision, nil
+}
+
+// remove deletes an existing key; the caller holds the lock.
+func (s *Store) remove(key string) {
+	s.revision++
+	delete(s.keys, key)
+	delete(s.owners, key)
+	s.record(platform.Event{KV: platform.KV{Key: key, Revision: s.revision}, Deleted: true})
+}
+
+// record adds an event and wakes the watches.
+func (s *Store) record(e platform.Event) {
+	s.events = append(s.events, e)
+	if n := len(s.events) - s.history; n > 0 {
+		s.events = slices.Delete(s.events, 0, n)
+	}
+	s.wake()
+}
+
+// wake lets waiting watches look again; the caller holds the lock.
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Watch waits for changes after a revision.
+func (s *Store) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]platform.Event, uint64, error) {
+	if err := s.begin(ctx, false); err != nil {
+		return nil, 0, err
+	}
+	deadline := time.NewTimer(wait)
+	defer deadline.Stop()
+	s.addWaiting(1)
+	defer s.addWaiting(-1)
+	for {
+		events, rev, changed, err := s.since(prefix, after)
+		if changed == nil && err == nil {
+			<-ctx.Done() // silent until the caller gives up
+			return nil, 0, ctx.Err()
+		}
+		if err != nil || len(events) > 0 || wait <= 0 {
+			return events, rev, err
+		}
+		select {
+		case <-changed:
+		case <-deadline.C:
+			return nil, rev, nil
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+func (s *Store) addWaiting(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.WaitingWatches += n
+}
+
+// since returns the events after a revision and a channel that is closed by
+// the next change. The channel is nil while watches are silent.
+func (s *Store) since(prefix string, after uint64) ([]platform.Event, uint64, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.faults.silent:
+		return nil, 0, nil, nil
+	case s.faults.down:
+		return nil, 0, nil, errDown
+	case len(s.events) == s.history && after+1 < s.events[0].Revision:
+		return nil, 0, nil, platform.ErrCompacted
+	}
+	var out []platform.Event
+	for _, e := range s.events {
+		if e.Revision > after && strings.HasPrefix(e.Key, prefix) {
+			out = append(out, e)
+		}
+	}
+	return out, s.revision, s.changed, nil
+}
--- /dev/null
+++ b/standin/vmlist.go
@@ -0,0 +1,78 @@
+package standin
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"hyssoploom/platform"
+)
+
+// VMList is a fake of the platform's list of VMs.
+type VMList struct {
+	mu       sync.Mutex
+	versions []vmVersion // oldest first
+	lag      time.Duration
+	down     bool
+}
+
+type vmVersion struct {
+	at  time.Time
+	vms []platform.VM
+}
+
+var _ platform.VMList = (*VMList)(nil)
+
+// NewVMList returns an empty list without lag.
+func NewVMList() *VMList { return &VMList{} }
+
+// Set replaces the list. Readers see it after the lag.
+func (l *VMList) Set(vms ...platform.VM) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.versions = append(l.versions, vmVersion{at: time.Now(), vms: slices.Clone(vms)})
+}
+
+// SetLag makes readers see the list as it was this long ago.
+func (l *VMList) SetLag(lag time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lag = lag
+}
+
+// SetDown makes reads fail.
+func (l *VMList) SetDown(down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = down
+}
+
+// VMs returns the list as it was the lag ago; it is empty before the first one.
+func (l *VMList) VMs(context.Context) ([]platform.VM, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return nil, errDown
+	}
+	seen := time.Now().Add(-l.lag)
+	for _, v := range slices.Backward(l.versions) {
+		if !v.at.After(seen) {
+			return slices.Clone(v.vms), nil
+		}
+	}
+	return nil, nil
+}
+
+// Handler serves the protocol of docs/platform-protocols.md.
+func (l *VMList) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/v1/vms", func(w http.ResponseWriter, r *http.Request) {
+		vms, err := l.VMs(r.Context())
+		respond(w, platform.VMsBody{VMs: vms}, err)
+	}).Methods(http.MethodGet)
+	return r
+}
