--- /dev/null
+++ b/standin/engine_http.go
@@ -0,0 +1,221 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"hyssoploom/platform"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// controlPrefix starts the paths of the fault switches, which always respond.
+const controlPrefix = "/standin/"
+
+func isControlPath(path string) bool { return strings.HasPrefix(path, controlPrefix) }
+
+// badWord is in each answer of a bad version; the rater stand-in looks for it.
+const badWord = "BAD"
+
+type chatRequest struct {
+	Model    string `json:"model"` // "model@version"
+	Messages []struct {
+		Content json.RawMessage `json:"content"`
+	} `json:"messages"`
+	MaxTokens  int    `json:"max_tokens"`
+	Priority   int    `json:"priority"`
+	ResumeFrom int    `json:"resume_from"`
+	ResumeText string `json:"resume_text"`
+}
+
+func (c chatRequest) prompt() string {
+	parts := make([]string, len(c.Messages))
+	for i, m := range c.Messages {
+		if json.Unmarshal(m.Content, &parts[i]) != nil {
+			parts[i] = string(m.Content) // content in parts instead of a string
+		}
+	}
+	return strings.Join(parts, "\n")
+}
+
+// AnswerTokens returns the answer of a model version to a prompt: count tokens,
+// or 8 to 39 as a function of the prompt when count is 0.
+func AnswerTokens(model, version, prompt string, count int, bad bool) []string {
+	seed := xxhash.Sum64String(model + "\x00" + version + "\x00" + prompt)
+	if count <= 0 {
+		count = 8 + int(seed%32)
+	}
+	tokens := make([]string, count)
+	for i := range tokens {
+		tokens[i] = fmt.Sprintf("w%03x ", xxhash.Sum64String(fmt.Sprint(seed, i))%4096)
+	}
+	if bad {
+		tokens[min(1, count-1)] = badWord + " "
+	}
+	return tokens
+}
+
+func (e *Engine) serveChat(w http.ResponseWriter, r *http.Request) {
+	// The body is read to its end because net/http notices a closed connection
+	// only after that.
+	var c chatRequest
+	body, err := io.ReadAll(r.Body)
+	if err == nil {
+		err = json.Unmarshal(body, &c)
+	}
+	if err != nil {
+		engineError(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	model, version, _ := strings.Cut(c.Model, "@")
+	f := e.Faults()
+	count := c.MaxTokens
+	if count <= 0 {
+		count = e.config.Tokens
+	}
+	tokens := AnswerTokens(model, version, c.prompt(), count, slices.Contains(f.Bad, c.Model))
+	if problem := e.resumeProblem(c, tokens); problem != "" {
+		engineError(w, http.StatusBadRequest, problem)
+		return
+	}
+	run := &EngineRun{RequestID: r.Header.Get("X-Request-Id"), Model: model, Version: version,
+		Priority: c.Priority, From: c.ResumeFrom}
+	stop, status := e.begin(run)
+	if status != 0 {
+		engineError(w, status, http.StatusText(status))
+		return
+	}
+	s := &engineStream{engine: e, w: w, caller: r.Context().Done(), stop: stop, faults: f,
+		prompt: int64(len(strings.Fields(c.prompt()))), model: c.Model}
+	complete := s.run(tokens[c.ResumeFrom:])
+	e.end(run, s.sent, s.sent < len(tokens)-c.ResumeFrom)
+	if !complete {
+		panic(http.ErrAbortHandler) // closes the connection without an end mark
+	}
+	s.finish()
+}
+
+func (e *Engine) resumeProblem(c chatRequest, tokens []string) string {
+	switch {
+	case c.ResumeFrom == 0:
+		return ""
+	case !e.config.Resumes:
+		return "this engine does not resume"
+	case c.ResumeFrom < 0 || c.ResumeFrom > len(tokens):
+		return "resume_from is out of range"
+	case c.ResumeText != strings.Join(tokens[:c.ResumeFrom], ""):
+		return "resume_text is not the beginning of the answer"
+	}
+	return ""
+}
+
+// engineStream writes one answer as SSE chunks.
+type engineStream struct {
+	engine *Engine
+	w      http.ResponseWriter
+	caller <-chan struct{}
+	stop   chan struct{}
+	faults EngineFaults
+	prompt int64
+	model  string
+	sent   int
+}
+
+// run sends the tokens and tells whether the answer may get its end mark.
+func (s *engineStream) run(tokens []string) bool {
+	s.w.Header().Set("Content-Type", "text/event-stream")
+	for i, t := range tokens {
+		if s.faults.Hang || s.faults.HangAfter > 0 && i == s.faults.HangAfter {
+			s.wait(time.Hour)
+			return false
+		}
+		if s.faults.TruncateAfter > 0 && i == s.faults.TruncateAfter {
+			return false
+		}
+		if !s.wait(s.engine.delay(i == 0)) {
+			return false
+		}
+		s.sent++
+		if s.chunk(t, nil) != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// wait sleeps; it returns false when the caller left or the engine restarted.
+func (s *engineStream) wait(d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-s.caller:
+		return false
+	case <-s.stop:
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+func (s *engineStream) finish() {
+	reason := "stop"
+	_ = s.chunk("", &reason)
+	fmt.Fprint(s.w, "data: [DONE]\n\n")
+}
+
+func (s *engineStream) chunk(text string, reason *string) error {
+	b, err := json.Marshal(map[string]any{
+		"object": "chat.completion.chunk", "model": s.model,
+		"choices": []any{map[string]any{"index": 0, "delta": map[string]string{"content": text}, "finish_reason": reason}},
+		"usage":   platform.Usage{TokensIn: s.prompt, TokensOut: int64(s.sent)},
+	})
+	if err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintf(s.w, "data: %s\n\n", b); err != nil {
+		return err
+	}
+	return http.NewResponseController(s.w).Flush()
+}
+
+func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) { engineJSON(w, e.Status()) }
+
+func (e *Engine) serveRecord(w http.ResponseWriter, _ *http.Request) { engineJSON(w, e.Record()) }
+
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var o platform.Order
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil || o.Action != "load" && o.Action != "unload" {
+		engineError(w, http.StatusBadRequest, "malformed order")
+		return
+	}
+	if !e.Apply(o) {
+		engineError(w, http.StatusConflict, "fencing number is too old")
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var f EngineFaults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		engineError(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	e.SetFaults(f)
+}
+
+func engineJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func engineError(w http.ResponseWriter, status int, message string) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(map[string]any{"error": map[string]string{"message": message}})
+}
--- /dev/null
+++ b/standin/engine_test.go
@@ -0,0 +1,201 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"hyssoploom/platform"
+)
+
+var testRef = platform.ModelRef{Model: "draft", Version: "1"}
+
+// startEngine serves an engine stand-in over loopback and returns its client.
+func startEngine(t *testing.T, c EngineConfig) (*Engine, *LoopbackServer, *platform.HTTPEngine) {
+	t.Helper()
+	if c.Loaded == nil {
+		c.Loaded = []platform.ModelRef{testRef}
+	}
+	e := NewEngine(c)
+	s, err := ListenLoopback("127.0.0.1:0", e.Handler())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = s.Close() })
+	return e, s, platform.NewHTTPEngine(s.URL(), nil)
+}
+
+func chat(prompt string, tokens int) platform.GenerateRequest {
+	return platform.GenerateRequest{RequestID: "r1", Model: testRef.Model, Version: testRef.Version,
+		Body: fmt.Appendf(nil, `{"model":"x","max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, tokens, prompt)}
+}
+
+func generate(c *platform.HTTPEngine, r platform.GenerateRequest) (string, platform.Generated, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	var text strings.Builder
+	g, err := c.Generate(ctx, r, func(t platform.Token) error { text.WriteString(t.Text); return nil })
+	return text.String(), g, err
+}
+
+// TestEngineOutcomes guards against an answer that is taken for complete, or for
+// not run, when it is not.
+func TestEngineOutcomes(t *testing.T) {
+	full := strings.Join(AnswerTokens("draft", "1", "two words", 6, false), "")
+	cases := []struct {
+		name      string
+		config    EngineConfig
+		faults    EngineFaults
+		change    func(*platform.GenerateRequest)
+		err       error
+		text      string
+		tokensOut int64
+		ran       int
+	}{
+		{name: "complete", text: full, tokensOut: 6, ran: 1},
+		{name: "truncated", faults: EngineFaults{TruncateAfter: 4}, err: platform.ErrTruncated,
+			text: full[:4*5], tokensOut: 4, ran: 1},
+		{name: "bad version", faults: EngineFaults{Bad: []string{"draft@1"}},
+			text: full[:5] + "BAD " + full[10:], tokensOut: 6, ran: 1},
+		{name: "version not loaded", change: func(r *platform.GenerateRequest) { r.Version = "9" }, err: platform.ErrNotLoaded},
+		{name: "malformed body", change: func(r *platform.GenerateRequest) { r.Body = []byte("[]") }, err: platform.ErrBadBody},
+		{name: "resumed", config: EngineConfig{Resumes: true}, text: full[10:], tokensOut: 4, ran: 1,
+			change: func(r *platform.GenerateRequest) { r.ResumeFrom, r.ResumeText = 2, full[:10] }},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			e, _, client := startEngine(t, tc.config)
+			e.SetFaults(tc.faults)
+			r := chat("two words", 6)
+			if tc.change != nil {
+				tc.change(&r)
+			}
+			text, g, err := generate(client, r)
+			if !errors.Is(err, tc.err) || text != tc.text || g.Usage.TokensOut != tc.tokensOut {
+				t.Errorf("got %q, %+v, %v", text, g, err)
+			}
+			if g.Usage.TokensOut > 0 && g.Usage.TokensIn != 2 {
+				t.Errorf("tokens in: got %d, want 2", g.Usage.TokensIn)
+			}
+			runs := e.Record().Runs
+			if len(runs) != tc.ran || tc.ran == 1 && runs[0].Cut != (tc.err != nil) {
+				t.Errorf("runs: %+v", runs)
+			}
+		})
+	}
+}
+
+// TestEngineRefusals guards against a refused connection that looks like a
+// request that may have run, and the reverse.
+func TestEngineRefusals(t *testing.T) {
+	e, server, client := startEngine(t, EngineConfig{MaxConcurrent: 1})
+	if _, _, err := generate(client, chat("a", 1)); err != nil {
+		t.Fatal(err)
+	}
+	e.SetFaults(EngineFaults{Refuse: true})
+	if _, _, err := generate(client, chat("a", 1)); err == nil || errors.Is(err, platform.ErrRefusedConnection) {
+		t.Errorf("connection closed after the request was sent: got %v", err)
+	}
+	e.SetFaults(EngineFaults{})
+	if err := server.Refuse(true); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := generate(client, chat("a", 1)); !errors.Is(err, platform.ErrRefusedConnection) {
+		t.Errorf("closed port: got %v", err)
+	}
+	if err := server.Refuse(false); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := generate(client, chat("a", 1)); err != nil {
+		t.Errorf("port open again: got %v", err)
+	}
+}
+
+// TestEngineCancel guards against a generation that goes on after the caller
+// left, and checks the answer of an engine that is full.
+func TestEngineCancel(t *testing.T) {
+	e, _, client := startEngine(t, EngineConfig{MaxConcurrent: 1, TokenDelay: 5 * time.Millisecond})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var overloaded error
+	g, err := client.Generate(ctx, chat("a", 1000), func(platform.Token) error {
+		if overloaded == nil {
+			_, _, overloaded = generate(client, chat("b", 1))
+			cancel()
+		}
+		return nil
+	})
+	if !errors.Is(overloaded, platform.ErrOverloaded) {
+		t.Errorf("second request: got %v", overloaded)
+	}
+	if !errors.Is(err, context.Canceled) || g.Usage.TokensOut < 1 {
+		t.Errorf("got %+v, %v", g, err)
+	}
+	for range 400 {
+		if r := e.Record().Runs[0]; !r.End.IsZero() {
+			if !r.Cut {
+				t.Error("cancelled run is not recorded as cut")
+			}
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Error("the engine did not notice the closed connection")
+}
+
+// TestEngineRestartAndCold guards against a stand-in that warms by time, or that
+// keeps its boot id over a restart.
+func TestEngineRestartAndCold(t *testing.T) {
+	e, _, client := startEngine(t, EngineConfig{ColdLimit: 1, WarmAfter: 3})
+	status := func() platform.EngineStatus {
+		s, err := client.Status(context.Background())
+		if err != nil {
+			t.Fatal(err)
+		}
+		return s
+	}
+	first := status().BootID
+	e.TurnCold()
+	if s := status(); s.BootID != first || !e.Record().Cold {
+		t.Errorf("turned cold: %+v", s)
+	}
+	e.Restart()
+	if s := status(); s.BootID == first || !e.Record().Cold || len(s.Loaded) != 1 {
+		t.Errorf("restarted: %+v", s)
+	}
+	for i := range 3 {
+		if !e.Record().Cold {
+			t.Errorf("warm after %d requests", i)
+		}
+		if _, _, err := generate(client, chat("a", 1)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if e.Record().Cold {
+		t.Error("still cold after 3 requests")
+	}
+}
+
+// TestEngineOrders guards against an old order that undoes a newer one, and
+// checks that the other kind of engine accepts it.
+func TestEngineOrders(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		e, _, client := startEngine(t, EngineConfig{ChecksFencing: checks})
+		next := platform.ModelRef{Model: "draft", Version: "2"}
+		order := func(fencing uint64, action string) error {
+			return client.Order(context.Background(), platform.Order{Fencing: fencing, Action: action, Target: next})
+		}
+		if err := order(7, "load"); err != nil {
+			t.Fatal(err)
+		}
+		if err := order(6, "unload"); errors.Is(err, platform.ErrFenced) != checks {
+			t.Errorf("old order, checks %v: got %v", checks, err)
+		}
+		if got := len(e.Status().Loaded); got != map[bool]int{true: 2, false: 1}[checks] {
+			t.Errorf("checks %v: %d versions loaded", checks, got)
+		}
+	}
+}
