--- /dev/null
+++ b/admission/queue.go
@@ -0,0 +1,134 @@
+package admission
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// queue is a short queue, fair between workspaces by virtual finish times
+// (start-time fair queueing with one request as the unit of work).
+type queue struct {
+	limit   int
+	size    int
+	virtual float64 // virtual start time of the last request that started
+	flows   map[string]*flow
+}
+
+// flow holds the waiting tickets of one workspace, the next to start first.
+type flow struct {
+	name    string
+	weight  float64
+	finish  float64 // virtual finish time of the last request that started
+	waiting []Ticket
+}
+
+func newQueue(limit int) queue { return queue{limit: max(limit, 0), flows: map[string]*flow{}} }
+
+func (q *queue) flow(t Ticket) *flow {
+	f := q.flows[t.Workspace]
+	if f == nil {
+		f = &flow{name: t.Workspace}
+		q.flows[t.Workspace] = f
+	}
+	f.weight = t.Weight
+	if t.Weight <= 0 {
+		f.weight = 1
+	}
+	return f
+}
+
+// charge advances the virtual time for a request that starts.
+func (q *queue) charge(f *flow) {
+	start := max(q.virtual, f.finish)
+	f.finish = start + 1/f.weight
+	q.virtual = start
+}
+
+// forget removes flows that have no influence any more.
+func (q *queue) forget() {
+	for name, f := range q.flows {
+		if len(f.waiting) == 0 && f.finish <= q.virtual {
+			delete(q.flows, name)
+		}
+	}
+}
+
+// push adds a ticket behind those of the same or a higher priority.
+func (q *queue) push(t Ticket) {
+	f := q.flow(t)
+	at := len(f.waiting)
+	for at > 0 && f.waiting[at-1].Priority < t.Priority {
+		at--
+	}
+	f.waiting = slices.Insert(f.waiting, at, t)
+	q.size++
+}
+
+// pop returns the ticket with the least virtual finish time and charges it.
+func (q *queue) pop() Ticket {
+	best, bestTag := (*flow)(nil), 0.0
+	for _, f := range q.flows {
+		if len(f.waiting) == 0 {
+			continue
+		}
+		tag := max(q.virtual, f.finish) + 1/f.weight
+		if best == nil || cmp.Or(cmp.Compare(tag, bestTag), cmp.Compare(f.name, best.name)) < 0 {
+			best, bestTag = f, tag
+		}
+	}
+	t := best.waiting[0]
+	best.waiting = best.waiting[1:]
+	q.size--
+	q.charge(best)
+	return t
+}
+
+// displace makes room for a ticket in a full queue. The victim is the last
+// ticket of the workspace with the longest queue for its weight, so that a
+// workspace that sends too much does not keep others out. Within one workspace a
+// ticket displaces only one of lower priority.
+func (q *queue) displace(t Ticket) (Dropped, bool) {
+	var longest *flow
+	for _, f := range q.flows {
+		if len(f.waiting) == 0 {
+			continue
+		}
+		if longest == nil || cmp.Or(cmp.Compare(f.share(0), longest.share(0)), cmp.Compare(f.name, longest.name)) > 0 {
+			longest = f
+		}
+	}
+	if longest == nil {
+		return Dropped{}, false
+	}
+	last := longest.waiting[len(longest.waiting)-1]
+	if own := q.flow(t); own == longest && t.Priority <= last.Priority ||
+		own != longest && own.share(1) >= longest.share(0) {
+		return Dropped{}, false
+	}
+	longest.waiting = longest.waiting[:len(longest.waiting)-1]
+	q.size--
+	return Dropped{last.ID, CodeQueueFull}, true
+}
+
+// share is the queue length with more tickets, for the weight.
+func (f *flow) share(more int) float64 { return float64(len(f.waiting)+more) / f.weight }
+
+// remove takes out the tickets that match, in the order of their ids.
+func (q *queue) remove(code string, match func(Ticket) bool) []Dropped {
+	var out []Dropped
+	for _, f := range q.flows {
+		f.waiting = slices.DeleteFunc(f.waiting, func(t Ticket) bool {
+			if !match(t) {
+				return false
+			}
+			out = append(out, Dropped{t.ID, code})
+			return true
+		})
+	}
+	q.size -= len(out)
+	slices.SortFunc(out, func(a, b Dropped) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+func late(t Ticket, now time.Duration) bool { return t.Deadline > 0 && now >= t.Deadline }
