--- /dev/null
+++ b/internal/faketest/store.go
@@ -0,0 +1,190 @@
+// Package faketest provides an in-memory platform.Store with faults, for tests.
+package faketest
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"hyssoploom/platform"
+)
+
+// Fault is what happens to one call.
+type Fault int
+
+// The faults. Lose and Refuse concern writes and reads alike: the response of a
+// read is lost, too.
+const (
+	Pass   Fault = iota
+	Lose         // apply the call, then fail with ErrUnknownOutcome
+	Fail         // do not apply the call, and fail with ErrUnknownOutcome
+	Refuse       // do not apply the call, and fail with ErrUnavailable
+	Late         // fail with ErrUnknownOutcome, and apply the call at Deliver
+)
+
+// Call describes one call to the store. Write is nil for reads.
+type Call struct {
+	Op    string // "get", "list" or "swap"
+	Key   string
+	Write *platform.Write
+}
+
+// Store is an in-memory store. Its zero value is empty and has no faults.
+// Watches and leases are not provided.
+type Store struct {
+	// Fault, if set, decides the fate of each call. It may block, which holds the
+	// call back before it is applied.
+	Fault func(Call) Fault
+	// After, if set, is called when a call was applied and before its result is
+	// returned. It may block, which holds the result back.
+	After func(Call)
+
+	mu       sync.Mutex
+	revision uint64
+	keys     map[string]platform.KV
+	late     []platform.Write
+	calls    []Call
+}
+
+// Get reads a key.
+func (s *Store) Get(ctx context.Context, key string) (kv platform.KV, err error) {
+	err = s.call(ctx, Call{Op: "get", Key: key}, func() error {
+		var ok bool
+		if kv, ok = s.keys[key]; !ok {
+			return platform.ErrNotFound
+		}
+		return nil
+	})
+	return kv, err
+}
+
+// List reads all keys with the prefix in their order.
+func (s *Store) List(ctx context.Context, prefix string) (kvs []platform.KV, revision uint64, err error) {
+	err = s.call(ctx, Call{Op: "list", Key: prefix}, func() error {
+		for _, k := range slices.Sorted(maps.Keys(s.keys)) {
+			if strings.HasPrefix(k, prefix) {
+				kvs = append(kvs, s.keys[k])
+			}
+		}
+		revision = s.revision
+		return nil
+	})
+	return kvs, revision, err
+}
+
+// Swap performs a compare-and-swap.
+func (s *Store) Swap(ctx context.Context, w platform.Write) (revision uint64, err error) {
+	w.Value = slices.Clone(w.Value)
+	err = s.call(ctx, Call{Op: "swap", Key: w.Key, Write: &w}, func() error {
+		err := s.apply(w)
+		revision = s.revision
+		return err
+	})
+	return revision, err
+}
+
+func (s *Store) call(ctx context.Context, c Call, apply func() error) error {
+	fault := Pass
+	if s.Fault != nil {
+		fault = s.Fault(c)
+	}
+	if err := ctx.Err(); err != nil && fault == Pass {
+		return err
+	}
+	s.mu.Lock()
+	s.calls = append(s.calls, c)
+	var err error
+	switch fault {
+	case Fail:
+		err = platform.ErrUnknownOutcome
+	case Refuse:
+		err = platform.ErrUnavailable
+	case Late:
+		err = platform.ErrUnknownOutcome
+		if c.Write != nil {
+			s.late = append(s.late, *c.Write)
+		}
+	case Lose:
+		_ = apply()
+		err = platform.ErrUnknownOutcome
+	default:
+		err = apply()
+	}
+	s.mu.Unlock()
+	if s.After != nil {
+		s.After(c)
+	}
+	return err
+}
+
+func (s *Store) apply(w platform.Write) error {
+	if s.keys == nil {
+		s.keys = make(map[string]platform.KV)
+	}
+	if cur := s.keys[w.Key]; cur.Revision != w.Expect {
+		cur.Key = w.Key
+		return &platform.ConflictError{Current: cur}
+	}
+	s.revision++
+	if w.Delete {
+		delete(s.keys, w.Key)
+	} else {
+		s.keys[w.Key] = platform.KV{Key: w.Key, Value: w.Value, Revision: s.revision}
+	}
+	return nil
+}
+
+// Deliver applies the writes that Late held back, in their order.
+func (s *Store) Deliver() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, w := range s.late {
+		_ = s.apply(w)
+	}
+	s.late = nil
+}
+
+// Keys returns the keys with the prefix in their order.
+func (s *Store) Keys(prefix string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var keys []string
+	for _, k := range slices.Sorted(maps.Keys(s.keys)) {
+		if strings.HasPrefix(k, prefix) {
+			keys = append(keys, k)
+		}
+	}
+	return keys
+}
+
+// Calls counts the calls of an operation so far.
+func (s *Store) Calls(op string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, c := range s.calls {
+		if c.Op == op {
+			n++
+		}
+	}
+	return n
+}
+
+// Watch is not provided.
+func (*Store) Watch(context.Context, string, uint64, time.Duration) ([]platform.Event, uint64, error) {
+	return nil, 0, platform.ErrUnavailable
+}
+
+// Grant is not provided.
+func (*Store) Grant(context.Context, time.Duration) (platform.Lease, error) {
+	return "", platform.ErrUnavailable
+}
+
+// KeepAlive is not provided.
+func (*Store) KeepAlive(context.Context, platform.Lease) error { return platform.ErrUnavailable }
+
+// Revoke is not provided.
+func (*Store) Revoke(context.Context, platform.Lease) error { return platform.ErrUnavailable }
--- /dev/null
+++ b/ledger/holder.go
@@ -0,0 +1,84 @@
+package ledger
+
+import "sync"
+
+// Holder keeps the agent's copies of rows until the entry that got them reports
+// them durable.
+type Holder struct {
+	writer *Writer
+
+	mu   sync.Mutex
+	rows map[string]map[RowKey]Row // by entry boot id
+	n    int
+}
+
+// NewHolder returns a Holder that hands orphaned rows to the agent's own Writer.
+func NewHolder(w *Writer) *Holder {
+	return &Holder{writer: w, rows: make(map[string]map[RowKey]Row)}
+}
+
+// Hold keeps a row until the entry reports it durable.
+func (h *Holder) Hold(entryBootID string, r Row) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	rows := h.rows[entryBootID]
+	if rows == nil {
+		rows = make(map[RowKey]Row)
+		h.rows[entryBootID] = rows
+	}
+	if old, ok := rows[r.Key()]; ok {
+		r = Merge(old, r)
+	} else {
+		h.n++
+	}
+	rows[r.Key()] = r.normal()
+}
+
+// Release forgets rows that are in the store.
+func (h *Holder) Release(keys []RowKey) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for entry, rows := range h.rows {
+		for _, k := range keys {
+			if _, ok := rows[k]; ok {
+				delete(rows, k)
+				h.n--
+			}
+		}
+		if len(rows) == 0 {
+			delete(h.rows, entry)
+		}
+	}
+}
+
+// Orphans moves the rows of an entry whose link is gone to the agent's own
+// Writer and returns their number.
+func (h *Holder) Orphans(entryBootID string) int {
+	h.mu.Lock()
+	rows := h.rows[entryBootID]
+	delete(h.rows, entryBootID)
+	h.n -= len(rows)
+	h.mu.Unlock()
+	for _, r := range rows {
+		h.writer.Add(r)
+	}
+	return len(rows)
+}
+
+// Entries returns the boot ids of the entries whose rows are held.
+func (h *Holder) Entries() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	ids := make([]string, 0, len(h.rows))
+	for id := range h.rows {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// Len returns the number of rows held.
+func (h *Holder) Len() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.n
+}
