--- a/agent/agent.go
+++ b/agent/agent.go
@@ -6,8 +6,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +20,7 @@
 	"hyssoploom/admission"
 	"hyssoploom/config"
 	"hyssoploom/control"
+	"hyssoploom/health"
 	"hyssoploom/ledger"
 	"hyssoploom/link"
 	"hyssoploom/once"
@@ -35,6 +38,10 @@
 	vmListInterval   = 2 * time.Second
 	ordersInterval   = time.Second
 	expireInterval   = 50 * time.Millisecond
+	heldInterval     = time.Second
+	// heldLimit is how long a charge waits for its entry to make it durable. An
+	// entry that lost the end of the answer never does.
+	heldLimit = 10 * time.Second
 	// ledgerWindow is the group commit window of an agent. An agent writes
 	// only the rows that an entry left behind, so it can wait longer.
 	ledgerWindow = 500 * time.Millisecond
@@ -60,17 +67,20 @@
 	started  time.Time
 
 	snapshot *config.Snapshot
-	poller   *provider.Poller
+	poller   *provider.Provider
 	server   *link.Server
 	tree     *suture.Supervisor
 
 	gate     *gate
-	evidence *evidence
+	health   *health.Keeper
+	exposure *exposure
+	claims   sync.Map // nonces of reservations that this agent was given
 	once     *once.Log
 	ledger   *ledger.Writer
 	held     *ledger.Holder
 
 	draining  atomic.Bool
+	stopped   atomic.Bool // the drain is over
 	vmLeaving atomic.Bool
 	loaded    atomic.Pointer[engineView]
 
@@ -94,7 +104,6 @@
 		started:  time.Now(),
 		snapshot: config.NewSnapshot(),
 		once:     once.New(deps.Store),
-		held:     ledger.NewHolder(),
 	}
 	a.loaded.Store(&engineView{})
 	a.gate = newGate(admission.New(admission.Config{
@@ -102,9 +111,14 @@
 		WarmLimit:  1,
 		QueueLimit: s.QueueLimit,
 	}), a.clock)
-	a.evidence = newEvidence(a.bootID, a.snapshot, a.broadcast)
+	a.health = health.New(health.Config{
+		Origin: a.bootID, DataCentre: s.DataCentre, Snapshot: a.snapshot,
+		Broadcast: a.broadcast, Clock: a.clock, Log: deps.Log.Part("health"),
+	})
+	a.exposure = newExposure(s.Name, a.snapshot, a.health)
 	a.ledger = ledger.NewWriter(deps.Store, a.bootID, func() time.Duration { return ledgerWindow })
-	a.poller = provider.NewPoller(deps.Store, a.snapshot, deps.Log.Part("provider"))
+	a.held = ledger.NewHolder(a.ledger)
+	a.poller = provider.NewPoller(deps.Store, a.snapshot, provider.Options{Logger: deps.Log.Base()})
 	a.server = link.NewServer(link.ServerConfig{
 		Hello:       link.Hello{Name: s.Name, BootID: a.bootID, DataCentre: s.DataCentre},
 		FleetKey:    []byte(s.FleetKey),
@@ -114,7 +128,7 @@
 		OnHeartbeat: a.onHeartbeat,
 		OnControl:   a.onControl,
 		OnPeerGone:  a.onPeerGone,
-		Log:         deps.Log.Part("link"),
+		Logger:      deps.Log.Base(),
 	})
 	a.publishMetrics()
 	a.tree = a.buildTree()
@@ -126,9 +140,13 @@
 	tree.Add(a.poller)
 	tree.Add(a.ledger)
 	tree.Add(supervise.Every("status", statusInterval, a.readStatus))
-	tree.Add(supervise.Every("evidence", evidenceInterval, func(context.Context) { a.evidence.tick() }))
+	tree.Add(supervise.Every("evidence", evidenceInterval, func(context.Context) {
+		a.health.Tick()
+		a.exposure.expire(a.clock())
+	}))
 	tree.Add(supervise.Every("vm list", vmListInterval, a.readVMList))
 	tree.Add(supervise.Every("queue", expireInterval, func(context.Context) { a.gate.expire() }))
+	tree.Add(supervise.Every("held charges", heldInterval, a.expireHeld))
 	tree.Add(supervise.Func{Name: "limits", Run: a.followLimits})
 	if a.deps.Engine != nil {
 		tree.Add(newOrders(a))
@@ -170,7 +188,7 @@
 	a.draining.Store(true)
 	a.server.Drain()
 	a.gate.drain()
-	graceCtx, cancel := context.WithTimeout(ctx, a.settings.DrainGrace)
+	graceCtx, cancel := context.WithTimeout(ctx, a.settings.DrainGrace.Std())
 	defer cancel()
 	if err := a.server.Wait(graceCtx); err != nil {
 		a.log.Warn("Drain grace ended with open streams.", "error", err.Error())
@@ -210,16 +228,15 @@
 
 func (a *Agent) onPeer(peer link.Hello) {
 	a.log.Info("Entry connected.", "entry", peer.Name)
+	for _, c := range a.health.Greeting() {
+		_ = a.server.SendTo(peer.BootID, c)
+	}
 }
 
 // onPeerGone takes over the charges that a lost entry has not made durable.
 func (a *Agent) onPeerGone(peer link.Hello) {
-	rows := a.held.Orphans(peer.BootID)
-	for _, row := range rows {
-		a.ledger.Add(row)
-	}
-	if len(rows) > 0 {
-		a.log.Warn("Writing charges of a lost entry.", "entry", peer.Name, "rows", len(rows))
+	if rows := a.held.Orphans(peer.BootID); rows > 0 {
+		a.log.Warn("Writing charges of a lost entry.", "entry", peer.Name, "rows", rows)
 	}
 }
 
@@ -264,9 +281,13 @@
 		if err := control.Decode(c, &m); err != nil {
 			return err
 		}
-		a.evidence.rated(m)
+		a.exposure.onRating(m)
 	default:
-		return a.evidence.dispatch(c)
+		handled, err := a.health.Handle(c)
+		if err == nil && !handled {
+			err = fmt.Errorf("unknown kind %q", c.Kind)
+		}
+		return err
 	}
 	return nil
 }
@@ -274,14 +295,20 @@
 func (a *Agent) broadcast(c link.Control) { a.server.Broadcast(c) }
 
 func (a *Agent) flushCharges(ctx context.Context) error {
-	for _, row := range a.held.All() {
-		a.ledger.Add(row)
-	}
-	flushCtx, cancel := context.WithTimeout(ctx, a.settings.DrainGrace)
+	a.stopped.Store(true)
+	a.held.Expire(time.Now().Add(time.Hour))
+	flushCtx, cancel := context.WithTimeout(ctx, a.settings.DrainGrace.Std())
 	defer cancel()
 	return a.ledger.Flush(flushCtx)
 }
 
+// expireHeld writes the charges that their entry has not reported durable.
+func (a *Agent) expireHeld(context.Context) {
+	if rows := a.held.Expire(time.Now().Add(-heldLimit)); rows > 0 {
+		a.log.Info("Writing charges that no entry reported durable.", "rows", rows)
+	}
+}
+
 // readStatus asks the backend server for its state.
 func (a *Agent) readStatus(ctx context.Context) {
 	if a.deps.Engine == nil {
@@ -315,7 +342,6 @@
 			a.vmLeaving.Store(vm.Leaving)
 		}
 	}
-	a.poller.SetFleetSize(len(vms))
 }
 
 // followLimits applies the record's limits whenever the configuration changes.
@@ -325,7 +351,7 @@
 		if server, ok := a.snapshot.View().BackendServers[a.settings.Name]; ok {
 			a.gate.setLimits(server.ColdLimit, server.WarmLimit)
 		}
-		a.evidence.reconcile()
+		a.health.Reconcile()
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -340,9 +366,8 @@
 	a.metrics.Func("config_age_seconds", func() any { return a.poller.Age().Seconds() })
 	a.metrics.Func("load", func() any { return a.gate.report() })
 	a.metrics.Func("draining", func() any { return a.draining.Load() })
-	a.metrics.Func("held_charges", func() any { return len(a.held.All()) })
+	a.metrics.Func("held_charges", func() any { return a.held.Len() })
 	a.metrics.Func("ledger", func() any { return a.ledger.Stats() })
-	a.metrics.Func("quarantined", func() any { return a.evidence.quarantined() })
 }
 
 func (a *Agent) adminHandler() http.Handler {
--- a/agent/chat.go
+++ b/agent/chat.go
@@ -4,14 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
-	"time"
 
 	"go.opentelemetry.io/otel/attribute"
 
 	"hyssoploom/admission"
-	"hyssoploom/ledger"
 	"hyssoploom/link"
 	"hyssoploom/platform"
+	"hyssoploom/rollout"
 )
 
 // The outcomes in charge rows.
@@ -22,9 +21,7 @@
 
 // generation follows one run of the engine.
 type generation struct {
-	started    time.Time
-	firstToken time.Duration
-	tokens     int64
+	tokens int64 // generated here
 }
 
 // runChat generates the answer. It returns a refusal only when the engine did
@@ -36,10 +33,10 @@
 	runCtx, span := a.deps.Tracing.Tracer.Start(runCtx, "backend server")
 	defer span.End()
 
-	g := generation{started: time.Now()}
+	g := generation{}
 	generated, err := a.deps.Engine.Generate(runCtx, a.generateRequest(r), func(t platform.Token) error {
 		if g.tokens == 0 {
-			g.firstToken = time.Since(g.started)
+			a.gate.firstToken(ticket)
 		}
 		g.tokens++
 		return in.Send(runCtx, []byte(t.Text))
@@ -47,12 +44,12 @@
 	span.SetAttributes(attribute.Int64("tokens", g.tokens))
 
 	if refusal := a.notStarted(err, g, r, ticket); refusal != nil {
-		a.evidence.release(r)
+		a.exposure.release(r)
 		return refusal
 	}
 	engineFault := err != nil && ctx.Err() == nil && runCtx.Err() == nil
-	a.gate.done(admission.Result{ID: ticket, FirstToken: g.firstToken, OK: err == nil})
-	a.evidence.answered(r, engineFault)
+	a.gate.done(admission.Result{ID: ticket, OK: err == nil})
+	a.health.Record(versionKey(r.Model, r.Version), rollout.Observation{TaskClass: r.TaskClass, Started: true, Failed: engineFault})
 	a.finishChat(in, generated, g, err)
 	return nil
 }
@@ -77,13 +74,13 @@
 	}
 	switch {
 	case errors.Is(err, platform.ErrRefusedConnection):
-		a.gate.done(admission.Result{ID: ticket, RefusedConnection: true, NotRun: true})
+		a.gate.done(admission.Result{ID: ticket, RefusedConnection: true})
 		return a.refuse(codeUnreachable, fmt.Sprintf("backend server %q refused the connection", a.settings.Name))
 	case errors.Is(err, platform.ErrOverloaded):
-		a.gate.done(admission.Result{ID: ticket, Overloaded: true, NotRun: true})
+		a.gate.done(admission.Result{ID: ticket, Overloaded: true})
 		return a.refuse(codeOverloaded, fmt.Sprintf("backend server %q is overloaded", a.settings.Name))
 	case errors.Is(err, platform.ErrNotLoaded):
-		a.gate.done(admission.Result{ID: ticket, NotRun: true})
+		a.gate.done(admission.Result{ID: ticket})
 		return a.refuse(codeNotLoaded, fmt.Sprintf("%s@%s is not loaded on %q", r.Model, r.Version, a.settings.Name))
 	}
 	return nil
@@ -131,5 +128,3 @@
 func attemptID(bootID string, r *link.Request) string {
 	return fmt.Sprintf("%s/%s/%d", bootID, r.RequestID, r.Attempt)
 }
-
-var _ = ledger.Row{}
--- a/agent/exposure.go
+++ b/agent/exposure.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"time"
 
 	"hyssoploom/config"
 	"hyssoploom/control"
@@ -11,10 +12,6 @@
 	"hyssoploom/rollout"
 )
 
-// defaultExposureBudget is the number of answers not yet rated that a version
-// under test may have in the whole fleet.
-const defaultExposureBudget = 20
-
 // exposure limits the answers of versions under test that are not rated yet.
 type exposure struct {
 	server   string // backend server
@@ -41,25 +38,35 @@
 }
 
 // release gives back the slot of an answer that was not produced.
-func (e *exposure) release(r *link.Request) { e.rated(versionKey(r.Model, r.Version), r.RequestID) }
+func (e *exposure) release(r *link.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.budgets.Release(versionKey(r.Model, r.Version), r.RequestID)
+}
 
 // onRating frees the slot of an answer that was rated.
-func (e *exposure) onRating(m control.Rating) { e.rated(m.Key, m.RequestID) }
+func (e *exposure) onRating(m control.Rating) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.budgets.Rated(m.Key, m.RequestID)
+}
 
-func (e *exposure) rated(key rollout.VersionKey, requestID string) {
+// expire frees the slots whose rating is lost.
+func (e *exposure) expire(now time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.budgets.Rated(key, requestID)
+	e.budgets.Expire(now)
 }
 
 // share is this agent's part of the fleet-wide budget: every agent computes it
 // from the same records, so the parts sum to at most the budget.
 func (e *exposure) share(key rollout.VersionKey) int {
 	view := e.snapshot.View()
-	budget := defaultExposureBudget
-	if v := modelVersion(view, key.Model, key.Version); v != nil && v.ExposureBudget > 0 {
+	budget := 0 // selects the default
+	if v := modelVersion(view, key.Model, key.Version); v != nil {
 		budget = v.ExposureBudget
 	}
+	budget = e.health.Budget(key, budget)
 	var servers []string
 	for name, s := range view.BackendServers {
 		if serves(s, key.Model, key.Version) {
--- a/agent/gate.go
+++ b/agent/gate.go
@@ -30,7 +30,8 @@
 	g.nextID++
 	t.ID = g.nextID
 	verdict := g.controller.Arrive(g.clock(), t)
-	switch verdict.Action {
+	g.apply(admission.Changes{Drop: verdict.Drop})
+	switch verdict.Outcome {
 	case admission.Run:
 		g.mu.Unlock()
 		return t.ID, ""
@@ -56,17 +57,23 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delete(g.waiting, id)
-	g.apply(g.controller.Cancel(g.clock(), id))
 	select {
 	case code := <-woken:
 		if code != "" {
 			return 0, code
 		}
+		g.apply(g.controller.Done(g.clock(), admission.Result{ID: id}))
 	default:
+		g.apply(g.controller.Cancel(g.clock(), id))
 	}
 	return 0, codeCancelled
 }
 
+// firstToken reports the first token of a running ticket.
+func (g *gate) firstToken(id uint64) {
+	g.change(func(now time.Duration) admission.Changes { return g.controller.FirstToken(now, id) })
+}
+
 // done ends a running ticket.
 func (g *gate) done(r admission.Result) {
 	g.change(func(now time.Duration) admission.Changes { return g.controller.Done(now, r) })
@@ -77,7 +84,10 @@
 }
 
 func (g *gate) setLimits(cold, warm int) {
-	g.change(func(time.Duration) admission.Changes { return g.controller.SetLimits(cold, warm) })
+	g.change(func(now time.Duration) admission.Changes {
+		g.controller.SetLimits(cold, warm)
+		return g.controller.Expire(now)
+	})
 }
 
 func (g *gate) expire() { g.change(g.controller.Expire) }
--- a/agent/handler.go
+++ b/agent/handler.go
@@ -47,18 +47,18 @@
 		a.informEntry(in.Peer, r.Revision)
 		return refusal
 	}
-	if !a.evidence.acquire(r) {
+	if !a.exposure.acquire(r) {
 		return a.refuse(codeExposure, "the exposure budget of this version is used up until answers are rated")
 	}
 	id, code := a.gate.enter(ctx, a.ticket(r))
 	if code != "" {
-		a.evidence.release(r)
+		a.exposure.release(r)
 		return a.refuse(code, "the request was dropped before it ran")
 	}
 	// The configuration may have changed while the request was queued.
 	if refusal := a.check(r); refusal != nil {
-		a.evidence.release(r)
-		a.gate.done(admission.Result{ID: id, NotRun: true})
+		a.exposure.release(r)
+		a.gate.done(admission.Result{ID: id})
 		return refusal
 	}
 	if r.Kind == link.KindService {
@@ -124,7 +124,7 @@
 		dataCentre:  a.settings.DataCentre,
 		vmLeaving:   a.vmLeaving.Load(),
 		draining:    a.draining.Load(),
-		quarantined: a.evidence.isQuarantined,
+		quarantined: a.health.Quarantined,
 		loaded: func(model, version string) bool {
 			for _, ref := range loaded.status.Loaded {
 				if ref.Model == model && ref.Version == version {
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -63,7 +63,7 @@
 	if !needed {
 		return nil
 	}
-	order.Fencing = a.snapshot.RecordRevision(config.Key(config.KindBackendServer, a.settings.Name))
+	order.Fencing = a.snapshot.View().RecordRevision(config.KindBackendServer, a.settings.Name)
 	if !server.ChecksFencing {
 		if err := o.confirm(ctx, order); err != nil {
 			return err
--- a/agent/service.go
+++ b/agent/service.go
@@ -19,6 +19,9 @@
 	// finishTimeout bounds one try to store the answer of a call that may not
 	// be repeated.
 	finishTimeout = 2 * time.Second
+	// claimRetention is how long an agent remembers the reservations it was
+	// given. It exceeds the longest request by far.
+	claimRetention = 10 * time.Minute
 	// finishRetry is the pause between such tries.
 	finishRetry = time.Second
 )
@@ -29,7 +32,7 @@
 	r := in.Request
 	if r.OnceKey != "" {
 		if refusal := a.claim(ctx, r); refusal != nil {
-			a.gate.done(admission.Result{ID: ticket, NotRun: true})
+			a.gate.done(admission.Result{ID: ticket})
 			return refusal
 		}
 		// The call has to be brought to its end although the caller may leave.
@@ -44,7 +47,7 @@
 	took := time.Since(started)
 
 	if errors.Is(err, platform.ErrRefusedConnection) {
-		a.gate.done(admission.Result{ID: ticket, RefusedConnection: true, NotRun: true})
+		a.gate.done(admission.Result{ID: ticket, RefusedConnection: true})
 		a.abandon(r)
 		return a.refuse(codeUnreachable, fmt.Sprintf("backend server %q refused the connection", a.settings.Name))
 	}
@@ -63,6 +66,10 @@
 func (a *Agent) claim(ctx context.Context, r *link.Request) *link.Refusal {
 	ctx, span := a.deps.Tracing.Tracer.Start(ctx, "store")
 	defer span.End()
+	if _, claimed := a.claims.LoadOrStore(r.OnceNonce, struct{}{}); claimed {
+		return a.refuse(codeSuperseded, "this agent has already been given the reservation")
+	}
+	time.AfterFunc(claimRetention, func() { a.claims.Delete(r.OnceNonce) })
 	claimCtx, cancel := a.deadlineContext(ctx, r.Deadline)
 	defer cancel()
 	result, err := a.once.Start(claimCtx, r.Workspace, r.OnceKey, r.OnceNonce, a.bootID)
--- a/config/types.go
+++ b/config/types.go
@@ -193,6 +193,9 @@
 // Duration is a time.Duration that reads and writes as text such as "2s".
 type Duration time.Duration
 
+// Std returns the duration as a time.Duration.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
+
 // MarshalText returns the duration in the notation of time.Duration.
 func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
 
--- a/control/control.go
+++ b/control/control.go
@@ -19,7 +19,7 @@
 	KindRecords = "records"
 	// KindWanted asks the peer for its records; see Wanted.
 	KindWanted = "wanted"
-	// KindEvidence carries a rollout.Delta.
+	// KindEvidence carries a rollout.Delta in its own encoding.
 	KindEvidence = "evidence"
 	// KindQuarantine carries quarantines that the store may not have yet.
 	KindQuarantine = "quarantine"
--- a/entry/api.go
+++ b/entry/api.go
@@ -133,6 +133,7 @@
 		defer e.requests.Begin()()
 		e.metrics.Add("requests", 1)
 		c, apiErr := e.identify(r)
+		defer e.pending.take(c.requestID)
 		if c.requestID != "" {
 			w.Header().Set(headerRequestID, c.requestID)
 		}
@@ -168,6 +169,9 @@
 		return c, refusal(http.StatusUnauthorized, "key_unknown", "the key belongs to no workspace")
 	}
 	c.workspace = workspace
+	if e.ledger.Full() {
+		return c, busy("ledger_full", "too many charges wait for the store")
+	}
 	return c, nil
 }
 
--- a/entry/charges.go
+++ b/entry/charges.go
@@ -11,6 +11,10 @@
 // durableWait bounds how long the end of an answer waits for its charge.
 const durableWait = 300 * time.Millisecond
 
+// outageAge is the age of the oldest unwritten row from which on the store
+// counts as down and the end of an answer does not wait for its charge.
+const outageAge = time.Second
+
 // pendingCharges follows the rows of requests that have not ended.
 type pendingCharges struct {
 	mu   sync.Mutex
@@ -91,7 +95,7 @@
 // store. In an outage the rows stay in this entry and the agent.
 func (e *Entry) waitDurable(ctx context.Context, requestID string) {
 	rows := e.pending.take(requestID)
-	if len(rows) == 0 || e.ledger.Stats().Failing {
+	if len(rows) == 0 || e.ledger.Stats().OldestAge > outageAge {
 		return
 	}
 	_, span := e.deps.Tracing.Tracer.Start(ctx, "store")
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -15,6 +15,8 @@
 	// rest on it: each write of a duty is a compare-and-swap.
 	dutyTTL = 30 * time.Second
 	dutyKey = "duty/housekeeping"
+	// sweepLimit bounds the records removed in one round.
+	sweepLimit = 500
 	// dutyTimeout bounds one round of duties.
 	dutyTimeout = 20 * time.Second
 )
@@ -36,7 +38,7 @@
 	if err := ledger.Compact(ctx, e.deps.Store); err != nil {
 		e.log.Warn("Ledger was not compacted.", "error", err.Error())
 	}
-	if err := e.once.Sweep(ctx); err != nil {
+	if _, err := e.once.Sweep(ctx, "", sweepLimit); err != nil {
 		e.log.Warn("Old idempotency records were not removed.", "error", err.Error())
 	}
 }
@@ -45,7 +47,14 @@
 // Every entry tries; the compare-and-swap lets one of them win.
 func (e *Entry) storeQuarantines(ctx context.Context) {
 	for _, q := range e.health.Pending() {
-		raw, err := config.EncodeQuarantine(q.Model, q.Version, q.Reason, e.settings.Name, q.ID)
+		raw, err := config.Encode(config.Envelope{
+			SchemaVersion: config.LatestSchema(config.KindQuarantine),
+			Kind:          config.KindQuarantine,
+			Name:          q.Model + "/" + q.Version,
+			Writer:        e.settings.Name,
+			ChangeID:      q.ID,
+			Spec:          &config.Quarantine{Reason: q.Reason, Since: time.Now().UTC()},
+		})
 		if err != nil {
 			e.log.Error("Quarantine cannot be encoded.", "error", err.Error())
 			continue
--- a/entry/endpoints.go
+++ b/entry/endpoints.go
@@ -24,9 +24,11 @@
 	view := e.snapshot.View()
 	leaving := e.links.leavingVMs()
 	endpoints := make([]route.Endpoint, 0, len(peers))
+	byName := make(map[string]*peer, len(peers))
 	for _, p := range peers {
 		if endpoint, ok := endpoint(view, p, leaving); ok {
 			endpoints = append(endpoints, endpoint)
+			byName[p.name] = p
 		}
 	}
 	e.randMu.Lock()
@@ -35,8 +37,7 @@
 	if err != nil {
 		return nil, err
 	}
-	i := slices.IndexFunc(peers, func(p *peer) bool { return p.name == decision.Endpoint.Name })
-	return peers[i], nil
+	return byName[decision.Endpoint], nil
 }
 
 // endpoint describes one linked backend server for the router.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -7,7 +7,6 @@
 	"errors"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -60,9 +59,10 @@
 	log      *telemetry.Logger
 	metrics  *telemetry.Metrics
 	bootID   string
+	started  time.Time
 
 	snapshot *config.Snapshot
-	watcher  *provider.Watcher
+	watcher  *provider.Provider
 	links    *links
 	tree     *suture.Supervisor
 
@@ -75,6 +75,7 @@
 	sessions *session.Binder
 	once     *once.Log
 	ledger   *ledger.Writer
+	pending  pendingCharges
 
 	entries  atomic.Int64 // number of entries in the VM list, at least 1
 	draining atomic.Bool
@@ -92,6 +93,7 @@
 		log:      deps.Log,
 		metrics:  telemetry.NewMetrics(),
 		bootID:   ulid.Make().String(),
+		started:  time.Now(),
 		snapshot: config.NewSnapshot(),
 		router:   route.NewRouter(route.Config{}),
 		budget:   newRetryBudget(),
@@ -103,12 +105,18 @@
 	e.entries.Store(1)
 	e.tree = supervise.New("entry", deps.Log)
 	e.links = newLinks(e)
-	e.health = health.New(e.bootID, e.snapshot, e.links.broadcast, deps.Log.Part("health"))
+	e.health = health.New(health.Config{
+		Origin: e.bootID, DataCentre: s.DataCentre, Snapshot: e.snapshot,
+		Broadcast: e.links.broadcast, Clock: e.clock, Log: deps.Log.Part("health"),
+	})
 	e.policy = newPolicy(cascade.NewPolicy(cascade.Config{}))
 	e.ratings = newRatings(e)
 	e.ledger = ledger.NewWriter(deps.Store, e.bootID, e.ledgerWindow)
 	e.ledger.OnDurable = e.links.reportDurable
-	e.watcher = provider.NewWatcher(deps.Store, e.snapshot, deps.Log.Part("provider"))
+	e.watcher = provider.NewWatcher(deps.Store, e.snapshot, provider.Options{
+		Logger:    deps.Log.Base(),
+		Processes: func() int { return int(e.entries.Load()) },
+	})
 	e.publishMetrics()
 	e.addServices()
 	return e
@@ -149,15 +157,15 @@
 // writes all charges.
 func (e *Entry) Drain(ctx context.Context) error {
 	e.draining.Store(true)
-	graceCtx, cancelGrace := context.WithTimeout(ctx, e.settings.DrainGrace)
+	graceCtx, cancelGrace := context.WithTimeout(ctx, e.settings.DrainGrace.Std())
 	defer cancelGrace()
 	// The balancer still sends requests until it has seen that the entry is not
 	// ready; these are served as well.
-	time.Sleep(min(e.settings.DrainGrace/4, balancerDelay))
+	time.Sleep(min(e.settings.DrainGrace.Std()/4, balancerDelay))
 	if err := errors.Join(e.requests.Wait(graceCtx), e.ratings.running.Wait(graceCtx)); err != nil {
 		e.log.Warn("Drain grace ended with open requests.", "requests", e.requests.Count())
 	}
-	flushCtx, cancel := context.WithTimeout(ctx, e.settings.DrainGrace)
+	flushCtx, cancel := context.WithTimeout(ctx, e.settings.DrainGrace.Std())
 	defer cancel()
 	return e.ledger.Flush(flushCtx)
 }
@@ -232,13 +240,13 @@
 func (b *retryBudget) request() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.bucket.OnRequest()
+	b.bucket.Request()
 }
 
 func (b *retryBudget) allow() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.bucket.Allow()
+	return b.bucket.Retry()
 }
 
 // policy makes cascade.Policy safe for concurrent use.
@@ -267,5 +275,3 @@
 	defer p.mu.Unlock()
 	return p.inner.Next(plan, stage, rating)
 }
-
-var _ http.Handler = (*telemetry.Metrics)(nil)
--- a/entry/links.go
+++ b/entry/links.go
@@ -20,9 +20,6 @@
 	"hyssoploom/supervise"
 )
 
-// fullMeshLimit is the number of agents up to which an entry links to all.
-const fullMeshLimit = 48
-
 // peer is the link to one agent.
 type peer struct {
 	name    string // backend server
@@ -115,7 +112,7 @@
 			out[name] = server.AgentAddr
 		}
 	}
-	if len(out) > fullMeshLimit {
+	if len(out) > route.DefaultSubsetLimits().All {
 		return l.subset(view, out)
 	}
 	return out
@@ -125,7 +122,10 @@
 	agents := make([]route.AgentRef, 0, len(all))
 	for name := range all {
 		server := view.BackendServers[name]
-		ref := route.AgentRef{Name: name, DataCentre: server.DataCentre, Service: server.Service}
+		ref := route.AgentRef{Name: name, DataCentre: server.DataCentre}
+		if server.Service != "" {
+			ref.Serves = append(ref.Serves, server.Service)
+		}
 		if centre, ok := view.DataCentres[server.DataCentre]; ok {
 			ref.Region = centre.Region
 		}
@@ -165,7 +165,7 @@
 		OnHello:     func(link.Hello) { l.greet(p) },
 		OnHeartbeat: func(hb link.Heartbeat) { l.sendMissing(p, hb.Revision, hb.Digest) },
 		OnControl:   func(c link.Control) { l.onControl(p, c) },
-		Log:         e.log.Part("link"),
+		Logger:      e.log.Base(),
 	})
 	p.service = l.tree.Add(p.client)
 	return p
--- a/entry/ratings.go
+++ b/entry/ratings.go
@@ -25,10 +25,26 @@
 type ratingJob struct {
 	request platform.RateRequest
 	wait    time.Duration
+	cascade bool // the request named a cascade
 	stage   int
+	start   int    // stage at which the request began
 	backend string // backend server that produced the answer
 }
 
+func (j ratingJob) observation() cascade.Observation {
+	return cascade.Observation{
+		Workspace: j.request.Workspace, TaskClass: j.request.TaskClass,
+		Stage: j.stage, Start: j.start, Model: j.request.Model, Version: j.request.Version,
+	}
+}
+
+// missing is the observation of a rating that did not come in time.
+func (j ratingJob) missing() cascade.Observation {
+	o := j.observation()
+	o.Missing = true
+	return o
+}
+
 // ratings asks the rater and passes its verdicts on.
 type ratings struct {
 	entry   *Entry
@@ -51,7 +67,8 @@
 	case <-ctx.Done():
 	}
 	r.entry.metrics.Add("ratings_late", 1)
-	return cascade.Rating{}
+	r.entry.policy.observe(job.missing())
+	return cascade.NotRated
 }
 
 // later rates an answer that the caller already has.
@@ -61,7 +78,7 @@
 	if r.running.Count() >= maxAudits {
 		r.entry.metrics.Add("ratings_dropped", 1)
 		if result != nil {
-			result <- cascade.Rating{}
+			result <- cascade.NotRated
 		}
 		return
 	}
@@ -87,20 +104,26 @@
 		if !errors.Is(err, context.Canceled) {
 			r.entry.metrics.Add("ratings_failed", 1)
 		}
-		return cascade.Rating{}
+		return cascade.NotRated
 	}
 	r.record(job, verdict)
-	return cascade.Rating{Known: true, Pass: verdict.Pass}
+	if verdict.Pass {
+		return cascade.Passed
+	}
+	return cascade.Failed
 }
 
 func (r *ratings) record(job ratingJob, verdict platform.Rating) {
 	e := r.entry
 	e.metrics.Add("ratings", 1)
 	key := versionKey(job.request.Model, job.request.Version)
-	e.health.Record(key, rollout.Observation{Rated: true, Passed: verdict.Pass})
-	e.policy.observe(cascade.Observation{
-		Workspace: job.request.Workspace, TaskClass: job.request.TaskClass,
-		Stage: job.stage, Model: key.Model, Version: key.Version, Passed: verdict.Pass,
+	e.health.Record(key, rollout.Observation{
+		TaskClass: job.request.TaskClass, Rated: true, Passed: verdict.Pass,
 	})
+	if job.cascade {
+		o := job.observation()
+		o.Passed = verdict.Pass
+		e.policy.observe(o)
+	}
 	e.links.send(job.backend, control.Encode(control.KindRating, control.Rating{RequestID: job.request.RequestID, Key: key}))
 }
--- a/entry/run.go
+++ b/entry/run.go
@@ -24,8 +24,8 @@
 func (ch *chat) run(ctx context.Context, out *output) *apiError {
 	plan := ch.plan()
 	var best *answer
-	for current := plan.Start; ; {
-		gated := plan.Gate && current < len(ch.stages)-1
+	current, gated, audit := plan.Start, plan.Gate, plan.Audit
+	for {
 		result, err := ch.runStage(ctx, current, out, gated)
 		if err != nil {
 			if best != nil {
@@ -37,15 +37,15 @@
 		}
 		best = result
 		if !gated {
-			ch.rateLater(ctx, plan, result)
+			ch.rateLater(ctx, plan, result, audit)
 			return ch.release(ctx, out, result, false)
 		}
 		step := ch.judge(ctx, plan, result)
-		if !step.Escalate {
+		if step.Release {
 			return ch.release(ctx, out, result, true)
 		}
 		ch.entry.metrics.Add("escalations", 1)
-		current = step.To
+		current, gated, audit = step.To, step.Gate, step.Audit
 	}
 }
 
@@ -67,31 +67,36 @@
 			Available: ch.entry.links.serving(st.model, st.version),
 		})
 	}
-	return ch.entry.policy.plan(request, ch.entry.uniform())
+	plan := ch.entry.policy.plan(request, ch.entry.uniform())
+	// Without any available stage the first attempt waits for a backend server.
+	plan.Start = max(plan.Start, 0)
+	return plan
 }
 
 // judge waits for the rating of a gated answer.
 func (ch *chat) judge(ctx context.Context, plan cascade.Plan, a *answer) cascade.Step {
-	rating := ch.entry.ratings.rate(ctx, ch.ratingJob(a))
+	rating := ch.entry.ratings.rate(ctx, ch.ratingJob(plan, a))
 	return ch.entry.policy.next(plan, a.stage, rating)
 }
 
 // rateLater has the released answer rated in the background when the plan asks
 // for an audit or the version is under test.
-func (ch *chat) rateLater(ctx context.Context, plan cascade.Plan, a *answer) {
-	if plan.Audit || ch.entry.health.UnderTest(versionKey(a.model, a.version)) {
-		ch.entry.ratings.later(ctx, ch.ratingJob(a))
+func (ch *chat) rateLater(ctx context.Context, plan cascade.Plan, a *answer, audit bool) {
+	if audit || ch.entry.health.UnderTest(versionKey(a.model, a.version)) {
+		ch.entry.ratings.later(ctx, ch.ratingJob(plan, a))
 	}
 }
 
-func (ch *chat) ratingJob(a *answer) ratingJob {
+func (ch *chat) ratingJob(plan cascade.Plan, a *answer) ratingJob {
 	wait := defaultRateWait
 	if ch.cascade != nil && ch.cascade.RateWait > 0 {
 		wait = ch.cascade.RateWait.Std()
 	}
 	return ratingJob{
 		wait:    wait,
+		cascade: ch.cascade != nil,
 		stage:   a.stage,
+		start:   plan.Start,
 		backend: a.backend,
 		request: platform.RateRequest{
 			RequestID: ch.requestID,
--- a/entry/service.go
+++ b/entry/service.go
@@ -65,7 +65,7 @@
 	if s.service.Timeout > 0 {
 		timeout = s.service.Timeout.Std()
 	}
-	ctx, cancel := context.WithTimeout(ctx, min(timeout, e.settings.RequestTimeout))
+	ctx, cancel := context.WithTimeout(ctx, min(timeout, e.settings.RequestTimeout.Std()))
 	defer cancel()
 	e.budget.request()
 	if s.onceKey == "" {
@@ -95,7 +95,7 @@
 		call: c, entry: e, service: service, method: r.Method, path: path,
 		header: forwardedHeader(r.Header), body: body, tried: make(map[string]bool),
 	}
-	if service.RepeatableMethod(r.Method) {
+	if service.Repeats(r.Method) {
 		return s, nil
 	}
 	s.onceKey = r.Header.Get(headerIdempotencyKey)
@@ -149,7 +149,7 @@
 func (s *serviceCall) atMostOnce(ctx context.Context, timeout time.Duration, w http.ResponseWriter) *apiError {
 	reserved, err := s.reserve(ctx, timeout)
 	if err != nil {
-		return refusedByStore()
+		return s.refusedByStore()
 	}
 	switch reserved.Outcome {
 	case once.Finished:
@@ -195,7 +195,7 @@
 		case err == nil:
 			return s.answer(ctx, w, result)
 		case errors.As(err, &refused), errors.As(err, &notSent):
-			continue
+			// The reservation is still there: another agent may take it.
 		case errors.Is(err, errNoPeer):
 			return s.cancel(ctx, w, s.notServed(err))
 		default:
@@ -208,13 +208,13 @@
 func (s *serviceCall) cancel(ctx context.Context, w http.ResponseWriter, reason *apiError) *apiError {
 	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
 	defer stop()
-	result, answer, err := s.entry.once.Cancel(ctx, s.workspace.Name, s.onceKey, s.nonce)
+	result, err := s.entry.once.Cancel(ctx, s.workspace.Name, s.onceKey, s.nonce)
 	switch {
-	case err == nil && result == once.Cancelled:
+	case err == nil && result.Outcome == once.Cancelled:
 		reason.Run = NotRun
 		return reason
-	case err == nil && result == once.CancelFinished:
-		return s.writeAnswer(w, storedAnswer(answer))
+	case err == nil && result.Outcome == once.AlreadyFinished:
+		return s.writeAnswer(w, storedAnswer(result.Answer))
 	}
 	reason.Run = Unknown
 	return reason
@@ -225,15 +225,15 @@
 	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), outcomeWait)
 	defer stop()
 	for sleep(ctx, outcomePoll) {
-		result, answer, err := s.entry.once.Cancel(ctx, s.workspace.Name, s.onceKey, s.nonce)
+		result, err := s.entry.once.Cancel(ctx, s.workspace.Name, s.onceKey, s.nonce)
 		switch {
 		case err != nil:
 			continue
-		case result == once.CancelFinished:
-			return s.writeAnswer(w, storedAnswer(answer))
-		case result == once.Cancelled:
+		case result.Outcome == once.AlreadyFinished:
+			return s.writeAnswer(w, storedAnswer(result.Answer))
+		case result.Outcome == once.Cancelled:
 			return refusal(http.StatusServiceUnavailable, "attempt_lost", "the call did not start: %v", lost)
-		case result == once.Superseded:
+		case result.Outcome == once.CancelSuperseded:
 			return s.failure("reservation_superseded", "another request with this key took over")
 		}
 	}
@@ -334,7 +334,7 @@
 	return nil
 }
 
-func storedAnswer(a once.Answer) *serviceAnswer {
+func storedAnswer(a *once.Answer) *serviceAnswer {
 	return &serviceAnswer{status: a.Status, header: answerHeaders(a.Header), body: a.Body}
 }
 
@@ -367,8 +367,14 @@
 	return err
 }
 
-// refusedByStore is the refusal of a call that could not be reserved. Whatever
-// the store holds, no agent was given the call.
-func refusedByStore() *apiError {
-	return busy("store_unavailable", "a call that may not be repeated needs the store, which does not answer")
+// refusedByStore is the refusal of a call that could not be reserved. No agent
+// was given this call, but an earlier request may have run under a key that the
+// caller chose.
+func (s *serviceCall) refusedByStore() *apiError {
+	err := busy("store_unavailable", "a call that may not be repeated needs the store, which does not answer; this request was not run")
+	if s.onceKey != s.requestID {
+		err.Message += ", an earlier one with the same key may have been"
+		err.Run = Unknown
+	}
+	return err
 }
--- a/health/keeper.go
+++ b/health/keeper.go
@@ -3,7 +3,10 @@
 package health
 
 import (
+	"fmt"
+	"strings"
 	"sync"
+	"time"
 
 	"github.com/oklog/ulid/v2"
 
@@ -14,36 +17,54 @@
 	"hyssoploom/telemetry"
 )
 
+// Config describes the process that a keeper belongs to.
+type Config struct {
+	Origin     string // boot id
+	DataCentre string
+	Snapshot   *config.Snapshot
+	// Broadcast sends a control message to every linked process.
+	Broadcast func(link.Control)
+	Clock     func() time.Duration // monotonic
+	Log       *telemetry.Logger
+}
+
 // Keeper is safe for concurrent use.
 type Keeper struct {
-	snapshot  *config.Snapshot
-	broadcast func(link.Control)
-	log       *telemetry.Logger
+	cfg      Config
+	snapshot *config.Snapshot
+	log      *telemetry.Logger
 
 	mu          sync.Mutex
 	evidence    *rollout.Evidence
 	quarantines *rollout.QuarantineSet
 	sent        uint64 // sequence number up to which evidence was broadcast
-	passed      map[rollout.VersionKey]bool
+	verdicts    map[rollout.VersionKey]rollout.Verdict
 }
 
-// New returns a keeper. Origin is the boot id of the process; broadcast sends a
-// control message to every linked process.
-func New(origin string, snapshot *config.Snapshot, broadcast func(link.Control), log *telemetry.Logger) *Keeper {
+// New returns a keeper without evidence.
+func New(cfg Config) *Keeper {
 	return &Keeper{
-		snapshot:    snapshot,
-		broadcast:   broadcast,
-		log:         log,
-		evidence:    rollout.NewEvidence(origin),
+		cfg:         cfg,
+		snapshot:    cfg.Snapshot,
+		log:         cfg.Log,
+		evidence:    rollout.NewEvidence(cfg.Origin),
 		quarantines: rollout.NewQuarantineSet(),
-		passed:      make(map[rollout.VersionKey]bool),
+		verdicts:    make(map[rollout.VersionKey]rollout.Verdict),
 	}
 }
 
-// Record adds one observation of this process and judges the version.
+// Record adds one observation of this process and judges the versions that it
+// bears on.
 func (k *Keeper) Record(key rollout.VersionKey, o rollout.Observation) {
+	o.DataCentre, o.Now = k.cfg.DataCentre, k.cfg.Clock()
+	model, ok := k.snapshot.View().Models[key.Model]
+	if !ok {
+		return
+	}
 	k.mu.Lock()
-	k.evidence.Record(key, o)
+	for _, recorded := range rollout.RecordKeys(model, key.Version) {
+		k.evidence.Record(recorded, o)
+	}
 	raised := k.judge(key)
 	k.mu.Unlock()
 	k.announce(raised)
@@ -54,22 +75,36 @@
 func (k *Keeper) Tick() {
 	k.mu.Lock()
 	delta := k.evidence.Delta(k.sent)
-	k.sent = k.evidence.Sequence()
+	k.sent = delta.Through
 	raised := k.judgeAll()
 	k.mu.Unlock()
-	if !delta.Empty() {
-		k.broadcast(control.Encode(control.KindEvidence, delta))
+	if m, ok := k.encode(delta); ok {
+		k.cfg.Broadcast(m)
 	}
 	k.announce(raised)
 }
 
+// encode returns the control message of a delta; ok is false when there is
+// nothing to send.
+func (k *Keeper) encode(delta rollout.Delta) (m link.Control, ok bool) {
+	if delta.Empty() {
+		return link.Control{}, false
+	}
+	body, err := delta.Encode()
+	if err != nil {
+		k.log.Error("Evidence cannot be encoded.", "error", err.Error())
+		return link.Control{}, false
+	}
+	return link.Control{Kind: control.KindEvidence, Body: body}, true
+}
+
 // Greeting returns the messages for a peer that has just connected.
 func (k *Keeper) Greeting() []link.Control {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	var out []link.Control
-	if delta := k.evidence.Delta(0); !delta.Empty() {
-		out = append(out, control.Encode(control.KindEvidence, delta))
+	if m, ok := k.encode(k.evidence.Delta(0)); ok {
+		out = append(out, m)
 	}
 	if all := k.quarantines.All(); len(all) > 0 {
 		out = append(out, control.Encode(control.KindQuarantine, all))
@@ -91,8 +126,8 @@
 }
 
 func (k *Keeper) mergeEvidence(c link.Control) error {
-	var delta rollout.Delta
-	if err := control.Decode(c, &delta); err != nil {
+	delta, err := rollout.DecodeDelta(c.Body)
+	if err != nil {
 		return err
 	}
 	k.mu.Lock()
@@ -130,7 +165,7 @@
 	for _, q := range quarantines {
 		k.log.Warn("Version is in quarantine.", "model", q.Model, "version", q.Version, "reason", q.Reason)
 	}
-	k.broadcast(control.Encode(control.KindQuarantine, quarantines))
+	k.cfg.Broadcast(control.Encode(control.KindQuarantine, quarantines))
 }
 
 // judgeAll tests every version that has a baseline.
@@ -154,34 +189,45 @@
 	if !ok || version.Baseline == "" || k.active(view, key) {
 		return nil
 	}
-	baseline := rollout.VersionKey{Model: key.Model, Version: version.Baseline}
-	switch rollout.Judge(k.evidence.Totals(key), k.evidence.Totals(baseline), rollout.DefaultTestConfig()) {
-	case rollout.Good:
-		k.passed[key] = true
-	case rollout.Bad:
-		q := rollout.Quarantine{
-			Model:        key.Model,
-			Version:      key.Version,
-			Reason:       "worse than " + version.Baseline,
-			ID:           ulid.Make().String(),
-			BaseRevision: view.QuarantineRevision(key.Model, key.Version),
-		}
-		if k.quarantines.Add(q) {
-			return []rollout.Quarantine{q}
-		}
+	revision := view.QuarantineRevision(key.Model, key.Version)
+	finding := k.evidence.JudgeVersion(key, version.Baseline, rollout.TestConfig{})
+	k.verdicts[key] = finding.Verdict
+	if finding.Verdict != rollout.Bad || !rollout.MayRaise(revision) {
+		return nil
 	}
-	return nil
+	q := rollout.Quarantine{
+		Model:        key.Model,
+		Version:      key.Version,
+		Reason:       fmt.Sprintf("worse than %s by %s", version.Baseline, finding.Reason),
+		ID:           ulid.Make().String(),
+		BaseRevision: revision,
+	}
+	if !k.quarantines.Add(q) {
+		return nil
+	}
+	return []rollout.Quarantine{q}
 }
 
 // UnderTest reports whether a version still has to prove itself.
 func (k *Keeper) UnderTest(key rollout.VersionKey) bool {
-	version, ok := lookup(k.snapshot.View(), key)
+	view := k.snapshot.View()
+	version, ok := lookup(view, key)
 	if !ok || version.Baseline == "" {
 		return false
 	}
+	if view.QuarantineRevision(key.Model, key.Version) > 0 && !view.Quarantined(key.Model, key.Version) {
+		return false // an operator lifted the quarantine and vouches for the version
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.verdicts[key] != rollout.Good
+}
+
+// Budget is the part of a version's exposure budget that is open to it now.
+func (k *Keeper) Budget(key rollout.VersionKey, budget int) int {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return !k.passed[key]
+	return rollout.Budget(budget, k.evidence.Totals(key), k.verdicts[key])
 }
 
 // Quarantined reports whether the store or a process of the fleet has put the
@@ -217,10 +263,15 @@
 	view := k.snapshot.View()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for _, key := range k.evidence.Keys() {
-		if _, ok := lookup(view, key); !ok && len(view.Models) > 0 {
+	for _, key := range k.evidence.Versions() {
+		// The key of a control group is "baseline|candidate".
+		tested := key
+		if _, candidate, ok := strings.Cut(key.Version, "|"); ok {
+			tested.Version = candidate
+		}
+		if _, ok := lookup(view, tested); !ok && len(view.Models) > 0 {
 			k.evidence.Forget(key)
-			delete(k.passed, key)
+			delete(k.verdicts, key)
 		}
 	}
 }
--- a/telemetry/log.go
+++ b/telemetry/log.go
@@ -30,6 +30,9 @@
 // Discard returns a logger that writes nothing.
 func Discard() *Logger { return NewLogger(io.Discard, "error", "discard") }
 
+// Base returns the underlying logger, for packages that take one.
+func (l *Logger) Base() *log.Logger { return l.base }
+
 // Part returns a logger with the same output for another part.
 func (l *Logger) Part(part string) *Logger {
 	return &Logger{base: l.base, prefix: part + ": "}
