--- /dev/null
+++ b/cascade/policy.go
@@ -0,0 +1,226 @@
+// Package cascade decides at which stage of a cascade a request starts, whether
+// its answer waits for a rating, and what follows a rating. It is pure: time and
+// randomness are arguments. Its types are not safe for concurrent use.
+package cascade
+
+import (
+	"time"
+
+	"hyssoploom/config"
+)
+
+// Config tunes a Policy. Zero fields take the defaults.
+type Config struct {
+	// MaxWaitShare is the share of requests whose first token may wait for a
+	// rating; 0.2.
+	MaxWaitShare float64
+	// Z is the number of standard deviations between an estimate's mean and the
+	// lower bound that has to meet the quality target; 1.
+	Z float64
+	// AuditRate is the share of answers rated after their release once a stage is
+	// known; 0.1.
+	AuditRate float64
+	// MaxCells bounds the remembered pairs of workspace and task class; 4096.
+	MaxCells int
+	// Bound replaces the lower bound of an estimate; u is uniform in [0, 1).
+	Bound func(pass, fail, u float64) float64
+}
+
+const (
+	// fullAudit is the number of ratings of a stage below which every answer is
+	// rated, and explore the number below which some requests start at a stage
+	// that would not be chosen otherwise.
+	fullAudit = 200
+	explore   = 100
+	// exploreRate is the share of requests that start at such a stage. They wait
+	// for the rating, so that exploring costs no quality.
+	exploreRate = 0.05
+	// waitGain is the step of the price on waiting. At 0.005 the price needs some
+	// hundred requests from one end of its range to the other.
+	waitGain = 0.005
+	// qualityTie is the difference in quality that a best effort ignores for
+	// the sake of cost.
+	qualityTie = 0.005
+	// missedLimit is the number of ratings in a row that have to be missing before
+	// the rater counts as down.
+	missedLimit = 3
+)
+
+// Policy holds the estimates of one entry.
+type Policy struct {
+	cfg       Config
+	memory    *memory
+	waitPrice float64 // price of waiting, as a share of the costliest stage's price
+	missed    int
+}
+
+// NewPolicy returns a policy without any evidence.
+func NewPolicy(cfg Config) *Policy {
+	orDefault(&cfg.MaxWaitShare, 0.2)
+	orDefault(&cfg.Z, 1)
+	orDefault(&cfg.AuditRate, 0.1)
+	if cfg.MaxCells == 0 {
+		cfg.MaxCells = 4096
+	}
+	if cfg.Bound == nil {
+		z := cfg.Z
+		cfg.Bound = func(pass, fail, _ float64) float64 { return beta{pass, fail}.lower(z) }
+	}
+	return &Policy{cfg: cfg, memory: newMemory(cfg.MaxCells)}
+}
+
+func orDefault(p *float64, v float64) {
+	if *p == 0 {
+		*p = v
+	}
+}
+
+// Stage is one stage of a cascade with the version that would serve it.
+type Stage struct {
+	Model, Version string
+	Price          int64 // micro-units per token
+	Available      bool
+}
+
+// PlanRequest describes a request before it starts. An absent task class is a
+// class of its own.
+type PlanRequest struct {
+	Workspace, TaskClass string
+	Cascade              *config.Cascade
+	Stages               []Stage // cheapest first
+}
+
+// Hop is one stage of a plan.
+type Hop struct {
+	Stage int
+	Gate  bool // wait for the rating before the answer is released
+}
+
+// Plan says how a request starts.
+type Plan struct {
+	Start int // -1 when no stage is available
+	Gate  bool
+	// Audit asks for a rating after the release of an answer that was not gated.
+	Audit bool
+	// BestEffort tells that no way through the cascade is known to meet the
+	// target; the plan is the one with the best quality.
+	BestEffort bool
+	// Explore tells that the plan tries a stage that little is known about.
+	Explore bool
+	// Quality is the lower bound of the quality that the plan reaches.
+	Quality float64
+	// Hops are the stages in order; the first is Start.
+	Hops []Hop
+	// OnRaterDown is the cascade's default for an absent rating.
+	OnRaterDown config.RaterDefault
+}
+
+// Plan chooses the start of a request; u is uniform in [0, 1).
+func (p *Policy) Plan(now time.Duration, r PlanRequest, u float64) Plan {
+	views := p.views(now, r, u)
+	if len(views) == 0 {
+		return Plan{Start: -1, BestEffort: true}
+	}
+	target := r.Cascade.QualityTarget
+	options := enumerate(views, target, p.raterDown())
+	top := views[len(views)-1].price
+	best, met := choose(options, target, p.waitPrice*top)
+	exploring := false
+	if u < exploreRate && !p.raterDown() {
+		if i, ok := unexplored(options, views, best); ok {
+			best, exploring = i, true
+		}
+	}
+	o := options[best]
+	plan := Plan{Start: o.hops[0].Stage, Gate: o.hops[0].Gate, BestEffort: !met, Explore: exploring,
+		Quality: o.quality, Hops: o.hops, OnRaterDown: r.Cascade.OnRaterDown}
+	plan.Audit = p.audit(views, plan, u)
+	p.chargeWait(plan.Gate)
+	return plan
+}
+
+// audit samples plans for a rating after the release. It uses the part of u
+// above exploreRate, so that it does not depend on exploring.
+func (p *Policy) audit(views []view, plan Plan, u float64) bool {
+	for _, h := range plan.Hops {
+		for _, v := range views {
+			if v.stage != h.Stage {
+				continue
+			}
+			if seen := v.seenDirect; h.Stage == plan.Start && !plan.Gate && seen < fullAudit {
+				return true
+			} else if h.Stage != plan.Start && v.seenAfter < fullAudit {
+				return true
+			}
+		}
+	}
+	return plan.Explore || (u-exploreRate)/(1-exploreRate) < p.cfg.AuditRate && u >= exploreRate
+}
+
+// chargeWait moves the price of waiting so that the share of plans that wait
+// settles at MaxWaitShare at most, and those wait that save the most by it.
+func (p *Policy) chargeWait(gate bool) {
+	step := -p.cfg.MaxWaitShare
+	if gate {
+		step++
+	}
+	p.waitPrice = min(1, max(0, p.waitPrice+waitGain*step))
+}
+
+func (p *Policy) raterDown() bool { return p.missed >= missedLimit }
+
+// Rating is the state of an answer's rating.
+type Rating int
+
+// The states. NotRated means that no rating came within the cascade's RateWait.
+const (
+	NotRated Rating = iota
+	Passed
+	Failed
+)
+
+// Step says what happens to an answer after its rating.
+type Step struct {
+	Release bool
+	To      int  // stage to escalate to when Release is false
+	Gate    bool // the answer of stage To waits for its rating
+	Audit   bool // the answer of stage To is released at once and rated afterwards
+}
+
+// Next decides on the answer of a stage. When the rating is absent, the
+// cascade's OnRaterDown decides; its default is to release. An answer of the
+// last stage is always released.
+func (p *Policy) Next(plan Plan, stage int, rated Rating) Step {
+	accept := rated == Passed || rated == NotRated && plan.OnRaterDown != config.RaterDownEscalate
+	for i, h := range plan.Hops {
+		if h.Stage != stage || accept || i+1 == len(plan.Hops) {
+			continue
+		}
+		next := plan.Hops[i+1]
+		return Step{To: next.Stage, Gate: next.Gate && rated != NotRated, Audit: plan.Audit}
+	}
+	return Step{Release: true}
+}
+
+// Observation is the rating of one answer.
+type Observation struct {
+	Workspace, TaskClass string
+	// Stage answered; Start is the stage at which the request began.
+	Stage, Start   int
+	Model, Version string
+	Passed         bool
+	// Missing tells that a rating was asked for and did not come.
+	Missing bool
+}
+
+// Observe learns from a rating, gated or audited.
+func (p *Policy) Observe(now time.Duration, o Observation) {
+	if o.Missing {
+		p.missed++
+		return
+	}
+	p.missed = 0
+	k := versionKey{o.Model, o.Version}
+	p.memory.at(cellKey{o.Workspace, o.TaskClass}).version(now, k).observe(now, o.Stage != o.Start, o.Passed)
+	p.memory.at(cellKey{"", o.TaskClass}).version(now, k).observe(now, o.Stage != o.Start, o.Passed)
+}
--- /dev/null
+++ b/rollout/exposure.go
@@ -0,0 +1,154 @@
+package rollout
+
+import (
+	"math"
+	"time"
+)
+
+// DefaultBudget is the exposure budget of a version whose record sets none.
+const DefaultBudget = 20
+
+// A slot whose rating never comes is freed in two cases only, because a slow
+// rater must not hide a bad version:
+//
+//   - overdueAfter has passed and an answer that was started later has been
+//     rated meanwhile, which shows that the rater works and this rating is lost;
+//   - else the oldest slot of a version, not more often than every dripEvery.
+//     In an hour without a rater an agent thus starts at most four answers
+//     beyond its share.
+const (
+	overdueAfter = time.Minute
+	dripEvery    = 15 * time.Minute
+)
+
+type slot struct {
+	since time.Duration
+	order uint64
+}
+
+type exposed struct {
+	slots     map[string]slot
+	lastRated uint64 // highest order that was rated
+	lastDrip  time.Duration
+}
+
+// Exposure counts, at one agent, the answers of versions under test that are
+// not yet rated.
+type Exposure struct {
+	now      time.Duration // as of the last Expire
+	order    uint64
+	versions map[VersionKey]*exposed
+}
+
+// NewExposure returns an empty Exposure.
+func NewExposure() *Exposure { return &Exposure{versions: map[VersionKey]*exposed{}} }
+
+// Acquire takes a slot for a request and reports whether one of share slots
+// was free. A request that holds a slot already keeps it.
+func (x *Exposure) Acquire(key VersionKey, requestID string, share int) bool {
+	v := x.versions[key]
+	if v == nil {
+		v = &exposed{slots: map[string]slot{}, lastDrip: x.now}
+		x.versions[key] = v
+	}
+	if _, held := v.slots[requestID]; held {
+		return true
+	}
+	if len(v.slots) >= share {
+		return false
+	}
+	x.order++
+	v.slots[requestID] = slot{since: x.now, order: x.order}
+	return true
+}
+
+// Release frees the slot of a request that was refused before it reached the
+// backend server. A failed answer keeps its slot, because it is never rated.
+func (x *Exposure) Release(key VersionKey, requestID string) {
+	if v := x.versions[key]; v != nil {
+		delete(v.slots, requestID)
+	}
+}
+
+// Rated frees the slot of a request whose answer was rated.
+func (x *Exposure) Rated(key VersionKey, requestID string) {
+	v := x.versions[key]
+	if v == nil {
+		return
+	}
+	if s, held := v.slots[requestID]; held {
+		v.lastRated = max(v.lastRated, s.order)
+		delete(v.slots, requestID)
+	}
+}
+
+// Unrated is the number of slots taken.
+func (x *Exposure) Unrated(key VersionKey) int {
+	if v := x.versions[key]; v != nil {
+		return len(v.slots)
+	}
+	return 0
+}
+
+// Expire frees the slots whose rating is lost. It also sets the time at which
+// slots are taken from now on, so the agent calls it at least each second.
+func (x *Exposure) Expire(now time.Duration) {
+	x.now = now
+	for _, v := range x.versions {
+		v.expire(now)
+	}
+}
+
+func (v *exposed) expire(now time.Duration) {
+	oldest, found := "", false
+	for id, s := range v.slots {
+		if now-s.since >= overdueAfter && s.order < v.lastRated {
+			delete(v.slots, id)
+			continue
+		}
+		if !found || s.order < v.slots[oldest].order {
+			oldest, found = id, true
+		}
+	}
+	if found && now-v.slots[oldest].since >= dripEvery && now-v.lastDrip >= dripEvery {
+		delete(v.slots, oldest)
+		v.lastDrip = now
+	}
+}
+
+// Forget drops the slots of a version that has left the records.
+func (x *Exposure) Forget(key VersionKey) { delete(x.versions, key) }
+
+// Share is the part of a budget that the agent with the given rank (from 0)
+// among agentsRunningIt may use. The shares of all ranks sum to the budget.
+func Share(budget, agentsRunningIt, rank int) int {
+	if agentsRunningIt <= 0 || rank < 0 || rank >= agentsRunningIt || budget <= 0 {
+		return 0
+	}
+	share := budget / agentsRunningIt
+	if rank < budget%agentsRunningIt {
+		share++
+	}
+	return share
+}
+
+// Unlimited is the budget of a version that has passed its test.
+const Unlimited = math.MaxInt
+
+// Budget is the part of a version's exposure budget that is open to it. It
+// starts at two fifths, grows by one answer for each that passes and shrinks by
+// one for each that fails, down to one: the first ratings of a bad version
+// arrive while agents that do not have them yet still refill freed slots.
+func Budget(budget int, candidate Counts, v Verdict) int {
+	switch v {
+	case Bad:
+		return 0
+	case Good:
+		return Unlimited
+	}
+	if budget <= 0 {
+		budget = DefaultBudget
+	}
+	failed := int(candidate.Rated - candidate.Passed)
+	return min(budget, max(1, (2*budget+4)/5+int(candidate.Passed)-failed))
+}
--- /dev/null
+++ b/rollout/merge_test.go
@@ -0,0 +1,239 @@
+package rollout
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+func properties(t *testing.T) *gopter.Properties {
+	p := gopter.DefaultTestParametersWithSeed(20261204)
+	p.MinSuccessfulTests = 200
+	t.Helper()
+	return gopter.NewProperties(p)
+}
+
+var testKeys = []VersionKey{{"m", "v1"}, {"m", "v2"}, {"n", "v1"}}
+
+// fleet records random events at several processes and returns them with every
+// delta they sent on the way.
+func fleet(r *rand.Rand, processes int) (all []*Evidence, sent []Delta) {
+	for i := range processes {
+		all = append(all, NewEvidence(fmt.Sprint("boot", i)))
+	}
+	since := make([]uint64, processes)
+	for step := range 60 {
+		i := r.IntN(processes)
+		all[i].Record(testKeys[r.IntN(len(testKeys))], Observation{
+			TaskClass: fmt.Sprint(r.IntN(4)), DataCentre: fmt.Sprint(r.IntN(3)), Now: time.Duration(step) * time.Second,
+			Started: true, Rated: r.IntN(2) == 0, Passed: r.IntN(2) == 0, Failed: r.IntN(8) == 0})
+		if r.IntN(3) == 0 {
+			d := all[i].Delta(since[i])
+			since[i] = d.Through
+			sent = append(sent, d)
+		}
+	}
+	for i, e := range all {
+		sent = append(sent, e.Delta(since[i]))
+	}
+	return all, sent
+}
+
+// state is what a process shows and what it would send.
+func state(e *Evidence) string {
+	d := e.Delta(0)
+	slices.SortFunc(d.Parts, func(a, b Part) int {
+		return cmpString(fmt.Sprint(a.Origin, a.Key), fmt.Sprint(b.Origin, b.Key))
+	})
+	out := ""
+	for _, p := range d.Parts {
+		out += fmt.Sprint(p.Origin, p.Key, p.Cells, ";")
+	}
+	for _, k := range testKeys {
+		out += fmt.Sprint(k, e.totals[k], e.Totals(k), ";")
+	}
+	return out
+}
+
+func cmpString(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// Guards against counters that depend on the order of deltas, or count a
+// repeated delta again, or lose what a later full delta repeats.
+func TestEvidenceMergeAnyOrder(t *testing.T) {
+	p := properties(t)
+	p.Property("order, duplication and loss do not matter", prop.ForAll(func(seed uint64) string {
+		r := rand.New(rand.NewPCG(seed, 1))
+		all, sent := fleet(r, 4)
+		a, b := NewEvidence("a"), NewEvidence("b")
+		for _, d := range sent {
+			a.Merge(d)
+		}
+		for _, i := range r.Perm(len(sent)) {
+			if r.IntN(3) > 0 { // a third is lost
+				b.Merge(sent[i])
+				b.Merge(sent[i])
+			}
+		}
+		for _, e := range all { // a new link starts with a full delta
+			b.Merge(e.Delta(0))
+		}
+		if b.Merge(a.Delta(0)) {
+			return "a second merge changed something"
+		}
+		return cmp.Diff(state(a), state(b))
+	}, gen.UInt64()))
+	p.TestingRun(t)
+}
+
+// Guards against a codec that loses counters.
+func TestDeltaCodec(t *testing.T) {
+	_, sent := fleet(rand.New(rand.NewPCG(1, 1)), 3)
+	e := NewEvidence("x")
+	for _, d := range sent {
+		e.Merge(d)
+	}
+	e.FoldGone(func(o string) bool { return o == "boot1" })
+	want := e.Delta(0)
+	b, err := want.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := DecodeDelta(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got.Through = want.Through
+	if diff := cmp.Diff(want, got, cmp.Comparer(func(a, b cells) bool { return fmt.Sprint(a) == fmt.Sprint(b) })); diff != "" {
+		t.Error(diff)
+	}
+	for i := range b {
+		if _, err := DecodeDelta(b[:i]); err == nil {
+			t.Fatalf("a delta cut to %d of %d bytes was accepted", i, len(b))
+		}
+	}
+	bad, _ := encode(&wireDelta{Strings: []string{"a"}, Parts: [][]uint64{{0, 0, 1}}})
+	if _, err := DecodeDelta(bad); err == nil {
+		t.Error("an index outside the table was accepted")
+	}
+}
+
+// Guards against folds that lose or repeat counters, whatever the order in
+// which folds and late parts arrive, and with two processes folding at once.
+func TestFoldAnyOrder(t *testing.T) {
+	p := properties(t)
+	p.Property("totals survive folding", prop.ForAll(func(seed uint64) string {
+		r := rand.New(rand.NewPCG(seed, 2))
+		all, sent := fleet(r, 6)
+		plain := NewEvidence("plain")
+		a, b, late := NewEvidence("a"), NewEvidence("b"), NewEvidence("late")
+		for _, e := range all {
+			plain.Merge(e.Delta(0))
+			a.Merge(e.Delta(0))
+			b.Merge(e.Delta(0))
+		}
+		a.FoldGone(func(o string) bool { return o == "boot0" || o == "boot1" })
+		b.FoldGone(func(o string) bool { return o == "boot1" || o == "boot2" })
+		deltas := append([]Delta{a.Delta(0), b.Delta(0)}, sent...)
+		for _, i := range r.Perm(len(deltas)) {
+			late.Merge(deltas[i])
+		}
+		da, db := a.Delta(0), b.Delta(0)
+		a.Merge(db)
+		b.Merge(da)
+		a.FoldGone(func(o string) bool { return o != "boot5" }) // a second epoch drops parts
+		b.Merge(a.Delta(0))
+		late.Merge(a.Delta(0))
+		for _, d := range sent {
+			late.Merge(d)
+		}
+		want := fmt.Sprint(plain.totals)
+		for name, e := range map[string]*Evidence{"a": a, "b": b, "late": late} {
+			if got := fmt.Sprint(e.totals); got != want {
+				return fmt.Sprintf("%s: %s; want %s", name, got, want)
+			}
+		}
+		return ""
+	}, gen.UInt64()))
+	p.TestingRun(t)
+}
+
+// Guards against state that grows with every restart in the fleet, and against
+// a process whose counters are ignored after it was taken for gone.
+func TestFoldBoundsState(t *testing.T) {
+	e := NewEvidence("here")
+	for i := range 3000 {
+		o := NewEvidence(fmt.Sprint("boot", i))
+		o.Record(testKeys[0], Observation{Started: true})
+		e.Merge(o.Delta(0))
+		if i%10 == 9 {
+			e.FoldGone(func(string) bool { return true })
+		}
+	}
+	if got := e.Totals(testKeys[0]).Answers; got != 3000 {
+		t.Errorf("%d answers; want 3000", got)
+	}
+	if len(e.parts) > 40 || len(e.fold.Members) > maxFolded {
+		t.Errorf("%d parts and %d members", len(e.parts), len(e.fold.Members))
+	}
+	back := NewEvidence("boot2999")
+	back.Merge(e.Delta(0))
+	back.Record(testKeys[0], Observation{Started: true})
+	e.Merge(back.Delta(0))
+	if got := e.Totals(testKeys[0]).Answers; got != 3001 {
+		t.Errorf("%d answers after a folded process came back; want 3001", got)
+	}
+}
+
+// Guards against peers that bring back a version which has left the records.
+func TestForget(t *testing.T) {
+	a, b := NewEvidence("a"), NewEvidence("b")
+	b.Record(testKeys[0], Observation{Started: true})
+	a.Merge(b.Delta(0))
+	a.Forget(testKeys[0])
+	if a.Merge(b.Delta(0)) || a.Totals(testKeys[0]) != (Counts{}) || len(a.Versions()) != 0 {
+		t.Error("a forgotten version came back")
+	}
+	a.Record(testKeys[0], Observation{Started: true})
+	if a.Totals(testKeys[0]).Answers != 1 {
+		t.Error("a version that was released again is not counted")
+	}
+}
+
+// Guards against fleets that disagree about a quarantine for good.
+func TestQuarantineMergeAnyOrder(t *testing.T) {
+	p := properties(t)
+	p.Property("order and duplication do not matter", prop.ForAll(func(seed uint64) string {
+		r := rand.New(rand.NewPCG(seed, 3))
+		var list []Quarantine
+		for i := range 12 {
+			k := testKeys[r.IntN(len(testKeys))]
+			list = append(list, Quarantine{Model: k.Model, Version: k.Version, ID: fmt.Sprint(i), BaseRevision: uint64(r.IntN(3))})
+		}
+		a, b, c := NewQuarantineSet(), NewQuarantineSet(), NewQuarantineSet()
+		a.Merge(list)
+		for _, i := range r.Perm(len(list)) {
+			b.Add(list[i])
+			b.Add(list[i])
+		}
+		half := list[:len(list)/2]
+		c.Merge(list[len(half):])
+		c.Merge(half)
+		return cmp.Diff(a.All(), b.All()) + cmp.Diff(a.All(), c.All())
+	}, gen.UInt64()))
+	p.TestingRun(t)
+}
--- /dev/null
+++ b/rollout/rollout_test.go
@@ -0,0 +1,242 @@
+package rollout
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"hyssoploom/config"
+)
+
+func none(string) bool { return false }
+func all(string) bool  { return true }
+
+func only(name string) func(string) bool { return func(v string) bool { return v == name } }
+
+func testModel() *config.Model {
+	return &config.Model{Name: "m", Versions: []config.ModelVersion{
+		{Version: "v1", State: config.VersionActive, Weight: 3, OnWithdraw: config.WithdrawRepin},
+		{Version: "v2", State: config.VersionActive, Weight: 1, Baseline: "v1"},
+		{Version: "old", State: config.VersionDraining, Weight: 5},
+		{Version: "gone", State: config.VersionWithdrawn, OnWithdraw: config.WithdrawRepin},
+	}}
+}
+
+// Guards against new sessions on versions that take none, and wrong shares.
+func TestAssign(t *testing.T) {
+	m := testModel()
+	count := map[string]int{}
+	for i := range 1000 {
+		v, err := Assign(m, none, all, float64(i)/1000)
+		if err != nil {
+			t.Fatal(err)
+		}
+		count[v]++
+	}
+	if diff := cmp.Diff(map[string]int{"v1": 750, "v2": 250}, count); diff != "" {
+		t.Error(diff)
+	}
+	if v, err := Assign(m, only("v1"), all, 0); v != "v2" || err != nil {
+		t.Errorf("with v1 quarantined: %q, %v", v, err)
+	}
+	_, err := Assign(m, only("v1"), only("v1"), 0.5)
+	var want *NoVersionError
+	if !errors.As(err, &want) || want.Quarantined != 1 || want.Forbidden != 1 {
+		t.Errorf("with none left: %v", err)
+	}
+}
+
+// Guards against sessions that move without need or stay on a stopped version.
+func TestPinned(t *testing.T) {
+	for _, c := range []struct {
+		version              string
+		quarantined, allowed func(string) bool
+		want                 PinDecision
+	}{
+		{"v1", none, all, Keep},
+		{"old", none, all, Keep},
+		{"gone", none, all, Repin},
+		{"v1", only("v1"), all, Repin},
+		{"v2", only("v2"), all, Refuse},
+		{"v1", none, none, Refuse},
+		{"absent", none, all, Refuse},
+	} {
+		if got := Pinned(testModel(), c.version, c.quarantined, c.allowed); got != c.want {
+			t.Errorf("Pinned(%s) = %v; want %v", c.version, got, c.want)
+		}
+	}
+}
+
+// Guards against shares that exceed the budget in sum.
+func TestShare(t *testing.T) {
+	for budget := 0; budget < 50; budget++ {
+		for agents := 1; agents < 60; agents++ {
+			total := 0
+			for rank := range agents {
+				total += Share(budget, agents, rank)
+			}
+			if total != budget {
+				t.Fatalf("shares of %d among %d sum to %d", budget, agents, total)
+			}
+		}
+	}
+}
+
+// Guards against a rater that is down for an hour and lets a bad version go on,
+// and against slots that are lost for ever.
+func TestExposureExpiry(t *testing.T) {
+	key := VersionKey{"m", "v"}
+	x := NewExposure()
+	started := 0
+	for now := time.Duration(0); now < time.Hour; now += time.Second {
+		x.Expire(now)
+		if x.Acquire(key, fmt.Sprint(now), 5) {
+			started++
+		}
+	}
+	if started > 9 {
+		t.Errorf("%d answers in an hour without ratings; want at most 9", started)
+	}
+	x = NewExposure()
+	x.Acquire(key, "lost", 2)
+	x.Acquire(key, "rated", 2)
+	if x.Acquire(key, "third", 2) || !x.Acquire(key, "lost", 2) {
+		t.Error("share not enforced, or a held slot refused")
+	}
+	x.Rated(key, "rated")
+	x.Expire(overdueAfter)
+	if got := x.Unrated(key); got != 0 {
+		t.Errorf("%d slots held though a later answer was rated a minute ago", got)
+	}
+}
+
+// Guards against a budget that ignores the ratings so far.
+func TestBudget(t *testing.T) {
+	for _, c := range []struct {
+		counts  Counts
+		verdict Verdict
+		want    int
+	}{
+		{Counts{}, Continue, 8},
+		{Counts{Rated: 30, Passed: 30}, Continue, 20},
+		{Counts{Rated: 30}, Continue, 1},
+		{Counts{}, Bad, 0},
+		{Counts{}, Good, Unlimited},
+	} {
+		if got := Budget(0, c.counts, c.verdict); got != c.want {
+			t.Errorf("Budget(%+v, %v) = %d; want %d", c.counts, c.verdict, got, c.want)
+		}
+	}
+}
+
+// Guards against a quarantine that outlives the operator's lift, or one that
+// is not in force before the store has it.
+func TestQuarantineSet(t *testing.T) {
+	s := NewQuarantineSet()
+	q := Quarantine{Model: "m", Version: "v", ID: "b", BaseRevision: 3}
+	s.Add(q)
+	if !s.Active(q.Key(), 0, false) || !s.Active(q.Key(), 3, false) {
+		t.Error("raised quarantine not in force")
+	}
+	if s.Active(q.Key(), 4, false) || !s.Active(q.Key(), 4, true) {
+		t.Error("the store's record does not decide above the base")
+	}
+	b, err := s.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	list, err := DecodeQuarantines(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := NewQuarantineSet()
+	o.Add(Quarantine{Model: "m", Version: "v", ID: "a", BaseRevision: 2})
+	if !o.Merge(list) || o.Merge(list) {
+		t.Error("Merge reports a wrong change")
+	}
+	if diff := cmp.Diff(s.Pending(), o.Pending()); diff != "" {
+		t.Error(diff)
+	}
+	s.Settle(q.Key(), 4)
+	if len(s.Pending()) != 0 {
+		t.Error("still pending after the store moved on")
+	}
+}
+
+// Guards against verdicts that mistake a shared failure, a small sample or a
+// good version for a bad one, and against bad versions that go unnoticed.
+func TestJudge(t *testing.T) {
+	base := Counts{Answers: 400, Rated: 400, Passed: 360}
+	for name, c := range map[string]struct {
+		candidate, baseline Counts
+		want                Verdict
+	}{
+		"no evidence":              {Counts{}, base, Continue},
+		"same rate":                {Counts{Answers: 40, Rated: 40, Passed: 36}, base, Continue},
+		"good":                     {Counts{Answers: 400, Rated: 400, Passed: 362}, base, Good},
+		"bad":                      {Counts{Answers: 16, Rated: 16, Passed: 4}, base, Bad},
+		"one failure":              {Counts{Answers: 1, Rated: 1}, base, Continue},
+		"baseline hardly known":    {Counts{Answers: 4, Rated: 4}, Counts{Rated: 3, Passed: 3}, Continue},
+		"baseline unknown":         {Counts{Answers: 40, Rated: 40}, Counts{}, Continue},
+		"errors of candidate only": {Counts{Answers: 30, Errors: 15}, base, Bad},
+		"errors of both alike":     {Counts{Answers: 30, Errors: 15}, Counts{Answers: 300, Errors: 150}, Continue},
+		"low rate of both":         {Counts{Rated: 100, Passed: 8}, Counts{Rated: 100, Passed: 8}, Good},
+	} {
+		if got := Judge(c.candidate, c.baseline, TestConfig{}); got != c.want {
+			t.Errorf("%s: %v; want %v", name, got, c.want)
+		}
+	}
+}
+
+// Guards against a failure of one data centre, or a different mix of tasks, that
+// is charged to the version, and a version that fails in one task class only.
+func TestJudgeVersionStrata(t *testing.T) {
+	candidate := VersionKey{"m", "v2"}
+	control := ControlKey(candidate, "v1")
+	record := func(e *Evidence, k VersionKey, class, site string, n int, pass float64, errors int) {
+		r := rand.New(rand.NewPCG(1, uint64(n)))
+		for i := range n {
+			now := time.Duration(i) * 2 * errorBurst
+			e.Record(k, Observation{TaskClass: class, DataCentre: site, Now: now, Started: true})
+			if i < errors {
+				e.Record(k, Observation{TaskClass: class, DataCentre: site, Now: now, Failed: true})
+			} else {
+				e.Record(k, Observation{TaskClass: class, DataCentre: site, Now: now, Rated: true, Passed: r.Float64() < pass})
+			}
+		}
+	}
+	for name, c := range map[string]struct {
+		fill func(*Evidence)
+		want Verdict
+	}{
+		"data centre failure": {func(e *Evidence) {
+			record(e, candidate, "a", "north", 30, 0.9, 15)
+			record(e, control, "a", "north", 30, 0.9, 15)
+			record(e, control, "a", "south", 600, 0.9, 0)
+		}, Continue},
+		"harder mix": {func(e *Evidence) {
+			record(e, candidate, "hard", "north", 60, 0.2, 0)
+			record(e, candidate, "easy", "north", 10, 0.9, 0)
+			record(e, control, "hard", "north", 60, 0.2, 0)
+			record(e, control, "easy", "north", 600, 0.9, 0)
+		}, Continue},
+		"one bad class": {func(e *Evidence) {
+			for _, class := range []string{"a", "b", "c"} {
+				record(e, candidate, class, "north", 30, 0.9, 0)
+				record(e, control, class, "north", 300, 0.9, 0)
+			}
+			record(e, candidate, "d", "north", 30, 0.1, 0)
+			record(e, control, "d", "north", 300, 0.9, 0)
+		}, Bad},
+	} {
+		e := NewEvidence("o")
+		c.fill(e)
+		if got := e.JudgeVersion(candidate, "v1", TestConfig{}); got.Verdict != c.want {
+			t.Errorf("%s: %+v; want %v", name, got, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/standin/rater.go
@@ -0,0 +1,188 @@
+package standin
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gorilla/mux"
+
+	"hyssoploom/platform"
+)
+
+// maxRateRequest bounds the body of a rating call.
+const maxRateRequest = 8 << 20
+
+// maxRatings bounds the record of ratings; the oldest are dropped.
+const maxRatings = 100_000
+
+// Judge decides whether an answer passes. u is uniform in [0, 1) and depends
+// only on the rater's seed, the request id, the model and the version, so the
+// result does not depend on the order of calls.
+type Judge func(r platform.RateRequest, u float64) bool
+
+// JudgeBAD passes every answer whose text does not contain the word "BAD".
+func JudgeBAD(r platform.RateRequest, _ float64) bool { return !strings.Contains(r.Answer, "BAD") }
+
+// RaterOptions configures the stand-in rater.
+type RaterOptions struct {
+	Delay time.Duration // before each response
+	Judge Judge         // JudgeBAD when nil
+	Seed  uint64
+}
+
+// RatingRecord is one rating that the stand-in has given.
+type RatingRecord struct {
+	Request platform.RateRequest
+	Rating  platform.Rating
+}
+
+// Rater is a stand-in for the platform's rating service.
+type Rater struct {
+	mu      sync.Mutex
+	options RaterOptions
+	down    bool
+	hang    chan struct{} // closed when hanging ends; nil when not hanging
+	calls   int
+	ratings []RatingRecord
+}
+
+// NewRater returns a stand-in rater.
+func NewRater(o RaterOptions) *Rater {
+	if o.Judge == nil {
+		o.Judge = JudgeBAD
+	}
+	return &Rater{options: o}
+}
+
+// SetDelay sets the time before each response.
+func (s *Rater) SetDelay(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.options.Delay = d
+}
+
+// SetDown makes every call fail with status 503.
+func (s *Rater) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+// SetHang makes calls wait without a response until hanging is switched off or
+// the caller gives up.
+func (s *Rater) SetHang(hang bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case hang && s.hang == nil:
+		s.hang = make(chan struct{})
+	case !hang && s.hang != nil:
+		close(s.hang)
+		s.hang = nil
+	}
+}
+
+// SetJudge replaces the judge.
+func (s *Rater) SetJudge(j Judge) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.options.Judge = j
+}
+
+// Calls counts all calls, also those that failed.
+func (s *Rater) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Ratings returns a copy of the ratings given, oldest first.
+func (s *Rater) Ratings() []RatingRecord {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]RatingRecord(nil), s.ratings...)
+}
+
+// Handler serves the protocol of docs/rater-protocol.md.
+func (s *Rater) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc(platform.RaterPath, s.rate).Methods(http.MethodPost)
+	return r
+}
+
+func (s *Rater) rate(w http.ResponseWriter, req *http.Request) {
+	s.mu.Lock()
+	s.calls++
+	delay, hang := s.options.Delay, s.hang
+	s.mu.Unlock()
+	var r platform.RateRequest
+	if err := json.NewDecoder(http.MaxBytesReader(w, req.Body, maxRateRequest)).Decode(&r); err != nil || r.RequestID == "" {
+		raterError(w, http.StatusBadRequest, "bad_request", "body is not a rating request")
+		return
+	}
+	if hang != nil {
+		select {
+		case <-hang:
+		case <-req.Context().Done():
+			return
+		}
+	}
+	if !raterDelay(req, delay) {
+		return
+	}
+	rating, ok := s.judge(r)
+	if !ok {
+		raterError(w, http.StatusServiceUnavailable, "unavailable", "rater is down")
+		return
+	}
+	writeRaterJSON(w, http.StatusOK, rating)
+}
+
+// raterDelay waits for d and reports false when the caller gave up.
+func raterDelay(req *http.Request, d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-req.Context().Done():
+		return false
+	}
+}
+
+func (s *Rater) judge(r platform.RateRequest) (platform.Rating, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return platform.Rating{}, false
+	}
+	id := xxhash.Sum64String(r.RequestID + "\x00" + r.Model + "\x00" + r.Version)
+	u := rand.New(rand.NewPCG(s.options.Seed, id)).Float64()
+	rating := platform.Rating{Pass: s.options.Judge(r, u)}
+	if rating.Pass {
+		rating.Score = 1
+	}
+	s.ratings = append(s.ratings, RatingRecord{r, rating})
+	if len(s.ratings) > maxRatings {
+		s.ratings = s.ratings[1:]
+	}
+	return rating, true
+}
+
+func raterError(w http.ResponseWriter, status int, code, message string) {
+	writeRaterJSON(w, status, map[string]any{"error": map[string]string{"code": code, "message": message}})
+}
+
+func writeRaterJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v) // the caller may have gone
+}
--- /dev/null
+++ b/standin/rater_test.go
@@ -0,0 +1,120 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"hyssoploom/platform"
+)
+
+func raterPair(t *testing.T, o RaterOptions, timeout time.Duration) (*Rater, *platform.HTTPRater) {
+	t.Helper()
+	s := NewRater(o)
+	server := httptest.NewServer(s.Handler())
+	t.Cleanup(server.Close)
+	client, err := platform.NewHTTPRater(server.URL, timeout)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(client.CloseIdle)
+	return s, client
+}
+
+// Guards against a client and stand-in that disagree on the protocol.
+func TestRaterRoundTrip(t *testing.T) {
+	s, client := raterPair(t, RaterOptions{}, time.Second)
+	for answer, pass := range map[string]bool{"fine": true, "this is BAD": false} {
+		got, err := client.Rate(context.Background(), platform.RateRequest{RequestID: "r1", TaskClass: "c", Answer: answer})
+		if err != nil || got.Pass != pass {
+			t.Errorf("Rate(%q) = %v, %v; want pass %v", answer, got, err, pass)
+		}
+	}
+	if got := s.Ratings(); len(got) != 2 || got[0].Request.TaskClass != "c" {
+		t.Errorf("Ratings() = %v; want both with their task class", got)
+	}
+}
+
+// Guards against faults of the rater that reach the caller as ratings or as the
+// wrong type of error.
+func TestRaterFaults(t *testing.T) {
+	s, client := raterPair(t, RaterOptions{}, 50*time.Millisecond)
+	ask := func(id string) error {
+		_, err := client.Rate(context.Background(), platform.RateRequest{RequestID: id})
+		return err
+	}
+	s.SetDown(true)
+	if err := ask("r"); !errors.Is(err, platform.ErrRaterUnavailable) {
+		t.Errorf("down: %v", err)
+	}
+	s.SetDown(false)
+	s.SetHang(true)
+	if err := ask("r"); !errors.Is(err, platform.ErrRaterTimeout) {
+		t.Errorf("hanging: %v", err)
+	}
+	s.SetHang(false)
+	s.SetDelay(time.Second)
+	if err := ask("r"); !errors.Is(err, platform.ErrRaterTimeout) {
+		t.Errorf("slow: %v", err)
+	}
+	s.SetDelay(0)
+	if err := ask(""); !errors.Is(err, platform.ErrRaterRejected) {
+		t.Errorf("without request id: %v", err)
+	}
+	if err := ask("r"); err != nil {
+		t.Errorf("after the faults: %v", err)
+	}
+	if got := len(s.Ratings()); got != 1 {
+		t.Errorf("%d ratings recorded; want 1", got)
+	}
+}
+
+// Guards against a judge whose result depends on the order of calls.
+func TestRaterSeed(t *testing.T) {
+	var runs [2][]bool
+	for run := range runs {
+		_, client := raterPair(t, RaterOptions{Seed: 7, Judge: func(_ platform.RateRequest, u float64) bool { return u < 0.5 }}, time.Second)
+		ids := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
+		for i := range ids {
+			if run == 1 {
+				i = len(ids) - 1 - i
+			}
+			r, err := client.Rate(context.Background(), platform.RateRequest{RequestID: ids[i], Model: "m"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			runs[run] = append(runs[run], r.Pass)
+		}
+	}
+	for i, pass := range runs[0] {
+		if pass != runs[1][len(runs[1])-1-i] {
+			t.Fatalf("results %v and, in reverse order of calls, %v", runs[0], runs[1])
+		}
+	}
+}
+
+// Guards against responses that are taken for a rating though they hold none.
+func TestRaterMalformed(t *testing.T) {
+	for body, status := range map[string]int{`{"score":1}`: 200, `{"pass":true,"score":2}`: 200, `no`: 200} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(status)
+			_, _ = w.Write([]byte(body))
+		}))
+		client, err := platform.NewHTTPRater(server.URL, time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = client.Rate(context.Background(), platform.RateRequest{RequestID: "r"})
+		if !errors.Is(err, platform.ErrRaterProtocol) {
+			t.Errorf("body %s: %v", body, err)
+		}
+		client.CloseIdle()
+		server.Close()
+	}
+	if _, err := platform.NewHTTPRater("localhost:1", 0); err == nil {
+		t.Error("NewHTTPRater accepted a URL without scheme")
+	}
+}
