--- a/admission/queue.go
+++ b/admission/queue.go
@@ -6,8 +6,9 @@
 	"time"
 )
 
-// queue is a short queue, fair between workspaces by virtual finish times
-// (start-time fair queueing with one request as the unit of work).
+// queue is a short queue, fair between workspaces by start-time fair queueing:
+// the next request is that of the workspace whose previous request has the
+// least virtual finish time. One request is the unit of work.
 type queue struct {
 	limit   int
 	size    int
@@ -17,8 +18,12 @@
 
 // flow holds the waiting tickets of one workspace, the next to start first.
 type flow struct {
-	name    string
-	weight  float64
+	name   string
+	weight float64
+	// start is the virtual start time of the next request. It is fixed when the
+	// request becomes the next one: a start that moved on with the virtual time
+	// would let a heavier workspace overtake again and again.
+	start   float64
 	finish  float64 // virtual finish time of the last request that started
 	waiting []Ticket
 }
@@ -31,6 +36,9 @@
 		f = &flow{name: t.Workspace}
 		q.flows[t.Workspace] = f
 	}
+	if len(f.waiting) == 0 {
+		f.start = max(q.virtual, f.finish)
+	}
 	f.weight = t.Weight
 	if t.Weight <= 0 {
 		f.weight = 1
@@ -40,9 +48,9 @@
 
 // charge advances the virtual time for a request that starts.
 func (q *queue) charge(f *flow) {
-	start := max(q.virtual, f.finish)
-	f.finish = start + 1/f.weight
-	q.virtual = start
+	q.virtual = max(q.virtual, f.start)
+	f.finish = f.start + 1/f.weight
+	f.start = f.finish
 }
 
 // forget removes flows that have no influence any more.
@@ -65,16 +73,17 @@
 	q.size++
 }
 
-// pop returns the ticket with the least virtual finish time and charges it.
+// before orders workspaces by virtual start time; the heavier one wins a tie.
+func (f *flow) before(o *flow) bool {
+	return cmp.Or(cmp.Compare(f.start, o.start), cmp.Compare(o.weight, f.weight), cmp.Compare(f.name, o.name)) < 0
+}
+
+// pop returns the next ticket to start and charges it.
 func (q *queue) pop() Ticket {
-	best, bestTag := (*flow)(nil), 0.0
+	var best *flow
 	for _, f := range q.flows {
-		if len(f.waiting) == 0 {
-			continue
-		}
-		tag := max(q.virtual, f.finish) + 1/f.weight
-		if best == nil || cmp.Or(cmp.Compare(tag, bestTag), cmp.Compare(f.name, best.name)) < 0 {
-			best, bestTag = f, tag
+		if len(f.waiting) > 0 && (best == nil || f.before(best)) {
+			best = f
 		}
 	}
 	t := best.waiting[0]
--- a/route/picker.go
+++ b/route/picker.go
@@ -117,8 +117,11 @@
 			second = k
 		}
 	}
-	if second >= 0 && p.scores[second] < p.scores[first] {
-		return second
+	if second < 0 || p.scores[first] < p.scores[second] {
+		return first
 	}
-	return first
+	if p.scores[first] == p.scores[second] && p.rng.IntN(2) == 0 {
+		return first // the sampling alone prefers low positions as the first
+	}
+	return second
 }
--- /dev/null
+++ b/route/subset_test.go
@@ -0,0 +1,101 @@
+package route
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+// fleet returns n agents over 2 regions of 3 data centres and 9 versions; the
+// last version is served by 3 agents only, all in the last data centre.
+func fleet(n int) []AgentRef {
+	agents := make([]AgentRef, n)
+	for i := range agents {
+		dc := i % 6
+		agents[i] = AgentRef{Name: fmt.Sprintf("agent-%d", i), DataCentre: fmt.Sprintf("d%d", dc),
+			Region: fmt.Sprintf("r%d", dc/3), Serves: []string{fmt.Sprintf("m%d@1", i%8)}}
+		if i%6 == 5 && i < 18 {
+			agents[i].Serves = []string{"rare@1"}
+		}
+	}
+	return agents
+}
+
+func subsetOf(entry string, agents []AgentRef) []string {
+	return Subset(entry, "d0", "r0", agents, DefaultSubsetLimits())
+}
+
+// TestSubset guards against a subset above its limits, without the own data
+// centre, or without a version that is served somewhere.
+func TestSubset(t *testing.T) {
+	if got := subsetOf("e", fleet(48)); len(got) != 48 {
+		t.Errorf("48 agents: %d links", len(got))
+	}
+	agents := fleet(650)
+	byName := map[string]AgentRef{}
+	for _, a := range agents {
+		byName[a.Name] = a
+	}
+	linked := map[string]int{}
+	for e := range 70 {
+		distance, versions := [3]int{}, map[string]int{}
+		chosen := subsetOf(fmt.Sprintf("entry-%d", e), agents)
+		for _, name := range chosen {
+			a := byName[name]
+			switch {
+			case a.DataCentre == "d0":
+				distance[0]++
+				linked[name]++
+			case a.Region == "r0":
+				distance[1]++
+			default:
+				distance[2]++
+			}
+			versions[a.Serves[0]]++
+		}
+		if distance[0] != 32 || distance[1] < 12 || distance[2] < 4 || len(chosen) > 48+2*9 {
+			t.Fatalf("links %v", distance)
+		}
+		for i := range 9 {
+			if v := []string{"m0@1", "m1@1", "m2@1", "m3@1", "m4@1", "m5@1", "m6@1", "m7@1", "rare@1"}[i]; versions[v] < 2 {
+				t.Fatalf("%s has %d links", v, versions[v])
+			}
+		}
+	}
+	// 70 entries of a data centre have 2240 links to its 109 agents, 20.6 each.
+	for i := 0; i < 650; i += 6 {
+		if n := linked[agents[i].Name]; n < 8 || n > 36 {
+			t.Errorf("%s has %d links", agents[i].Name, n)
+		}
+	}
+}
+
+// TestSubsetIsStable guards against a wave of new links when one agent comes or
+// goes, and against a choice that depends on the order of the list.
+func TestSubsetIsStable(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(1)
+	properties := gopter.NewProperties(parameters)
+	agents := fleet(650)
+	properties.Property("removing one agent changes few links", prop.ForAll(
+		func(entry string, gone int, shift int) bool {
+			before := subsetOf(entry, agents)
+			rotated := append(slices.Clone(agents[shift:]), agents[:shift]...)
+			if !slices.Equal(before, subsetOf(entry, rotated)) {
+				return false
+			}
+			after := subsetOf(entry, slices.Delete(slices.Clone(agents), gone, gone+1))
+			added := 0
+			for _, name := range after {
+				if !slices.Contains(before, name) {
+					added++
+				}
+			}
+			// One in its group and one for its version.
+			return added <= 2 && (slices.Contains(before, agents[gone].Name) || added == 0)
+		}, gen.Identifier(), gen.IntRange(0, 649), gen.IntRange(0, 649)))
+	properties.TestingRun(t)
+}
