--- a/agent/agent.go
+++ b/agent/agent.go
@@ -154,26 +154,16 @@
 	return tree
 }
 
-// Serve accepts links on the settings' listen address until ctx ends.
-func (a *Agent) Serve(ctx context.Context) error {
-	listener, err := net.Listen("tcp", a.settings.Listen)
-	if err != nil {
-		return err
-	}
-	admin, err := net.Listen("tcp", a.settings.AdminListen)
-	if err != nil {
-		return errors.Join(err, listener.Close())
-	}
-	return a.ServeOn(ctx, listener, admin)
-}
-
-// ServeOn accepts links on listener and serves the admin interface on admin.
+// ServeOn accepts links on listener until ctx ends, and serves the admin
+// interface on admin unless it is nil.
 func (a *Agent) ServeOn(ctx context.Context, listener, admin net.Listener) error {
 	a.log.Info("Started.", "backend_server", a.settings.Name, "listen", listener.Addr().String())
 	a.tree.Add(supervise.Func{Name: "links", Run: func(ctx context.Context) error {
 		return a.server.Serve(ctx, listener)
 	}})
-	a.tree.Add(supervise.HTTP("admin", admin, a.adminHandler()))
+	if admin != nil {
+		a.tree.Add(supervise.HTTP("admin", admin, a.adminHandler()))
+	}
 	a.readStatus(ctx)
 	err := a.tree.Serve(ctx)
 	if errors.Is(err, context.Canceled) {
--- a/agent/handler.go
+++ b/agent/handler.go
@@ -160,7 +160,13 @@
 // encoded form for the end of the answer.
 func (a *Agent) charge(peer link.Hello, row ledger.Row) []byte {
 	a.held.Hold(peer.BootID, row)
-	return ledger.EncodeRow(row)
+	encoded, err := ledger.EncodeRow(row)
+	if err != nil {
+		// The agent still holds the row and writes it itself.
+		a.log.Error("Charge row cannot be encoded.", "request", row.RequestID, "error", err.Error())
+		return nil
+	}
+	return encoded
 }
 
 // rowOf fills in what all charge rows of a request share.
--- /dev/null
+++ b/daemon/agent.go
@@ -0,0 +1,81 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"hyssoploom/agent"
+	"hyssoploom/cli"
+	"hyssoploom/platform"
+	"hyssoploom/settings"
+	"hyssoploom/supervise"
+	"hyssoploom/telemetry"
+)
+
+// AgentCommand returns the command that runs an agent.
+func AgentCommand() *cobra.Command {
+	var path string
+	cmd := &cobra.Command{
+		Use:     "agent",
+		Short:   "Run an agent: the only path to its backend server",
+		Example: "  hyssoploom agent --settings /etc/hyssoploom/agent.toml",
+		Args:    cli.Usage(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return runAgent(context.WithoutCancel(cmd.Context()), path)
+		},
+	}
+	settingsFlag(cmd, &path)
+	return cmd
+}
+
+func runAgent(ctx context.Context, path string) error {
+	s, err := settings.LoadAgent(path)
+	if err != nil {
+		return cli.Exit(cli.CodeUsage, "%w", err)
+	}
+	log := telemetry.NewLogger(os.Stderr, s.Log.Level, "agent")
+	tracing, err := newTracing(ctx, s.Trace, s.Name)
+	if err != nil {
+		return cli.Exit(cli.CodeUsage, "%s: trace: %w", path, err)
+	}
+	defer shutDown(ctx, tracing, log)
+	d := &agentDaemon{}
+	if d.listener, err = listen(path, "listen", s.Listen); err != nil {
+		return err
+	}
+	if s.AdminListen != "" {
+		if d.admin, err = listen(path, "admin_listen", s.AdminListen); err != nil {
+			return err
+		}
+	}
+	deps := agent.Deps{
+		Store:   platform.NewHTTPStore(s.StoreURL),
+		VMs:     platform.NewHTTPVMList(s.VMListURL),
+		Log:     log,
+		Tracing: tracing,
+	}
+	switch s.BackendKind {
+	case settings.BackendService:
+		deps.Service = platform.NewHTTPService(s.BackendURL, nil)
+	default:
+		deps.Engine = platform.NewHTTPEngine(s.BackendURL, nil)
+	}
+	d.agent = agent.New(s, deps)
+	return supervise.Run(ctx, d, log)
+}
+
+// agentDaemon serves an agent on open listeners; admin may be nil.
+type agentDaemon struct {
+	agent    *agent.Agent
+	listener net.Listener
+	admin    net.Listener
+}
+
+func (d *agentDaemon) Serve(ctx context.Context) error {
+	return d.agent.ServeOn(ctx, d.listener, d.admin)
+}
+
+func (d *agentDaemon) Drain(ctx context.Context) error { return d.agent.Drain(ctx) }
--- /dev/null
+++ b/demo/demo.go
@@ -0,0 +1,227 @@
+// Package demo shows the main job of hyssoploom on a fleet with embedded
+// stand-ins.
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"hyssoploom/config"
+	"hyssoploom/embedded"
+	"hyssoploom/ledger"
+	"hyssoploom/platform"
+)
+
+const (
+	startTimeout = 20 * time.Second
+	memberKey    = "key-brydemaatte"
+)
+
+// Run starts the fleet, shows one session, and stops the fleet.
+func Run(ctx context.Context, out io.Writer) error {
+	ctx, cancel := context.WithTimeout(ctx, time.Minute)
+	defer cancel()
+	spec := embedded.DefaultSpec()
+	spec.Judge = judge
+	spec.Seed = 1
+	fleet, err := embedded.Start(ctx, spec)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = fleet.Close() }()
+	d := &session{ctx: ctx, out: out, fleet: fleet}
+	return d.run()
+}
+
+// judge lets the cheapest model fail on inspection summaries.
+func judge(r platform.RateRequest, _ float64) bool {
+	return r.TaskClass != "inspection-summary" || r.Model != "small"
+}
+
+// session is one run of the demo.
+type session struct {
+	ctx   context.Context
+	out   io.Writer
+	fleet *embedded.Fleet
+	token string
+}
+
+func (s *session) run() error {
+	ready, cancel := context.WithTimeout(s.ctx, startTimeout)
+	defer cancel()
+	if err := s.fleet.WaitReady(ready); err != nil {
+		return err
+	}
+	fmt.Fprintf(s.out, "Fleet: %d entries, %d agents with their backend servers, store, VM list and rater.\n",
+		len(s.fleet.Entries), len(s.fleet.Backends))
+	for _, step := range []func() error{s.chat, s.cascade, s.rollOut, s.booking, s.dataCentreOut, s.bill} {
+		if err := step(); err != nil {
+			return err
+		}
+	}
+	return s.stop()
+}
+
+func (s *session) title(text string) { fmt.Fprintf(s.out, "\n== %s\n", text) }
+
+func (s *session) chat() error {
+	s.title("A member asks model small")
+	_, err := s.ask("entry-jylland", "small", "member-answer", "When is the hall open?")
+	return err
+}
+
+func (s *session) cascade() error {
+	s.title("Cascade auto: an inspection summary that the cheapest model cannot do")
+	// The policy needs some ratings before it knows where to start.
+	for i := range 4 {
+		if _, err := s.ask("entry-sjaelland", "auto", "inspection-summary", fmt.Sprintf("Summarise report %d.", i)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// rollOut adds version 2 of model small under a running session.
+func (s *session) rollOut() error {
+	s.title("Version 2 of model small is rolled out; the member's session keeps version 1")
+	spec := embedded.EngineSpec("small-2-jylland", "jylland", "small", "2")
+	if err := s.fleet.AddBackend(s.ctx, spec); err != nil {
+		return err
+	}
+	err := s.fleet.Put(s.ctx, config.KindModel, "small", &config.Model{Versions: []config.ModelVersion{
+		{Version: "1", State: config.VersionDraining, PriceIn: 1, PriceOut: 1},
+		{Version: "2", State: config.VersionActive, Weight: 1, PriceIn: 1, PriceOut: 1},
+	}})
+	if err != nil {
+		return err
+	}
+	if err := s.fleet.WaitReady(s.ctx); err != nil {
+		return err
+	}
+	if _, err := s.ask("entry-sjaelland", "small", "member-answer", "And on Sunday?"); err != nil {
+		return err
+	}
+	fmt.Fprintln(s.out, "A new session:")
+	s.token = ""
+	_, err = s.ask("entry-sjaelland", "small", "member-answer", "When is the hall open?")
+	return err
+}
+
+func (s *session) booking() error {
+	s.title("A booking and its duplicate through another entry")
+	for _, name := range []string{"entry-jylland", "entry-sjaelland"} {
+		body := `{"mats":12,"day":"2027-03-06"}`
+		resp, answer, err := s.post(name, "/services/booking/bookings", body, "Idempotency-Key", "spring-cup")
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(s.out, "%s -> %d %s replayed=%t\n", name, resp.StatusCode, answer, resp.Header.Get("Idempotent-Replayed") != "")
+	}
+	total := 0
+	for _, b := range s.fleet.Backends {
+		if b.Booking != nil {
+			total += len(b.Booking.Bookings())
+		}
+	}
+	fmt.Fprintf(s.out, "The booking runners made %d booking.\n", total)
+	return nil
+}
+
+func (s *session) dataCentreOut() error {
+	s.title("The landlord closes Jylland; members are served from Sjælland")
+	out := &config.DataCentre{Region: "west", State: config.DataCentreOut, Grace: config.Duration(5 * time.Second)}
+	if err := s.fleet.Put(s.ctx, config.KindDataCentre, "jylland", out); err != nil {
+		return err
+	}
+	for s.fleet.Entries["entry-jylland"].Entry.Ready() {
+		time.Sleep(10 * time.Millisecond)
+	}
+	fmt.Fprintln(s.out, "entry-jylland is no longer ready.")
+	s.token = ""
+	_, err := s.ask("entry-sjaelland", "medium", "member-answer", "Is my contract signed?")
+	return err
+}
+
+func (s *session) bill() error {
+	s.title("The bill")
+	book, err := ledger.Read(s.ctx, s.fleet.Store)
+	if err != nil {
+		return err
+	}
+	bill := book.Bill(ledger.Filter{Workspace: "brydemaatte"})
+	for _, line := range bill.Lines {
+		fmt.Fprintf(s.out, "%-8s %-3s %-8s rows %2d  tokens in %3d  out %3d  amount %5d\n",
+			line.Model, line.Version, line.Service, line.Rows, line.TokensIn, line.TokensOut, line.Amount)
+	}
+	fmt.Fprintf(s.out, "requests %d, amount %d micro-units\n", bill.Requests, bill.Amount)
+	return nil
+}
+
+func (s *session) stop() error {
+	for name := range s.fleet.Entries {
+		if err := s.fleet.StopEntry(s.ctx, name); err != nil {
+			return fmt.Errorf("stop %s: %w", name, err)
+		}
+	}
+	for name := range s.fleet.Backends {
+		if err := s.fleet.StopAgent(s.ctx, name); err != nil {
+			return fmt.Errorf("stop %s: %w", name, err)
+		}
+	}
+	fmt.Fprintln(s.out, "\nAll processes have drained and stopped.")
+	return nil
+}
+
+type chatRequest struct {
+	Model    string        `json:"model"`
+	Messages []chatMessage `json:"messages"`
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// ask sends one chat message in the member's session.
+func (s *session) ask(entry, model, taskClass, question string) (string, error) {
+	body, err := json.Marshal(chatRequest{Model: model, Messages: []chatMessage{{Role: "user", Content: question}}})
+	if err != nil {
+		return "", err
+	}
+	resp, answer, err := s.post(entry, "/v1/chat/completions", string(body), "X-Task-Class", taskClass, "X-Session-Token", s.token)
+	if err != nil {
+		return "", err
+	}
+	if token := resp.Header.Get("X-Session-Token"); token != "" {
+		s.token = token
+	}
+	version := resp.Header.Get("X-Model-Version")
+	fmt.Fprintf(s.out, "%s: %s asks %q -> %d %s, %d bytes\n", entry, model, question, resp.StatusCode, version, len(answer))
+	return version, nil
+}
+
+func (s *session) post(entry, path, body string, header ...string) (*http.Response, string, error) {
+	req, err := http.NewRequestWithContext(s.ctx, http.MethodPost, s.fleet.Entries[entry].URL+path, strings.NewReader(body))
+	if err != nil {
+		return nil, "", err
+	}
+	req.Header.Set("Authorization", "Bearer "+memberKey)
+	req.Header.Set("Content-Type", "application/json")
+	for i := 0; i+1 < len(header); i += 2 {
+		if header[i+1] != "" {
+			req.Header.Set(header[i], header[i+1])
+		}
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	return resp, strings.TrimSpace(string(answer)), err
+}
--- /dev/null
+++ b/embedded/keys.go
@@ -0,0 +1,22 @@
+package embedded
+
+import (
+	"io/fs"
+	"regexp"
+)
+
+// hashedKeys replaces "@key" in record files by the digest of the key.
+type hashedKeys struct{ fs.FS }
+
+var keyPlaceholder = regexp.MustCompile(`"@([^"]+)"`)
+
+// ReadFile returns a file with its placeholders replaced.
+func (h hashedKeys) ReadFile(name string) ([]byte, error) {
+	b, err := fs.ReadFile(h.FS, name)
+	if err != nil {
+		return nil, err
+	}
+	return keyPlaceholder.ReplaceAllFunc(b, func(m []byte) []byte {
+		return []byte(`"` + Hash(string(m[2:len(m)-1])) + `"`)
+	}), nil
+}
--- a/entry/endpoints.go
+++ b/entry/endpoints.go
@@ -119,3 +119,12 @@
 
 // clock is the entry's monotonic clock.
 func (e *Entry) clock() time.Duration { return time.Since(e.started) }
+
+// Linked reports whether at least n links are up.
+func (e *Entry) Linked(n int) bool { return e.links.summary().Alive >= n }
+
+// Serving reports whether a linked backend server has the version loaded.
+func (e *Entry) Serving(model, version string) bool { return e.links.serving(model, version) }
+
+// Ready reports whether the platform's balancer should send requests here.
+func (e *Entry) Ready() bool { return e.ready() }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -132,15 +132,6 @@
 	e.tree.Add(supervise.Every("duties", dutyInterval, e.runDuties))
 }
 
-// Serve answers callers on the settings' listen address until ctx ends.
-func (e *Entry) Serve(ctx context.Context) error {
-	listener, err := net.Listen("tcp", e.settings.Listen)
-	if err != nil {
-		return err
-	}
-	return e.ServeOn(ctx, listener)
-}
-
 // ServeOn answers callers on listener until ctx ends.
 func (e *Entry) ServeOn(ctx context.Context, listener net.Listener) error {
 	e.log.Info("Started.", "entry", e.settings.Name, "listen", listener.Addr().String())
--- a/entry/service.go
+++ b/entry/service.go
@@ -191,10 +191,11 @@
 		result, err := s.tryNext(ctx)
 		var refused *link.RefusedError
 		var notSent *link.NotSentError
+		var broken *link.BrokenError
 		switch {
 		case err == nil:
 			return s.answer(ctx, w, result)
-		case errors.As(err, &refused), errors.As(err, &notSent):
+		case errors.As(err, &refused), errors.As(err, &notSent), errors.As(err, &broken) && !broken.Handed:
 			// The reservation is still there: another agent may take it.
 		case errors.Is(err, errNoPeer):
 			return s.cancel(ctx, w, s.notServed(err))
@@ -280,11 +281,16 @@
 	s.handed = true
 	s.entry.charge(p, end.Charge)
 	if !end.Complete {
-		return nil, &link.BrokenError{Reason: end.Code + ": " + end.Message, Handed: true}
+		return nil, &incompleteError{end}
 	}
 	return &serviceAnswer{status: end.Status, header: end.Header, body: body}, nil
 }
 
+// incompleteError reports an answer that the backend server did not complete.
+type incompleteError struct{ end *link.End }
+
+func (e *incompleteError) Error() string { return e.end.Code + ": " + e.end.Message }
+
 // note remembers what an error says about whether the call ran.
 func (s *serviceCall) note(p *peer, err error) error {
 	var refused *link.RefusedError
