--- /dev/null
+++ b/once/faults_test.go
@@ -0,0 +1,277 @@
+package once
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+
+	"hyssoploom/internal/faketest"
+	"hyssoploom/platform"
+)
+
+const workspace, key = "jylland", "k/1"
+
+var booking = Reservation{Workspace: workspace, Key: key, RequestID: "r1", BodyHash: "h1", Owner: "e1", Timeout: time.Minute}
+
+// world is one key with an entry, an agent, and a second entry that gets a
+// duplicate of the request.
+type world struct {
+	t      *testing.T
+	store  *faketest.Store
+	now    time.Time
+	logs   map[string]*Log
+	runs   []string // nonces under which the backend server was called
+	notRun []string // nonces for which "not run" was reported
+}
+
+func newWorld(t *testing.T) *world {
+	w := &world{t: t, store: new(faketest.Store), now: time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC), logs: map[string]*Log{}}
+	ids := 0
+	for _, name := range []string{"entry", "agent", "other"} {
+		w.logs[name] = New(w.store, WithClock(func() time.Time { return w.now }), WithIDs(func() string {
+			ids++
+			return fmt.Sprintf("id-%d", ids)
+		}))
+	}
+	return w
+}
+
+func (w *world) state() State {
+	kv, err := w.store.Get(context.Background(), StoreKey(workspace, key))
+	if errors.Is(err, platform.ErrNotFound) {
+		return "absent"
+	}
+	rec, decodeErr := decode(kv.Key, kv.Value)
+	if err != nil || decodeErr != nil {
+		w.t.Fatal(err, decodeErr)
+	}
+	return rec.State
+}
+
+// do performs one step and returns its outcome as text.
+func (w *world) do(step, nonce string) (outcome, newNonce string) {
+	ctx := context.Background()
+	var err error
+	switch step {
+	case "reserve":
+		var r Result
+		r, err = w.logs["entry"].Reserve(ctx, booking)
+		outcome, nonce = string(r.Outcome), r.Nonce
+	case "cancel":
+		var r CancelResult
+		r, err = w.logs["entry"].Cancel(ctx, workspace, key, nonce)
+		outcome = string(r.Outcome)
+	case "start":
+		var r StartResult
+		r, err = w.logs["agent"].Start(ctx, workspace, key, nonce, "a1")
+		outcome = string(r)
+	case "finish":
+		outcome, err = "ok", w.logs["agent"].Finish(ctx, workspace, key, nonce, Answer{Status: 201, Body: []byte(nonce)})
+	case "abort":
+		outcome, err = "ok", w.logs["agent"].Abort(ctx, workspace, key, nonce)
+	}
+	switch {
+	case errors.Is(err, platform.ErrUnknownOutcome):
+		outcome = "unknown"
+	case errors.Is(err, platform.ErrUnavailable):
+		outcome = "unavailable"
+	case err != nil:
+		outcome = err.Error()
+	}
+	return outcome, nonce
+}
+
+// dispatch delivers a dispatch with the nonce to an agent.
+func (w *world) dispatch(nonce string) {
+	if outcome, _ := w.do("start", nonce); outcome == string(Started) {
+		w.runs = append(w.runs, nonce)
+		w.do("finish", nonce)
+	}
+}
+
+// giveUp lets the entry end its request.
+func (w *world) giveUp(nonce string) {
+	if outcome, _ := w.do("cancel", nonce); outcome == string(Cancelled) {
+		w.notRun = append(w.notRun, nonce)
+	}
+}
+
+// duplicate sends the request to the other entry until it gets a final outcome.
+func (w *world) duplicate() Outcome {
+	for range 3 {
+		r, err := w.logs["other"].Reserve(context.Background(), booking)
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		if r.Outcome == Reserved {
+			w.dispatch(r.Nonce)
+		}
+		if r.Outcome != InProgress {
+			return r.Outcome
+		}
+		w.now = w.now.Add(booking.Timeout)
+	}
+	return InProgress
+}
+
+func (w *world) check() {
+	w.t.Helper()
+	if len(w.runs) > 1 {
+		w.t.Errorf("backend server was called %d times", len(w.runs))
+	}
+	for _, n := range w.notRun {
+		if slices.Contains(w.runs, n) {
+			w.t.Errorf("\"not run\" was reported for %s, which ran", n)
+		}
+	}
+}
+
+// Guards against a second run and against a false "not run" after any fault at
+// any step, with the old dispatch and a duplicate arriving afterwards.
+func TestEveryFaultAtEveryStep(t *testing.T) {
+	steps := []struct {
+		name   string
+		before []string
+		done   string // outcome without a fault
+		from   State
+		to     State
+	}{
+		{"reserve", nil, "reserved", "absent", StateReserved},
+		{"cancel", []string{"reserve"}, "cancelled", StateReserved, StateCancelled},
+		{"start", []string{"reserve"}, "started", StateReserved, StateStarted},
+		{"finish", []string{"reserve", "start"}, "ok", StateStarted, StateFinished},
+		{"abort", []string{"reserve", "start"}, "ok", StateStarted, StateCancelled},
+	}
+	const stop = faketest.Fault(-1) // the process stops at the call
+	faults := []struct {
+		name           string
+		write, read    faketest.Fault // of the first write and of the read after it
+		stopAfterWrite bool
+		outcome        string // "" when the step is done
+		applied        bool   // whether the state has changed in the end
+	}{
+		{"none", faketest.Pass, faketest.Pass, false, "", true},
+		{"response lost", faketest.Lose, faketest.Pass, false, "", true},
+		{"failed before applying", faketest.Fail, faketest.Pass, false, "", true},
+		{"applied late", faketest.Late, faketest.Pass, false, "", true},
+		{"refused", faketest.Refuse, faketest.Pass, false, "unavailable", false},
+		{"response lost, cannot read back", faketest.Lose, faketest.Refuse, false, "unknown", true},
+		{"failed before applying, cannot read back", faketest.Fail, faketest.Refuse, false, "unknown", false},
+		{"applied late, cannot read back", faketest.Late, faketest.Refuse, false, "unknown", true},
+		{"process stops before", stop, faketest.Pass, false, "stopped", false},
+		{"process stops after", faketest.Pass, faketest.Pass, true, "stopped", true},
+	}
+	// What the duplicate gets once the faulted request is over.
+	duplicate := map[State]Outcome{
+		"absent": Reserved, StateReserved: Reserved, StateCancelled: Reserved, StateStarted: Unknown, StateFinished: Finished,
+	}
+	for _, step := range steps {
+		for _, fault := range faults {
+			t.Run(step.name+"/"+fault.name, func(t *testing.T) {
+				w := newWorld(t)
+				nonce := ""
+				for _, b := range step.before {
+					_, nonce = w.do(b, nonce)
+				}
+				if step.name == "finish" {
+					w.runs = append(w.runs, nonce)
+				}
+				writes, reads := 0, 0
+				w.store.Fault = func(c faketest.Call) faketest.Fault {
+					switch {
+					case c.Op == "swap":
+						if writes++; writes == 1 {
+							if fault.write == stop {
+								runtime.Goexit()
+							}
+							return fault.write
+						}
+					case writes > 0:
+						if reads++; reads == 1 {
+							return fault.read
+						}
+					}
+					return faketest.Pass
+				}
+				w.store.After = func(c faketest.Call) {
+					if c.Op == "swap" && fault.stopAfterWrite {
+						runtime.Goexit()
+					}
+				}
+				outcome := "stopped"
+				ended := make(chan struct{})
+				go func() {
+					defer close(ended)
+					outcome, nonce = w.do(step.name, nonce)
+				}()
+				<-ended
+				w.store.Fault, w.store.After = nil, nil
+				want, state := fault.outcome, step.from
+				if want == "" {
+					want = step.done
+				}
+				if outcome != want {
+					t.Errorf("outcome = %q, want %q", outcome, want)
+				}
+				if step.name == "start" && outcome == string(Started) {
+					w.runs = append(w.runs, nonce)
+				}
+				if step.name == "cancel" && outcome == string(Cancelled) {
+					w.notRun = append(w.notRun, nonce)
+				}
+				w.store.Deliver()
+				if fault.applied {
+					state = step.to
+				}
+				if got := w.state(); got != state {
+					t.Errorf("state = %s, want %s", got, state)
+				}
+				if got := w.duplicate(); got != duplicate[state] {
+					t.Errorf("duplicate got %s, want %s", got, duplicate[state])
+				}
+				w.dispatch(nonce)
+				w.giveUp(nonce)
+				w.check()
+			})
+		}
+	}
+}
+
+// Guards against a holder that acts after another has taken over: its step was
+// decided before the takeover and reaches the store after it.
+func TestPausedHolder(t *testing.T) {
+	for _, c := range []struct{ step, outcome string }{
+		{"cancel", "superseded"}, {"start", "superseded"}, {"reserve", "finished"},
+	} {
+		t.Run(c.step, func(t *testing.T) {
+			w := newWorld(t)
+			nonce := ""
+			if c.step != "reserve" {
+				_, nonce = w.do("reserve", "")
+			}
+			paused := false
+			w.store.Fault = func(call faketest.Call) faketest.Fault {
+				if call.Op == "swap" && !paused { // the holder sleeps here
+					paused = true
+					if got := w.duplicate(); got != Reserved {
+						t.Errorf("duplicate got %s, want reserved", got)
+					}
+				}
+				return faketest.Pass
+			}
+			if outcome, _ := w.do(c.step, nonce); outcome != c.outcome {
+				t.Errorf("outcome = %s, want %s", outcome, c.outcome)
+			}
+			w.dispatch(nonce)
+			w.giveUp(nonce)
+			w.check()
+			if len(w.runs) != 1 {
+				t.Errorf("%d runs, want the one of the duplicate", len(w.runs))
+			}
+		})
+	}
+}
--- a/once/log.go
+++ b/once/log.go
@@ -18,7 +18,9 @@
 	ErrNoRecord   = errors.New("once: no record")
 	ErrOtherNonce = errors.New("once: record belongs to another reservation")
 	ErrNotStarted = errors.New("once: call was not started")
-	ErrInvalid    = errors.New("once: invalid reservation")
+	// ErrInvalid means that the workspace or key is empty, the key is too long,
+	// or the timeout is below 1 ms or above half of Retention.
+	ErrInvalid = errors.New("once: invalid reservation")
 )
 
 const (
@@ -87,7 +89,8 @@
 // after an error only when no earlier request can have used the key, that is,
 // when the entry has made up the key itself.
 func (l *Log) Reserve(ctx context.Context, r Reservation) (Result, error) {
-	if r.Key == "" || len(r.Key) > MaxKeyBytes || r.Workspace == "" || r.Timeout < time.Millisecond {
+	if r.Key == "" || len(r.Key) > MaxKeyBytes || r.Workspace == "" ||
+		r.Timeout < time.Millisecond || r.Timeout > Retention/2 {
 		return Result{}, ErrInvalid
 	}
 	key := StoreKey(r.Workspace, r.Key)
@@ -137,9 +140,22 @@
 // Finish stores the answer of a started call. The caller repeats it after an
 // error that is not one of ErrNoRecord, ErrOtherNonce and ErrNotStarted.
 func (l *Log) Finish(ctx context.Context, workspace, key, nonce string, a Answer) error {
-	refused, err := run(ctx, l, "finish", StoreKey(workspace, key), nil, func(cur *Record) (refusal, *Record) {
+	return l.end(ctx, "finish", workspace, key, func(cur *Record) (refusal, *Record) {
 		return finish(cur, nonce, a)
 	})
+}
+
+// Abort gives up a call that the caller has started by Start and that certainly
+// has not reached and will not reach the backend server, so that the key can be
+// used again. Its errors are those of Finish.
+func (l *Log) Abort(ctx context.Context, workspace, key, nonce string) error {
+	return l.end(ctx, "abort", workspace, key, func(cur *Record) (refusal, *Record) {
+		return abort(cur, nonce)
+	})
+}
+
+func (l *Log) end(ctx context.Context, step, workspace, key string, decide func(*Record) (refusal, *Record)) error {
+	refused, err := run(ctx, l, step, StoreKey(workspace, key), nil, decide)
 	if err != nil {
 		return err
 	}
--- a/once/record.go
+++ b/once/record.go
@@ -226,25 +226,33 @@
 }
 
 // finish decides for storing the answer of a started call.
-func finish(cur *Record, nonce string, a Answer) (refused refusal, next *Record) {
+func finish(cur *Record, nonce string, a Answer) (refusal, *Record) {
+	return end(cur, nonce, StateFinished, a.stored())
+}
+
+// abort decides for giving up a started call that was not made.
+func abort(cur *Record, nonce string) (refusal, *Record) {
+	return end(cur, nonce, StateCancelled, nil)
+}
+
+// end moves a started record to its last state.
+func end(cur *Record, nonce string, last State, a *Answer) (refusal, *Record) {
 	switch {
 	case cur == nil:
 		return refusal{ErrNoRecord}, nil
 	case cur.Nonce != nonce:
 		return refusal{ErrOtherNonce}, nil
-	}
-	switch cur.State {
-	case StateStarted:
-		n := *cur
-		n.State, n.Answer = StateFinished, a.stored()
-		return refusal{}, &n
-	case StateFinished:
+	case cur.State == last: // done before
 		return refusal{}, nil
+	case cur.State != StateStarted:
+		return refusal{ErrNotStarted}, nil
 	}
-	return refusal{ErrNotStarted}, nil
+	next := *cur
+	next.State, next.Answer = last, a
+	return refusal{}, &next
 }
 
-// refusal holds nil once the answer is stored.
+// refusal holds nil when the step is done.
 type refusal struct{ reason error }
 
 func decode(key string, value []byte) (*Record, error) {
