--- a/agent/agent.go
+++ b/agent/agent.go
@@ -72,6 +72,7 @@
 	tree     *suture.Supervisor
 
 	gate     *gate
+	evictor  evictor
 	health   *health.Keeper
 	exposure *exposure
 	claims   sync.Map // nonces of reservations that this agent was given
@@ -148,6 +149,7 @@
 	tree.Add(supervise.Every("queue", expireInterval, func(context.Context) { a.gate.expire() }))
 	tree.Add(supervise.Every("held charges", heldInterval, a.expireHeld))
 	tree.Add(supervise.Func{Name: "limits", Run: a.followLimits})
+	tree.Add(supervise.Func{Name: "data centre", Run: a.followDataCentre})
 	if a.deps.Engine != nil {
 		tree.Add(newOrders(a))
 	}
@@ -180,6 +182,8 @@
 	a.gate.drain()
 	graceCtx, cancel := context.WithTimeout(ctx, a.settings.DrainGrace.Std())
 	defer cancel()
+	move := time.AfterFunc(moveAfter(a.settings.DrainGrace.Std()), func() { a.evictor.evict(link.CodeLeaving) })
+	defer move.Stop()
 	if err := a.server.Wait(graceCtx); err != nil {
 		a.log.Warn("Drain grace ended with open streams.", "error", err.Error())
 	}
@@ -376,3 +380,6 @@
 func versionKey(model, version string) rollout.VersionKey {
 	return rollout.VersionKey{Model: model, Version: version}
 }
+
+// Revision returns the revision of the records in force here.
+func (a *Agent) Revision() uint64 { return a.snapshot.Revision() }
--- a/agent/chat.go
+++ b/agent/chat.go
@@ -28,7 +28,9 @@
 // not start.
 func (a *Agent) runChat(ctx context.Context, in *link.Incoming, ticket uint64) *link.Refusal {
 	r := in.Request
-	runCtx, cancel := a.deadlineContext(ctx, r.Deadline)
+	runCtx, release := a.evictor.run(ctx)
+	defer release()
+	runCtx, cancel := a.deadlineContext(runCtx, r.Deadline)
 	defer cancel()
 	runCtx, span := a.deps.Tracing.Tracer.Start(runCtx, "backend server")
 	defer span.End()
@@ -50,7 +52,7 @@
 	engineFault := err != nil && ctx.Err() == nil && runCtx.Err() == nil
 	a.gate.done(admission.Result{ID: ticket, OK: err == nil})
 	a.health.Record(versionKey(r.Model, r.Version), rollout.Observation{TaskClass: r.TaskClass, Started: true, Failed: engineFault})
-	a.finishChat(in, generated, g, err)
+	a.finishChat(runCtx, in, generated, g, err)
 	return nil
 }
 
@@ -86,7 +88,7 @@
 	return nil
 }
 
-func (a *Agent) finishChat(in *link.Incoming, generated platform.Generated, g generation, err error) {
+func (a *Agent) finishChat(ctx context.Context, in *link.Incoming, generated platform.Generated, g generation, err error) {
 	r := in.Request
 	end := link.End{
 		Complete:     err == nil,
@@ -100,6 +102,9 @@
 	if err != nil {
 		row.Outcome = outcomeCut
 		end.Code, end.Message = failureCode(err), err.Error()
+		if code := evictedCode(ctx); code != "" {
+			end.Code = code
+		}
 	}
 	if v := modelVersion(a.snapshot.View(), r.Model, r.Version); v != nil {
 		row.Amount = row.TokensIn*v.PriceIn + row.TokensOut*v.PriceOut
--- a/agent/rules.go
+++ b/agent/rules.go
@@ -19,8 +19,8 @@
 	codeVersionWithdrawn = "version_withdrawn"
 	codeVersionDraining  = "version_draining"
 	codeQuarantined      = "version_quarantined"
-	codeDataCentreOut    = "data_centre_out"
-	codeLeaving          = "backend_server_leaving"
+	codeDataCentreOut    = link.CodeDataCentreOut
+	codeLeaving          = link.CodeLeaving
 	codeNotServed        = "not_served"
 	codeNotLoaded        = "not_loaded"
 	codeDeadline         = "deadline_passed"
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,91 @@
+// Command standin runs one of the stand-ins for the platform and for backend
+// servers as a process, for tests.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"hyssoploom/platform"
+	"hyssoploom/standin"
+)
+
+const readHeaderTimeout = 5 * time.Second
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := newCommand().ExecuteContext(ctx); err != nil {
+		os.Exit(1)
+	}
+}
+
+func newCommand() *cobra.Command {
+	root := &cobra.Command{
+		Use:          "standin",
+		Short:        "Run a stand-in of the platform or of a backend server",
+		Example:      "  standin engine --listen 127.0.0.1:0 --load small@1",
+		SilenceUsage: true,
+	}
+	listen := root.PersistentFlags().String("listen", "127.0.0.1:0", "loopback host:port to listen on")
+	simple := func(use, short string, handler func() http.Handler) *cobra.Command {
+		return &cobra.Command{Use: use, Short: short, Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
+			return serve(cmd.Context(), *listen, handler())
+		}}
+	}
+	root.AddCommand(
+		simple("store", "Key-value store", func() http.Handler { return standin.NewStore().Handler() }),
+		simple("vmlist", "List of VMs", func() http.Handler { return standin.NewVMList().Handler() }),
+		simple("rater", "Rating service", func() http.Handler { return standin.NewRater(standin.RaterOptions{}).Handler() }),
+		simple("booking", "Booking runner", func() http.Handler {
+			return standin.NewBookingRunner(standin.BookingFaults{}).Handler()
+		}),
+		engineCommand(listen),
+	)
+	return root
+}
+
+func engineCommand(listen *string) *cobra.Command {
+	var load []string
+	var config standin.EngineConfig
+	cmd := &cobra.Command{Use: "engine", Short: "Model engine", Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
+		for _, text := range load {
+			model, version, ok := strings.Cut(text, "@")
+			if !ok {
+				return fmt.Errorf("--load %q is not model@version", text)
+			}
+			config.Loaded = append(config.Loaded, platform.ModelRef{Model: model, Version: version})
+		}
+		return serve(cmd.Context(), *listen, standin.NewEngine(config).Handler())
+	}}
+	flags := cmd.Flags()
+	flags.StringSliceVar(&load, "load", nil, "model versions that are loaded at the start, as model@version")
+	flags.DurationVar(&config.TokenDelay, "token-delay", 0, "time between two tokens")
+	flags.IntVar(&config.Tokens, "tokens", 0, "length of an answer; varies with the prompt when 0")
+	flags.BoolVar(&config.Resumes, "resumes", false, "continue streams that began elsewhere")
+	return cmd
+}
+
+// serve prints the address that it listens on, and serves until ctx ends.
+func serve(ctx context.Context, addr string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("http://%s\n", listener.Addr())
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	if err := server.Serve(listener); ctx.Err() == nil {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/e2e/harness_test.go
@@ -0,0 +1,306 @@
+// Package e2e tests hyssoploom as separate processes.
+package e2e
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"hyssoploom/config"
+	"hyssoploom/embedded"
+	"hyssoploom/standin"
+)
+
+const fleetKey = "fleet-key-of-the-e2e-tests"
+
+var (
+	hyssoploomBinary string
+	standinBinary    string
+)
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "hyssoploom-e2e")
+	if err != nil {
+		panic(err)
+	}
+	hyssoploomBinary = filepath.Join(dir, "hyssoploom")
+	standinBinary = filepath.Join(dir, "standin")
+	for binary, pkg := range map[string]string{hyssoploomBinary: "hyssoploom/cmd/hyssoploom", standinBinary: "hyssoploom/cmd/standin"} {
+		if out, err := exec.Command("go", "build", "-o", binary, pkg).CombinedOutput(); err != nil {
+			fmt.Fprintf(os.Stderr, "build %s: %v\n%s", pkg, err, out)
+			os.Exit(1)
+		}
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// proc is one process of the fleet.
+type proc struct {
+	cmd    *exec.Cmd
+	addr   string // as printed or logged by the process
+	exited chan struct{}
+	err    error // of Wait, valid once exited is closed
+
+	mu  sync.Mutex
+	log bytes.Buffer
+}
+
+// start runs a command and waits until ready finds the address in a line of
+// its output.
+func start(t *testing.T, ready func(line string) (string, bool), binary string, args ...string) *proc {
+	t.Helper()
+	p := &proc{cmd: exec.Command(binary, args...), exited: make(chan struct{})}
+	out, w := io.Pipe()
+	p.cmd.Stdout, p.cmd.Stderr = w, w
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		p.err = p.cmd.Wait()
+		_ = w.Close()
+		close(p.exited)
+	}()
+	addr := make(chan string, 1)
+	go p.scan(out, ready, addr)
+	t.Cleanup(func() {
+		p.kill()
+		if t.Failed() {
+			t.Logf("output of %s %v:\n%s", binary, args, p.output())
+		}
+	})
+	select {
+	case p.addr = <-addr:
+	case <-p.exited:
+		t.Fatalf("%s %v ended early: %v\n%s", binary, args, p.err, p.output())
+	case <-time.After(10 * time.Second):
+		t.Fatalf("%s %v is not ready\n%s", binary, args, p.output())
+	}
+	return p
+}
+
+func (p *proc) scan(out io.Reader, ready func(string) (string, bool), addr chan<- string) {
+	lines := bufio.NewScanner(out)
+	for lines.Scan() {
+		p.mu.Lock()
+		p.log.WriteString(lines.Text() + "\n")
+		p.mu.Unlock()
+		if a, ok := ready(lines.Text()); ok {
+			select {
+			case addr <- a:
+			default:
+			}
+		}
+	}
+}
+
+func (p *proc) output() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.String()
+}
+
+// kill ends the process without a chance to clean up.
+func (p *proc) kill() {
+	_ = p.cmd.Process.Kill()
+	<-p.exited
+}
+
+func (p *proc) signal(t *testing.T, s syscall.Signal) {
+	t.Helper()
+	if err := p.cmd.Process.Signal(s); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// stop sends SIGTERM and checks that the process drains and exits with 0.
+func (p *proc) stop(t *testing.T) {
+	t.Helper()
+	p.signal(t, syscall.SIGTERM)
+	select {
+	case <-p.exited:
+		if p.err != nil {
+			t.Errorf("%s exited with %v after SIGTERM\n%s", p.cmd.Path, p.err, p.output())
+		}
+	case <-time.After(15 * time.Second):
+		t.Errorf("%s did not exit after SIGTERM\n%s", p.cmd.Path, p.output())
+	}
+}
+
+// startStandin starts a stand-in process, which prints its URL.
+func startStandin(t *testing.T, args ...string) *proc {
+	t.Helper()
+	return start(t, func(line string) (string, bool) { return line, strings.HasPrefix(line, "http://") }, standinBinary, args...)
+}
+
+// started finds the listen address in the log line of a started daemon.
+func started(line string) (string, bool) {
+	var entry struct{ Message, Listen string }
+	if json.Unmarshal([]byte(line), &entry) != nil || entry.Listen == "" {
+		return "", false
+	}
+	return entry.Listen, strings.HasSuffix(entry.Message, "Started.")
+}
+
+// cluster is a fleet of daemon processes on stand-ins.
+type cluster struct {
+	t *testing.T
+	// The platform runs in the test process, so that its faults can be switched.
+	store *standin.Store
+	vms   *standin.VMList
+	rater *standin.Rater
+
+	storeURL, vmURL, raterURL string
+	agents                    map[string]*proc
+	entries                   map[string]*proc
+}
+
+// newCluster starts the platform and writes the embedded fleet's records.
+func newCluster(t *testing.T) *cluster {
+	t.Helper()
+	c := &cluster{
+		t: t, store: standin.NewStore(), vms: standin.NewVMList(), rater: standin.NewRater(standin.RaterOptions{}),
+		agents: make(map[string]*proc), entries: make(map[string]*proc),
+	}
+	for url, handler := range map[*string]http.Handler{&c.storeURL: c.store.Handler(), &c.vmURL: c.vms.Handler(), &c.raterURL: c.rater.Handler()} {
+		server := httptest.NewServer(handler)
+		t.Cleanup(server.Close)
+		*url = server.URL
+	}
+	decls, err := embedded.Declarations()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, d := range decls {
+		c.put(d.Kind, d.Name, d.Spec)
+	}
+	return c
+}
+
+func (c *cluster) put(kind config.Kind, name string, spec any) {
+	c.t.Helper()
+	if err := embedded.PutRecord(context.Background(), c.store, kind, name, spec); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// settings writes a settings file and returns its path.
+func (c *cluster) settings(name, text string) string {
+	c.t.Helper()
+	path := filepath.Join(c.t.TempDir(), name+".toml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+	return path
+}
+
+func (c *cluster) startEntry(name, dataCentre string) *proc {
+	c.t.Helper()
+	listen := "127.0.0.1:0"
+	if old := c.entries[name]; old != nil {
+		listen = old.addr
+	}
+	path := c.settings(name, fmt.Sprintf("name = %q\ndata_centre = %q\nlisten = %q\nstore_url = %q\nvm_list_url = %q\nrater_url = %q\nfleet_key = %q\ndrain_grace = \"6s\"\nrequest_timeout = \"10s\"\n",
+		name, dataCentre, listen, c.storeURL, c.vmURL, c.raterURL, fleetKey))
+	c.entries[name] = start(c.t, started, hyssoploomBinary, "entry", "--settings", path)
+	return c.entries[name]
+}
+
+// startAgent starts the agent of a backend server and writes its record.
+func (c *cluster) startAgent(name, backendURL string, record config.BackendServer) *proc {
+	c.t.Helper()
+	kind, listen := "engine", "127.0.0.1:0"
+	if record.Service != "" {
+		kind = "service"
+	}
+	if old := c.agents[name]; old != nil {
+		listen = old.addr
+	}
+	path := c.settings(name, fmt.Sprintf("name = %q\ndata_centre = %q\nlisten = %q\nbackend_url = %q\nbackend_kind = %q\nstore_url = %q\nvm_list_url = %q\nfleet_key = %q\ndrain_grace = \"6s\"\n",
+		name, record.DataCentre, listen, backendURL, kind, c.storeURL, c.vmURL, fleetKey))
+	c.agents[name] = start(c.t, started, hyssoploomBinary, "agent", "--settings", path)
+	record.VM, record.AgentAddr, record.State = name, c.agents[name].addr, config.BackendServerIn
+	if listen == "127.0.0.1:0" {
+		c.put(config.KindBackendServer, name, &record)
+	}
+	return c.agents[name]
+}
+
+func engineRecord(dataCentre, model, version string) config.BackendServer {
+	return config.BackendServer{
+		DataCentre: dataCentre, Serves: []config.Placement{{Model: model, Version: version}},
+		ColdLimit: 4, WarmLimit: 16, ChecksFencing: true,
+	}
+}
+
+func bookingRecord(dataCentre string) config.BackendServer {
+	return config.BackendServer{DataCentre: dataCentre, Service: "booking", ColdLimit: 4, WarmLimit: 16}
+}
+
+// response is what a caller got.
+type response struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// run returns the field "run" of an error body.
+func (r response) run() string {
+	var body struct {
+		Error struct{ Run string }
+	}
+	_ = json.Unmarshal([]byte(r.body), &body)
+	return body.Error.Run
+}
+
+// post sends a request through an entry.
+func (c *cluster) post(entry, path, key, body string, header ...string) response {
+	req, err := http.NewRequest(http.MethodPost, "http://"+c.entries[entry].addr+path, strings.NewReader(body))
+	if err != nil {
+		return response{err: err}
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return response{err: err}
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return response{status: resp.StatusCode, header: resp.Header, body: string(b), err: err}
+}
+
+// chat sends one chat message.
+func (c *cluster) chat(entry, model, text string, header ...string) response {
+	body := fmt.Sprintf(`{"model":%q,"messages":[{"role":"user","content":%q}]}`, model, text)
+	return c.post(entry, "/v1/chat/completions", "key-brydemaatte", body, header...)
+}
+
+// eventually waits until f returns true.
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(15 * time.Second)
+	for !f() {
+		if time.Now().After(deadline) {
+			t.Fatalf("timed out waiting until %s", what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
--- a/embedded/fleet.go
+++ b/embedded/fleet.go
@@ -205,6 +205,11 @@
 
 // Put writes one operator record over whatever the store has.
 func (f *Fleet) Put(ctx context.Context, kind config.Kind, name string, spec any) error {
+	return PutRecord(ctx, f.Store, kind, name, spec)
+}
+
+// PutRecord writes one operator record over whatever the store has.
+func PutRecord(ctx context.Context, store platform.Store, kind config.Kind, name string, spec any) error {
 	key := config.Key(kind, name)
 	raw, err := config.Encode(config.Envelope{
 		SchemaVersion: config.LatestSchema(kind), Kind: kind, Name: name,
@@ -213,11 +218,11 @@
 	if err != nil {
 		return err
 	}
-	current, err := f.Store.Get(ctx, key)
+	current, err := store.Get(ctx, key)
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		return err
 	}
-	_, err = f.Store.Swap(ctx, platform.Write{Key: key, Value: raw, Expect: current.Revision})
+	_, err = store.Swap(ctx, platform.Write{Key: key, Value: raw, Expect: current.Revision})
 	return err
 }
 
@@ -426,3 +431,31 @@
 	}
 	return errors.Join(errs...)
 }
+
+// InForce reports whether every running daemon has the newest records.
+func (f *Fleet) InForce() bool {
+	newest := uint64(0)
+	for _, prefix := range config.Prefixes() {
+		kvs, _, err := f.Store.List(context.Background(), prefix)
+		if err != nil {
+			return false
+		}
+		for _, kv := range kvs {
+			newest = max(newest, kv.Revision)
+		}
+	}
+	for _, e := range f.Entries {
+		if e.run.running() && e.Entry.Revision() < newest {
+			return false
+		}
+	}
+	for _, b := range f.Backends {
+		if b.run.running() && b.Agent.Revision() < newest {
+			return false
+		}
+	}
+	return true
+}
+
+// running reports whether the daemon has not ended.
+func (p *process) running() bool { return len(p.done) == 0 }
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -203,15 +203,24 @@
 // afterFailure decides what follows an answer that the backend server cut.
 func (run *stageRun) afterFailure(p *peer, end *link.End) follow {
 	run.entry.log.Warn("Attempt failed.", "request", run.requestID, "backend_server", p.name, "code", end.Code)
+	if end.Moved() {
+		return run.resume(end.Code, end.Message)
+	}
 	return run.retry(end.Code, end.Message)
 }
 
-// retry allows another attempt within the retry budget. A caller that has
-// seen a part of the answer needs an engine that can resume.
+// retry allows another attempt within the retry budget.
 func (run *stageRun) retry(code, message string) follow {
 	if !run.entry.budget.allow() {
 		return follow{err: run.failed(code, message+"; the retry budget is used up")}
 	}
+	return run.resume(code, message)
+}
+
+// resume goes on with another attempt. A caller that has seen a part of the
+// answer needs an engine that can continue it. A planned move comes here directly: it
+// must not be cut because many answers are moved at once.
+func (run *stageRun) resume(code, message string) follow {
 	visible := run.tokens > 0 && !run.gated && run.out.streaming()
 	if visible && !run.entry.links.resumable(run.stage.model, run.stage.version, run.tried) {
 		return follow{err: run.failed(code, message+"; no other backend server can resume the answer")}
--- a/entry/endpoints.go
+++ b/entry/endpoints.go
@@ -128,3 +128,6 @@
 
 // Ready reports whether the platform's balancer should send requests here.
 func (e *Entry) Ready() bool { return e.ready() }
+
+// Revision returns the revision of the records in force here.
+func (e *Entry) Revision() uint64 { return e.snapshot.Revision() }
--- /dev/null
+++ b/golden/sessions_test.go
@@ -0,0 +1,133 @@
+package golden
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"hyssoploom/config"
+	"hyssoploom/embedded"
+	"hyssoploom/platform"
+)
+
+// Guards against changes of the plain answer that callers would notice.
+func TestPlainChat(t *testing.T) {
+	tr := newTranscript(t, embedded.DefaultSpec())
+	tr.send("entry-jylland", http.MethodGet, "/v1/models", "key-aljibe", "")
+	tr.chat("entry-jylland", "small", "When is the hall open?")
+	tr.compare("plain-chat")
+}
+
+// Guards against changes of the event stream, its end and its usage.
+func TestStreamedChat(t *testing.T) {
+	tr := newTranscript(t, embedded.DefaultSpec())
+	tr.send("entry-jylland", http.MethodPost, "/v1/chat/completions", "key-aljibe",
+		`{"model":"medium","stream":true,"stream_options":{"include_usage":true},"max_tokens":4,"messages":[{"role":"user","content":"Quote a repair."}]}`)
+	tr.compare("streamed-chat")
+}
+
+// Guards against a cascade that releases an answer its rater rejects.
+func TestCascadeEscalates(t *testing.T) {
+	spec := embedded.DefaultSpec()
+	spec.Judge = func(r platform.RateRequest, _ float64) bool { return r.Model == "large" }
+	tr := newTranscript(t, spec)
+	tr.note("The rater accepts answers of model large only.")
+	for range 3 {
+		tr.chat("entry-sjaelland", "auto", "Summarise the inspection.", "X-Task-Class", "inspection-summary")
+	}
+	tr.compare("cascade-escalates")
+}
+
+func modelSmall(old config.VersionState) *config.Model {
+	return &config.Model{Versions: []config.ModelVersion{
+		{Version: "1", State: old, OnWithdraw: config.WithdrawRefuse, PriceIn: 1, PriceOut: 1},
+		{Version: "2", State: config.VersionActive, Weight: 1, PriceIn: 1, PriceOut: 1},
+	}}
+}
+
+// Guards against a session that changes its version during a roll-out, and
+// against one that goes on with a withdrawn version.
+func TestSessionAcrossRollOut(t *testing.T) {
+	tr := newTranscript(t, embedded.DefaultSpec())
+	tr.chat("entry-jylland", "small", "When is the hall open?")
+
+	tr.note("Version 2 is rolled out; version 1 is draining.")
+	if err := tr.fleet.AddBackend(t.Context(), embedded.EngineSpec("small-2", "jylland", "small", "2")); err != nil {
+		t.Fatal(err)
+	}
+	tr.put(config.KindModel, "small", modelSmall(config.VersionDraining))
+	tr.eventually("both versions are served", func() bool {
+		return tr.fleet.Entries["entry-sjaelland"].Entry.Serving("small", "2") && tr.inForce()
+	})
+	tr.chat("entry-sjaelland", "small", "And on Sunday?")
+	session := tr.token
+	tr.note("Another session starts.")
+	tr.token = ""
+	tr.chat("entry-sjaelland", "small", "When is the hall open?")
+
+	tr.note("Version 1 is withdrawn.")
+	tr.put(config.KindModel, "small", modelSmall(config.VersionWithdrawn))
+	tr.eventually("the withdrawal is in force", tr.inForce)
+	tr.token = session
+	tr.chat("entry-jylland", "small", "And at night?")
+	tr.compare("session-across-roll-out")
+}
+
+// Guards against a duplicate that books twice, and against a key that is
+// reused for another booking.
+func TestBookingAndDuplicate(t *testing.T) {
+	tr := newTranscript(t, embedded.DefaultSpec())
+	for _, entry := range []string{"entry-jylland", "entry-sjaelland"} {
+		tr.send(entry, http.MethodPost, "/services/booking/bookings", "key-aljibe", `{"crew":2}`, "Idempotency-Key", "visit-7")
+	}
+	tr.send("entry-jylland", http.MethodPost, "/services/booking/bookings", "key-aljibe", `{"crew":3}`, "Idempotency-Key", "visit-7")
+	tr.send("entry-jylland", http.MethodPost, "/services/booking/bookings", "key-brydemaatte", `{"crew":3}`, "Idempotency-Key", "visit-7")
+	tr.compare("booking-and-duplicate")
+}
+
+// Guards against refusals that are not JSON, lack the field run, or let a
+// workspace use what it may not.
+func TestRefusals(t *testing.T) {
+	tr := newTranscript(t, embedded.DefaultSpec())
+	const chat = "/v1/chat/completions"
+	tr.send("entry-jylland", http.MethodPost, chat, "key-unknown", `{}`)
+	tr.send("entry-jylland", http.MethodPost, chat, "key-aljibe", `{"model":`)
+	tr.send("entry-jylland", http.MethodPost, chat, "key-aljibe", `{"model":"small","messages":[]}`)
+	tr.send("entry-jylland", http.MethodPost, chat, "key-aljibe", `{"model":"large","messages":[{"role":"user","content":"x"}]}`)
+	tr.send("entry-jylland", http.MethodPost, chat, "key-aljibe", `{"model":"small","messages":[{"role":"user","content":"x"}]}`, "X-Session-Token", "forged")
+	tr.send("entry-jylland", http.MethodPost, "/services/laundry/x", "key-aljibe", `{}`)
+	tr.send("entry-jylland", http.MethodGet, chat, "key-aljibe", "")
+	tr.send("entry-jylland", http.MethodGet, "/nothing", "key-aljibe", "")
+	tr.compare("refusals")
+}
+
+// Guards against a data centre that still takes work after it was taken out,
+// or does not come back.
+func TestDataCentreOutAndBack(t *testing.T) {
+	tr := newTranscript(t, embedded.DefaultSpec())
+	centre := func(state config.DataCentreState) {
+		tr.put(config.KindDataCentre, "jylland", &config.DataCentre{Region: "west", State: state, Grace: config.Duration(time.Second)})
+		tr.eventually("the record is in force", tr.inForce)
+	}
+	tr.chat("entry-jylland", "small", "Before.")
+	tr.note("Jylland is taken out.")
+	centre(config.DataCentreOut)
+	tr.send("entry-jylland", http.MethodGet, "/readyz", "key-brydemaatte", "")
+	tr.chat("entry-jylland", "small", "The balancer has not noticed yet.")
+	tr.chat("entry-sjaelland", "small", "During.")
+	tr.note("Jylland is back.")
+	centre(config.DataCentreIn)
+	tr.send("entry-jylland", http.MethodGet, "/readyz", "key-brydemaatte", "")
+	tr.chat("entry-jylland", "small", "After.")
+	tr.compare("data-centre-out-and-back")
+}
+
+func (tr *transcript) put(kind config.Kind, name string, spec any) {
+	tr.t.Helper()
+	if err := tr.fleet.Put(tr.t.Context(), kind, name, spec); err != nil {
+		tr.t.Fatal(err)
+	}
+}
+
+// inForce reports whether all entries have the newest record.
+func (tr *transcript) inForce() bool { return tr.fleet.InForce() }
--- /dev/null
+++ b/golden/transcript_test.go
@@ -0,0 +1,140 @@
+// Package golden compares whole sessions with transcripts in testdata.
+package golden
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"hyssoploom/embedded"
+)
+
+// transcript is one session as a person would read it.
+type transcript struct {
+	t     *testing.T
+	fleet *embedded.Fleet
+	text  bytes.Buffer
+	token string
+	n     int
+}
+
+// volatile values differ from run to run and are replaced.
+var volatile = []struct {
+	pattern *regexp.Regexp
+	text    string
+}{
+	{regexp.MustCompile(`"created":\d+`), `"created":0`},
+	{regexp.MustCompile(`\b01[0-9A-HJKMNP-TV-Z]{24}\b`), "<id>"},
+	{regexp.MustCompile(`127\.0\.0\.1:\d+`), "<addr>"},
+	{regexp.MustCompile(`revision \d+`), "revision <n>"},
+}
+
+func newTranscript(t *testing.T, spec embedded.Spec) *transcript {
+	t.Helper()
+	spec.Seed = 1
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	fleet, err := embedded.Start(ctx, spec)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = fleet.Close() })
+	if err := fleet.WaitReady(ctx); err != nil {
+		t.Fatal(err)
+	}
+	return &transcript{t: t, fleet: fleet}
+}
+
+// note writes a line that says what happens around the session.
+func (tr *transcript) note(format string, args ...any) {
+	fmt.Fprintf(&tr.text, "# "+format+"\n\n", args...)
+}
+
+// shownHeaders are the headers that a transcript shows.
+var shownHeaders = []string{"X-Model-Version", "Retry-After", "Idempotency-Key", "Idempotent-Replayed", "Content-Type"}
+
+// send makes one request through an entry and writes both sides down.
+func (tr *transcript) send(entry, method, path, key, body string, header ...string) *http.Response {
+	tr.t.Helper()
+	tr.n++
+	req, err := http.NewRequest(method, tr.fleet.Entries[entry].URL+path, strings.NewReader(body))
+	if err != nil {
+		tr.t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	req.Header.Set("X-Request-Id", fmt.Sprintf("request-%d", tr.n))
+	fmt.Fprintf(&tr.text, "> %s %s (%s, key %s)\n", method, path, entry, key)
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+		fmt.Fprintf(&tr.text, "> %s: %s\n", header[i], header[i+1])
+	}
+	if tr.token != "" {
+		req.Header.Set("X-Session-Token", tr.token)
+		fmt.Fprintln(&tr.text, "> X-Session-Token: <token of this session>")
+	}
+	if body != "" {
+		fmt.Fprintf(&tr.text, "> %s\n", body)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		tr.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		tr.t.Fatal(err)
+	}
+	fmt.Fprintf(&tr.text, "< %d\n", resp.StatusCode)
+	for _, name := range shownHeaders {
+		if v := resp.Header.Get(name); v != "" {
+			fmt.Fprintf(&tr.text, "< %s: %s\n", name, v)
+		}
+	}
+	for line := range strings.SplitSeq(strings.TrimSpace(string(answer)), "\n") {
+		if line != "" {
+			fmt.Fprintf(&tr.text, "< %s\n", line)
+		}
+	}
+	tr.text.WriteString("\n")
+	return resp
+}
+
+// chat sends one chat message in the session.
+func (tr *transcript) chat(entry, model, text string, header ...string) {
+	tr.t.Helper()
+	body := fmt.Sprintf(`{"model":%q,"messages":[{"role":"user","content":%q}]}`, model, text)
+	resp := tr.send(entry, http.MethodPost, "/v1/chat/completions", "key-brydemaatte", body, header...)
+	if token := resp.Header.Get("X-Session-Token"); token != "" {
+		tr.token = token
+	}
+}
+
+// compare checks the transcript against its golden file.
+func (tr *transcript) compare(name string) {
+	tr.t.Helper()
+	text := tr.text.Bytes()
+	for _, v := range volatile {
+		text = v.pattern.ReplaceAll(text, []byte(v.text))
+	}
+	goldie.New(tr.t, goldie.WithFixtureDir("testdata"), goldie.WithNameSuffix(".txt")).Assert(tr.t, name, text)
+}
+
+// eventually waits until f returns true.
+func (tr *transcript) eventually(what string, f func() bool) {
+	tr.t.Helper()
+	deadline := time.Now().Add(15 * time.Second)
+	for !f() {
+		if time.Now().After(deadline) {
+			tr.t.Fatalf("timed out waiting until %s", what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
