--- a/agent/agent.go
+++ b/agent/agent.go
@@ -383,3 +383,6 @@
 
 // Revision returns the revision of the records in force here.
 func (a *Agent) Revision() uint64 { return a.snapshot.Revision() }
+
+// Load returns the load report of the backend server.
+func (a *Agent) Load() admission.Report { return a.gate.report() }
--- a/embedded/fleet.go
+++ b/embedded/fleet.go
@@ -3,6 +3,7 @@
 package embedded
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"embed"
@@ -29,12 +30,14 @@
 //go:embed records/*.toml
 var recordFiles embed.FS
 
-// fleetKey authenticates the embedded processes to each other.
-const fleetKey = "embedded-fleet-key"
+// FleetKey authenticates the embedded processes to each other.
+const FleetKey = "embedded-fleet-key"
 
 // drainGrace is short, because embedded work is short.
 const drainGrace = config.Duration(4 * time.Second)
 
+const defaultRequestTimeout = 20 * time.Second
+
 // BackendSpec describes a backend server to start.
 type BackendSpec struct {
 	Name       string
@@ -67,6 +70,8 @@
 	// Store returns the store as one process sees it; the stand-in over HTTP
 	// when nil.
 	Store func(process string, store platform.Store) platform.Store
+	// RequestTimeout bounds one request; 20 s when 0.
+	RequestTimeout time.Duration
 	// Judge replaces the rater's judgement.
 	Judge standin.Judge
 }
@@ -283,7 +288,7 @@
 	}
 	b.Agent = agent.New(&settings.Agent{
 		Name: name, VM: "vm-" + name, DataCentre: b.Spec.DataCentre, Listen: b.addr,
-		FleetKey: fleetKey, DrainGrace: drainGrace, QueueLimit: 64,
+		FleetKey: FleetKey, DrainGrace: drainGrace, QueueLimit: 64,
 	}, deps)
 	b.run = f.serve(ctx, func(ctx context.Context) error { return b.Agent.ServeOn(ctx, listener, nil) })
 	return nil
@@ -314,8 +319,8 @@
 	}
 	e.Entry = entry.New(&settings.Entry{
 		Name: name, VM: "vm-" + name, DataCentre: e.Spec.DataCentre, Listen: e.URL,
-		FleetKey: fleetKey, DrainGrace: drainGrace,
-		RequestTimeout: config.Duration(20 * time.Second), MaxBodyBytes: 512 << 10,
+		FleetKey: FleetKey, DrainGrace: drainGrace,
+		RequestTimeout: config.Duration(cmp.Or(f.spec.RequestTimeout, defaultRequestTimeout)), MaxBodyBytes: 512 << 10,
 	}, entry.Deps{
 		Store: f.storeOf(name), VMs: platform.NewHTTPVMList(f.vmURL), Rater: rater,
 		Log: f.log.Part("entry " + name), Tracing: f.spec.Tracing, Seed: f.spec.Seed,
--- /dev/null
+++ b/invariants/allowed_test.go
@@ -0,0 +1,94 @@
+package invariants
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"hyssoploom/config"
+	"hyssoploom/link"
+)
+
+// Guards against an agent that trusts its entries: each request is one that a
+// correct entry with current records would not send.
+func TestAgentRefusesWhatRecordsForbid(t *testing.T) {
+	spec := oneCentre(engine("small-1", "small", 4, 0), engine("large-1", "large", 4, 0))
+	f := startFleet(t, spec)
+	small := f.strayEntry("small-1")
+	large := f.strayEntry("large-1")
+	booking := f.strayEntry("booking")
+	ok := link.Request{RequestID: "ok", Attempt: 1, Workspace: "brydemaatte", Model: "small", Version: "1"}
+	if _, end, err := small.run(t.Context(), ok); err != nil || !end.Complete {
+		t.Fatalf("allowed request: %+v, %v", end, err)
+	}
+	tests := []struct {
+		name   string
+		agent  *strayEntry
+		change func(*link.Request)
+		code   string
+	}{
+		{"unknown workspace", small, func(r *link.Request) { r.Workspace = "nobody" }, "workspace_unknown"},
+		{"model of another workspace", large, func(r *link.Request) { r.Workspace, r.Model = "aljibe", "large" }, "model_forbidden"},
+		{"unknown version", small, func(r *link.Request) { r.Version = "9" }, "version_withdrawn"},
+		{"model not served here", small, func(r *link.Request) { r.Model = "medium" }, "not_served"},
+		{"unknown service", booking, func(r *link.Request) { r.Service = "laundry" }, "service_forbidden"},
+		{"late", small, func(r *link.Request) { r.Deadline = 1 }, "deadline_passed"},
+		{"decided on records that the agent lacks", small, func(r *link.Request) { r.Revision = 1 << 40 }, "config_behind"},
+	}
+	before := len(f.runs())
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			r := ok
+			r.RequestID = test.name
+			test.change(&r)
+			_, _, err := test.agent.run(t.Context(), r)
+			var refused *link.RefusedError
+			if !errors.As(err, &refused) || refused.Refusal.Code != test.code {
+				t.Errorf("got %v, want refusal %s", err, test.code)
+			}
+		})
+	}
+	if after := len(f.runs()); after != before {
+		t.Errorf("the engines ran %d of the refused requests", after-before)
+	}
+}
+
+// Guards against work on a version that was withdrawn: from a stray entry, from
+// a pinned session, and from the queue of an agent.
+func TestWithdrawnVersionTakesNoWork(t *testing.T) {
+	spec := oneCentre(engine("small-1", "small", 4, 0))
+	spec.RequestTimeout = 2 * time.Second
+	spec.Backends[0].ColdLimit, spec.Backends[0].WarmLimit = 1, 1
+	f := startFleet(t, spec)
+	b := f.Backends["small-1"]
+	stray := f.strayEntry("small-1")
+
+	faults := b.Engine.Faults()
+	faults.Hang = true
+	b.Engine.SetFaults(faults)
+	done := make(chan response, 2)
+	go func() { done <- f.send(chat("running", "entry-1", "small", "x", false)) }()
+	eventually(t, "a request runs", func() bool { return len(f.runs()["running"]) == 1 })
+	go func() { done <- f.send(chat("queued", "entry-1", "small", "x", false)) }()
+	eventually(t, "a request is queued", func() bool { return b.Agent.Load().Queued == 1 })
+
+	f.putInForce(config.KindModel, "small", &config.Model{Versions: []config.ModelVersion{
+		{Version: "1", State: config.VersionWithdrawn, OnWithdraw: config.WithdrawRefuse},
+	}})
+	faults.Hang = false
+	b.Engine.SetFaults(faults)
+	_, _, err := stray.run(t.Context(), link.Request{RequestID: "stray", Attempt: 1, Workspace: "brydemaatte", Model: "small", Version: "1", Pinned: true})
+	var refused *link.RefusedError
+	if !errors.As(err, &refused) || refused.Refusal.Code != "version_withdrawn" {
+		t.Errorf("stray entry: %v", err)
+	}
+	for range 2 {
+		if r := <-done; r.id == "queued" && (r.status == 200 || r.error().Run != "not_run") {
+			t.Errorf("queued request: %d %s", r.status, r.body)
+		}
+	}
+	if runs := f.runs(); len(runs["queued"])+len(runs["stray"]) > 0 {
+		t.Errorf("the withdrawn version got new work: %v", runs)
+	}
+}
+
