--- /dev/null
+++ b/link/client.go
@@ -0,0 +1,358 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/phuslu/log"
+)
+
+// ClientConfig configures the entry's end of a link to one agent.
+type ClientConfig struct {
+	Addr     string
+	Hello    Hello
+	Expect   string // expected name of the peer; empty accepts any
+	FleetKey []byte
+	Timing   Timing
+
+	Dial          func(ctx context.Context, addr string) (net.Conn, error) // TCP when nil
+	MinBackoff    time.Duration                                            // first wait before a new dial; 50 ms
+	MaxBackoff    time.Duration                                            // 5 s
+	OpenWait      time.Duration                                            // wait of Open for a link that is down; 250 ms
+	ResumeTimeout time.Duration                                            // open streams end when the link is down for longer; 30 s
+	Window        int                                                      // bytes of an answer that wait for Recv; 64 KiB
+	Logger        *log.Logger
+
+	// Heartbeat returns what is sent to the agent.
+	Heartbeat func() Heartbeat
+	// The callbacks are optional. They are called one at a time and must not
+	// block for long, because a full queue of them stops reading.
+	OnHello     func(Hello)
+	OnHeartbeat func(Heartbeat)
+	OnControl   func(Control)
+	OnDrain     func() // the agent announced that it takes no new work
+	OnDown      func()
+}
+
+func (cfg *ClientConfig) setDefaults() {
+	cfg.Timing = cfg.Timing.withDefaults()
+	setDefault(&cfg.MinBackoff, 50*time.Millisecond)
+	setDefault(&cfg.MaxBackoff, 5*time.Second)
+	setDefault(&cfg.OpenWait, 250*time.Millisecond)
+	setDefault(&cfg.ResumeTimeout, defaultRetention)
+	setDefault(&cfg.Window, 64<<10)
+	setDefault(&cfg.Hello.Protocol, ProtocolVersion)
+	setDefault(&cfg.Logger, &log.DefaultLogger)
+	if cfg.Dial == nil {
+		var d net.Dialer
+		cfg.Dial = func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) }
+	}
+	if cfg.Heartbeat == nil {
+		cfg.Heartbeat = monotonicHeartbeat()
+	}
+}
+
+func monotonicHeartbeat() func() Heartbeat {
+	start := time.Now()
+	return func() Heartbeat { return Heartbeat{Clock: time.Since(start)} }
+}
+
+// Client is the entry's end of a link to one agent. It connects again by
+// itself and resumes the open streams.
+type Client struct {
+	cfg ClientConfig
+
+	mu      sync.Mutex
+	conn    *conn         // nil while the link is down
+	up      chan struct{} // closed when the link comes up
+	stopped bool
+	streams map[streamKey]*Stream
+	session string
+	dials   uint64
+	status  Status
+	expiry  *time.Timer // ends the streams of a lost link
+}
+
+// NewClient returns a client that connects when Serve is called.
+func NewClient(cfg ClientConfig) *Client {
+	cfg.setDefaults()
+	return &Client{cfg: cfg, up: make(chan struct{}), streams: map[streamKey]*Stream{}}
+}
+
+// Serve keeps the link up until ctx is canceled.
+func (c *Client) Serve(ctx context.Context) error {
+	c.mu.Lock()
+	c.stopped = false
+	c.mu.Unlock()
+	defer c.stop()
+	b := &backoff.ExponentialBackOff{InitialInterval: c.cfg.MinBackoff, MaxInterval: c.cfg.MaxBackoff,
+		Multiplier: 2, RandomizationFactor: 0.5}
+	for {
+		start := time.Now()
+		err := c.connectAndRun(ctx)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		c.logDown(err)
+		if c.wasStable(start) {
+			b.Reset()
+			continue
+		}
+		select {
+		case <-time.After(b.NextBackOff()):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// stableAfter is how long a link must have been up to be dialled again at once.
+const stableAfter = time.Second
+
+func (c *Client) wasStable(start time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.status.Since.After(start) && time.Since(c.status.Since) >= stableAfter
+}
+
+func (c *Client) logDown(err error) {
+	c.mu.Lock()
+	repeated := c.status.Err != nil && c.status.Err.Error() == err.Error()
+	c.status.Err = err
+	c.mu.Unlock()
+	var he *HandshakeError
+	switch {
+	case errors.As(err, &he):
+		c.cfg.Logger.Error().Str("addr", c.cfg.Addr).Str("peer", c.cfg.Expect).Err(err).Msg("link: agent not accepted")
+	case !repeated:
+		c.cfg.Logger.Warn().Str("addr", c.cfg.Addr).Str("peer", c.cfg.Expect).Err(err).Msg("link: connection to agent ended")
+	}
+}
+
+func (c *Client) connectAndRun(ctx context.Context) error {
+	dialCtx, cancel := context.WithTimeout(ctx, c.cfg.Timing.HandshakeTimeout)
+	nc, err := c.cfg.Dial(dialCtx, c.cfg.Addr)
+	cancel()
+	if err != nil {
+		return err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = nc.Close() })
+	peer, accept, r, err := c.handshake(nc)
+	stop()
+	if err != nil {
+		_ = nc.Close()
+		return err
+	}
+	conn := newConn(nc, c.cfg.Timing, c.cfg.Heartbeat, c.hasStreams)
+	c.attach(conn, peer, accept)
+	hb := accept.heartbeat
+	conn.post(func() {
+		call(c.cfg.OnHello, peer)
+		call(c.cfg.OnHeartbeat, hb)
+	})
+	err = conn.run(ctx, r, func(f *frame) error { return c.handle(conn, f) })
+	c.detach()
+	if c.cfg.OnDown != nil {
+		c.cfg.OnDown()
+	}
+	return err
+}
+
+func (c *Client) handshake(nc net.Conn) (Hello, *frame, *frameReader, error) {
+	c.mu.Lock()
+	c.dials++
+	dial := c.dials
+	c.mu.Unlock()
+	h, err := newHandshake(nc, c.cfg.FleetKey, c.cfg.Timing.HandshakeTimeout)
+	if err != nil {
+		return Hello{}, nil, nil, err
+	}
+	peer, accept, err := h.connect(c.cfg.Hello, dial, c.cfg.Expect)
+	if err != nil {
+		return peer, nil, nil, err
+	}
+	r, err := h.finish()
+	return peer, accept, r, err
+}
+
+// attach makes conn the current connection and opens the streams again.
+func (c *Client) attach(conn *conn, peer Hello, accept *frame) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.expiry != nil {
+		c.expiry.Stop()
+	}
+	if accept.code != c.session {
+		reason := BrokenExpired
+		if peer.BootID != c.status.PeerHello.BootID {
+			reason = BrokenRestarted
+		}
+		c.breakAll(reason)
+		c.session = accept.code
+	}
+	c.conn = conn
+	c.status.connected(peer, accept.heartbeat)
+	for _, s := range c.streams {
+		s.attach(conn)
+	}
+	conn.enqueue(resumedMarker{})
+	close(c.up)
+}
+
+// resumedMarker tells the agent that every open stream was opened again.
+type resumedMarker struct{}
+
+func (resumedMarker) fill(_ *conn, w *frameWriter) bool {
+	w.begin(kindResumed, 0)
+	w.finish()
+	return false
+}
+
+func (c *Client) detach() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.conn = nil
+	c.up = make(chan struct{})
+	c.status.Alive = false
+	c.expiry = time.AfterFunc(c.cfg.ResumeTimeout, c.expire)
+}
+
+func (c *Client) expire() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn == nil {
+		c.breakAll(BrokenLost)
+	}
+}
+
+func (c *Client) stop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopped = true
+	if c.expiry != nil {
+		c.expiry.Stop()
+	}
+	c.breakAll(BrokenStopped)
+}
+
+// breakAll ends all streams. c.mu is held.
+func (c *Client) breakAll(reason BrokenReason) {
+	for _, s := range c.streams {
+		s.breakOff(reason)
+	}
+	clear(c.streams)
+}
+
+func (c *Client) hasStreams() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.streams) > 0
+}
+
+func (c *Client) stream(f *frame) *Stream {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.streams[streamKey{string(f.id), f.attempt}] // does not allocate, unlike f.key()
+}
+
+func (c *Client) remove(s *Stream) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.streams[s.key] == s {
+		delete(c.streams, s.key)
+	}
+}
+
+func (c *Client) handle(conn *conn, f *frame) error {
+	switch f.kind {
+	case kindPayload, kindEnd, kindRefusal:
+		if s := c.stream(f); s != nil {
+			return s.receive(f)
+		}
+	case kindGone:
+		if s := c.stream(f); s != nil {
+			s.locked(func() { s.fail(s.broken(BrokenGone)) })
+		}
+	case kindHeartbeat:
+		hb := f.heartbeat
+		c.update(func(st *Status) { st.heard(hb) })
+		conn.post(func() { call(c.cfg.OnHeartbeat, hb) })
+	case kindControl:
+		m := f.control
+		conn.post(func() { call(c.cfg.OnControl, m) })
+	case kindDrain:
+		c.update(func(st *Status) { st.Draining = true })
+		if c.cfg.OnDrain != nil {
+			conn.post(c.cfg.OnDrain)
+		}
+	}
+	return nil
+}
+
+func call[T any](f func(T), v T) {
+	if f != nil {
+		f(v)
+	}
+}
+
+// Open opens a stream for r, which must not be changed until the stream has
+// ended. ctx bounds only the wait for a link; a stream is ended with Cancel.
+// A *NotSentError means that the agent certainly did not get the request.
+func (c *Client) Open(ctx context.Context, r *Request) (*Stream, error) {
+	s, err := newStream(c, r)
+	if err != nil {
+		return nil, &NotSentError{Reason: err}
+	}
+	wait := time.NewTimer(c.cfg.OpenWait)
+	defer wait.Stop()
+	for {
+		conn, up, err := c.tryOpen(s)
+		if err != nil {
+			return nil, &NotSentError{Reason: err}
+		}
+		if conn != nil {
+			conn.opened()
+			return s, nil
+		}
+		select {
+		case <-up:
+		case <-wait.C:
+			return nil, &NotSentError{Reason: ErrLinkDown}
+		case <-ctx.Done():
+			return nil, &NotSentError{Reason: ctx.Err()}
+		}
+	}
+}
+
+// tryOpen opens s on the current connection, or returns the channel that is
+// closed when there is one.
+func (c *Client) tryOpen(s *Stream) (*conn, <-chan struct{}, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.stopped:
+		return nil, nil, errors.New("client is stopped")
+	case c.streams[s.key] != nil:
+		return nil, nil, errors.New("stream " + s.key.String() + " is already open")
+	case c.conn == nil:
+		return nil, c.up, nil
+	}
+	c.streams[s.key] = s
+	s.attach(c.conn)
+	return c.conn, nil, nil
+}
+
+// Send sends a control message if the link is up.
+func (c *Client) Send(m Control) error {
+	c.mu.Lock()
+	conn := c.conn
+	c.mu.Unlock()
+	if conn == nil {
+		return ErrLinkDown
+	}
+	return conn.sendControl(&m)
+}
--- /dev/null
+++ b/link/errors.go
@@ -0,0 +1,99 @@
+package link
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Errors without further data.
+var (
+	ErrLinkDown    = errors.New("link: no connection")
+	ErrUnknownPeer = errors.New("link: unknown peer")
+	ErrOverloaded  = errors.New("link: too many bytes wait to be sent")
+	ErrSilent      = errors.New("link: nothing received from the peer in time")
+	ErrSuperseded  = errors.New("link: replaced by a newer connection of the same peer")
+	ErrCanceled    = errors.New("link: stream canceled by the entry")
+	ErrPeerLost    = errors.New("link: entry did not come back in time")
+	ErrFinished    = errors.New("link: stream already finished")
+	ErrStarted     = errors.New("link: refused after payloads were sent")
+)
+
+// NotSentError reports that the agent certainly did not get the request.
+type NotSentError struct{ Reason error }
+
+func (e *NotSentError) Error() string { return "link: request not sent: " + e.Reason.Error() }
+
+func (e *NotSentError) Unwrap() error { return e.Reason }
+
+// RefusedError reports that the agent refused the request before it ran.
+type RefusedError struct{ Refusal Refusal }
+
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("link: request refused: %s: %s", e.Refusal.Code, e.Refusal.Message)
+}
+
+// BrokenReason tells why a stream ended without a verified end.
+type BrokenReason string
+
+// The reasons of a BrokenError.
+const (
+	BrokenRestarted BrokenReason = "the agent restarted"
+	BrokenExpired   BrokenReason = "the agent gave up the streams of a lost link"
+	BrokenLost      BrokenReason = "the link did not come back in time"
+	BrokenGone      BrokenReason = "the agent does not know the stream"
+	BrokenCorrupt   BrokenReason = "the answer does not match its frame count and checksum"
+	BrokenSequence  BrokenReason = "frames of the answer are missing"
+	BrokenStopped   BrokenReason = "the client was stopped"
+	BrokenCanceled  BrokenReason = "the stream was canceled"
+)
+
+// BrokenError reports that a stream ended without a verified end.
+type BrokenError struct {
+	Reason BrokenReason
+	// Handed is false when the agent certainly did not get the request.
+	Handed bool
+}
+
+func (e *BrokenError) Error() string {
+	return fmt.Sprintf("link: stream broken: %s (handed over: %t)", e.Reason, e.Handed)
+}
+
+// TooLargeError reports a frame, payload or request over its size limit.
+type TooLargeError struct {
+	What        string
+	Size, Limit int // bytes
+}
+
+func (e *TooLargeError) Error() string {
+	return fmt.Sprintf("link: %s of %d bytes is over the limit of %d", e.What, e.Size, e.Limit)
+}
+
+// ProtocolError reports a frame that cannot be decoded or is out of place.
+type ProtocolError struct{ Reason string }
+
+func (e *ProtocolError) Error() string { return "link: protocol error: " + e.Reason }
+
+// HandshakeCode tells why a handshake failed.
+type HandshakeCode string
+
+// The codes of a HandshakeError.
+const (
+	HandshakeKey      HandshakeCode = "fleet_key"
+	HandshakeProtocol HandshakeCode = "protocol_version"
+	HandshakeName     HandshakeCode = "peer_name"
+)
+
+// HandshakeError reports a peer that does not fit.
+type HandshakeError struct {
+	Code   HandshakeCode
+	Detail string
+	// Remote is set when the peer reported the fault.
+	Remote bool
+}
+
+func (e *HandshakeError) Error() string {
+	if e.Remote {
+		return fmt.Sprintf("link: peer rejected the handshake: %s: %s", e.Code, e.Detail)
+	}
+	return fmt.Sprintf("link: handshake failed: %s: %s", e.Code, e.Detail)
+}
--- /dev/null
+++ b/link/handshake.go
@@ -0,0 +1,201 @@
+package link
+
+import (
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"net"
+	"slices"
+	"time"
+)
+
+const nonceBytes = 32
+
+// HMAC labels keep the proof of one side from serving as that of the other.
+const (
+	labelClient = "hyssoploom link client"
+	labelServer = "hyssoploom link server"
+)
+
+// handshake is the state of one side while a link is set up. The order of the
+// frames is: hello of the client, hello and proof of the server, proof of the
+// client, accept of the server.
+type handshake struct {
+	nc     net.Conn
+	key    []byte
+	r      *frameReader
+	w      *frameWriter
+	ours   []byte // body of the hello frame that was sent
+	theirs []byte // body of the hello frame that was received
+}
+
+func newHandshake(nc net.Conn, key []byte, timeout time.Duration) (*handshake, error) {
+	if err := nc.SetDeadline(time.Now().Add(timeout)); err != nil {
+		return nil, err
+	}
+	h := &handshake{nc: nc, key: key, r: newFrameReader(nc), w: newFrameWriter()}
+	h.r.max = maxHandshake
+	return h, nil
+}
+
+// finish lifts the limits of the handshake.
+func (h *handshake) finish() (*frameReader, error) {
+	h.r.max = MaxFrame
+	return h.r, h.nc.SetDeadline(time.Time{})
+}
+
+func (h *handshake) addHello(hello Hello, dial uint64) error {
+	var nonce [nonceBytes]byte
+	if _, err := rand.Read(nonce[:]); err != nil {
+		return err
+	}
+	h.w.begin(kindHello, 4)
+	h.w.uint(uint64(hello.Protocol))
+	h.w.value(&hello)
+	h.w.bin(nonce[:])
+	h.w.uint(dial)
+	if err := h.w.end(); err != nil {
+		return err
+	}
+	h.ours = slices.Clone(h.w.body())
+	return nil
+}
+
+func (h *handshake) addProof(label string, client, server []byte) {
+	h.w.begin(kindProof, 1)
+	h.w.bin(h.proof(label, client, server))
+	h.w.keep(h.w.end())
+}
+
+func (h *handshake) proof(label string, client, server []byte) []byte {
+	m := hmac.New(sha256.New, h.key)
+	m.Write([]byte(label))
+	m.Write(client)
+	m.Write(server)
+	return m.Sum(nil)
+}
+
+func (h *handshake) flush() error {
+	_, err := h.nc.Write(h.w.buf)
+	h.w.buf = h.w.buf[:0]
+	return err
+}
+
+func (h *handshake) read(kind frameKind) (*frame, error) {
+	var f frame
+	if err := h.r.next(&f); err != nil {
+		return nil, err
+	}
+	if f.kind == kindReject {
+		return nil, &HandshakeError{Code: HandshakeCode(f.code), Detail: f.message, Remote: true}
+	}
+	if f.kind != kind {
+		return nil, &ProtocolError{Reason: fmt.Sprintf("frame of kind %d during the handshake, want %d", f.kind, kind)}
+	}
+	return &f, nil
+}
+
+// readHello reads the hello of the peer and checks its protocol version.
+func (h *handshake) readHello(protocol int) (*frame, error) {
+	f, err := h.read(kindHello)
+	if err != nil {
+		return nil, err
+	}
+	h.theirs = slices.Clone(h.r.body)
+	if f.protocol != uint64(protocol) {
+		return nil, &HandshakeError{Code: HandshakeProtocol,
+			Detail: fmt.Sprintf("peer %q has version %d, this process has %d", f.hello.Name, f.protocol, protocol)}
+	}
+	if len(f.data) != nonceBytes || f.hello.BootID == "" {
+		return nil, &ProtocolError{Reason: "hello without nonce or boot id"}
+	}
+	return f, nil
+}
+
+func (h *handshake) readProof(label, name string, client, server []byte) error {
+	f, err := h.read(kindProof)
+	if err != nil {
+		return err
+	}
+	if !hmac.Equal(f.data, h.proof(label, client, server)) {
+		return &HandshakeError{Code: HandshakeKey, Detail: fmt.Sprintf("peer %q has another fleet key", name)}
+	}
+	return nil
+}
+
+// reject tells the peer about a HandshakeError that was found here.
+func (h *handshake) reject(err error) error {
+	var he *HandshakeError
+	if errors.As(err, &he) && !he.Remote {
+		h.w.buf = h.w.buf[:0]
+		h.w.begin(kindReject, 2)
+		h.w.str(string(he.Code))
+		h.w.str(he.Detail)
+		if h.w.end() == nil {
+			_ = h.flush() // the connection is closed next
+		}
+	}
+	return err
+}
+
+// connect performs the client side up to the accept frame.
+func (h *handshake) connect(hello Hello, dial uint64, expect string) (Hello, *frame, error) {
+	if err := h.addHello(hello, dial); err != nil {
+		return Hello{}, nil, err
+	}
+	if err := h.flush(); err != nil {
+		return Hello{}, nil, err
+	}
+	f, err := h.readHello(hello.Protocol)
+	if err != nil {
+		return Hello{}, nil, h.reject(err)
+	}
+	peer := f.hello
+	if err := h.readProof(labelServer, peer.Name, h.ours, h.theirs); err != nil {
+		return peer, nil, h.reject(err)
+	}
+	if expect != "" && peer.Name != expect {
+		return peer, nil, h.reject(&HandshakeError{Code: HandshakeName,
+			Detail: fmt.Sprintf("peer is %q, expected %q", peer.Name, expect)})
+	}
+	h.addProof(labelClient, h.ours, h.theirs)
+	if err := h.flush(); err != nil {
+		return peer, nil, err
+	}
+	accept, err := h.read(kindAccept)
+	return peer, accept, err
+}
+
+// accept performs the server side up to, but without, the accept frame. It
+// returns the hello of the peer and its dial number.
+func (h *handshake) accept(hello Hello) (Hello, uint64, error) {
+	f, err := h.readHello(hello.Protocol)
+	if err != nil {
+		return Hello{}, 0, h.reject(err)
+	}
+	peer, dial := f.hello, f.seq
+	if err := h.addHello(hello, 0); err != nil {
+		return peer, 0, err
+	}
+	h.addProof(labelServer, h.theirs, h.ours)
+	if err := h.flush(); err != nil {
+		return peer, 0, err
+	}
+	if err := h.readProof(labelClient, peer.Name, h.theirs, h.ours); err != nil {
+		return peer, 0, h.reject(err)
+	}
+	return peer, dial, nil
+}
+
+// welcome sends the accept frame.
+func (h *handshake) welcome(session string, hb Heartbeat) error {
+	h.w.begin(kindAccept, 2)
+	h.w.str(session)
+	h.w.value(&hb)
+	if err := h.w.end(); err != nil {
+		return err
+	}
+	return h.flush()
+}
--- /dev/null
+++ b/link/link_test.go
@@ -0,0 +1,174 @@
+package link
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+func token(id string, i int) string { return fmt.Sprintf("%s token %d", id, i) }
+
+func tokens(id string, n int) []string {
+	var all []string
+	for i := range n {
+		all = append(all, token(id, i))
+	}
+	return all
+}
+
+// answer returns a handler that sends n tokens, one per interval.
+func answer(n int, interval time.Duration) func(context.Context, *Incoming) {
+	return func(ctx context.Context, in *Incoming) {
+		for i := range n {
+			time.Sleep(interval)
+			if in.Send(ctx, []byte(token(in.Request.RequestID, i))) != nil {
+				return
+			}
+		}
+		_ = in.Finish(End{Complete: true, TokensOut: int64(n)})
+	}
+}
+
+// wantAnswer fails when the stream does not bring exactly the n tokens of id.
+func wantAnswer(t *testing.T, s *Stream, id string, n int) {
+	t.Helper()
+	got, err := readAll(t.Context(), s)
+	if !errors.Is(err, io.EOF) {
+		t.Fatalf("%s: Recv: %v after %d payloads, want io.EOF", id, err, len(got))
+	}
+	if !slices.Equal(got, tokens(id, n)) {
+		t.Fatalf("%s: got %d payloads %q", id, len(got), got)
+	}
+	if end := s.End(); end == nil || !end.Complete || end.TokensOut != int64(n) {
+		t.Fatalf("%s: end %+v", id, end)
+	}
+}
+
+// Guards against lost or reordered payloads and against streams that stay
+// open at the agent after their end.
+func TestAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, answer(256, 10*time.Millisecond))
+		for i := range 3 {
+			id := fmt.Sprint("r", i)
+			wantAnswer(t, r.open(id), id, 256)
+			r.wantOneRun(id)
+		}
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if err := r.server.Wait(ctx); err != nil {
+			t.Errorf("Wait: %v", err)
+		}
+	})
+}
+
+// Guards against a refusal that is not reported as "not run".
+func TestRefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, func(_ context.Context, in *Incoming) {
+			_ = in.Refuse(Refusal{Code: "draining", Revision: 7})
+		})
+		_, err := readAll(t.Context(), r.open("r"))
+		var refused *RefusedError
+		if !errors.As(err, &refused) || refused.Refusal.Code != "draining" || refused.Refusal.Revision != 7 {
+			t.Errorf("Recv: %v, want a refusal", err)
+		}
+	})
+}
+
+// Guards against request bodies that are cut or mixed up when they are split.
+func TestLargeBody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		body := func(fill byte) []byte { return bytes.Repeat([]byte{fill}, MaxBody) }
+		r := newRig(t, func(_ context.Context, in *Incoming) {
+			fill := in.Request.RequestID[0]
+			_ = in.Finish(End{Complete: bytes.Equal(in.Request.Body, body(fill))})
+		})
+		var streams []*Stream
+		for _, id := range []string{"a", "b"} {
+			s, err := r.client.Open(t.Context(), &Request{RequestID: id, Body: body(id[0])})
+			if err != nil {
+				t.Fatal(err)
+			}
+			streams = append(streams, s)
+		}
+		for _, s := range streams {
+			if _, err := readAll(t.Context(), s); err != io.EOF || !s.End().Complete {
+				t.Errorf("%s: %v, end %+v", s.key, err, s.End())
+			}
+		}
+	})
+}
+
+// Guards against lost control messages and against a drain notice that waits
+// for the next heartbeat.
+func TestControlAndDrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var entryGot, agentGot []string
+		r := newRig(t, answer(1, 0), func(c *ClientConfig, s *ServerConfig) {
+			c.OnControl = func(m Control) { entryGot = append(entryGot, m.Kind+string(m.Body)) }
+			s.OnControl = func(_ Hello, m Control) { agentGot = append(agentGot, m.Kind+string(m.Body)) }
+			s.Heartbeat = func() Heartbeat { return Heartbeat{Clock: time.Hour, Revision: 3, Load: &LoadReport{Limit: 9}} }
+		})
+		synctest.Wait()
+		time.Sleep(100 * time.Millisecond)
+		st := r.client.Status()
+		if !st.Alive || st.Draining || st.Revision != 3 || st.Load.Limit != 9 || st.PeerHello.Name != "gpu-1" {
+			t.Errorf("status %+v", st)
+		}
+		if got := st.AgentClock(time.Now()); got != time.Hour+100*time.Millisecond {
+			t.Errorf("AgentClock: %v", got)
+		}
+		r.server.Drain()
+		r.server.Broadcast(Control{Kind: "records", Body: []byte("1")})
+		if err := r.server.SendTo("e1", Control{Kind: "durable"}); err != nil {
+			t.Error(err)
+		}
+		if err := r.client.Send(Control{Kind: "evidence", Body: []byte("2")}); err != nil {
+			t.Error(err)
+		}
+		synctest.Wait()
+		if !slices.Equal(entryGot, []string{"records1", "durable"}) || !slices.Equal(agentGot, []string{"evidence2"}) {
+			t.Errorf("entry got %q, agent got %q", entryGot, agentGot)
+		}
+		if !r.client.Status().Draining {
+			t.Error("drain notice has not arrived")
+		}
+		wantAnswer(t, r.open("late"), "late", 1)
+		if err := r.server.SendTo("other", Control{}); err != ErrUnknownPeer {
+			t.Errorf("SendTo of an unknown peer: %v", err)
+		}
+	})
+}
+
+// Guards against a handler that goes on after the caller has gone away.
+func TestCancel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var cause error
+		r := newRig(t, func(ctx context.Context, in *Incoming) {
+			<-ctx.Done()
+			cause = context.Cause(ctx)
+		})
+		s := r.open("r")
+		synctest.Wait()
+		s.Cancel()
+		synctest.Wait()
+		if cause != ErrCanceled {
+			t.Errorf("cause of the handler's end: %v", cause)
+		}
+		var broken *BrokenError
+		if _, err := s.Recv(t.Context()); !errors.As(err, &broken) || broken.Reason != BrokenCanceled {
+			t.Errorf("Recv after Cancel: %v", err)
+		}
+		if err := r.server.Wait(t.Context()); err != nil {
+			t.Error(err)
+		}
+	})
+}
--- /dev/null
+++ b/link/server.go
@@ -0,0 +1,291 @@
+package link
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+)
+
+// ServerConfig configures the agent's end of the links to all entries.
+type ServerConfig struct {
+	Hello    Hello
+	FleetKey []byte
+	Timing   Timing
+
+	Retention     time.Duration // streams of a lost link are canceled after; 30 s
+	PeerGoneAfter time.Duration // OnPeerGone is called when the link was lost for; 10 s
+	MaxUnacked    int           // payload bytes per stream that wait for an ack, after which Send blocks; 256 KiB
+	Logger        *log.Logger
+
+	// Heartbeat returns what is sent to the entries.
+	Heartbeat func() Heartbeat
+	// Handler answers a request. Its ctx is canceled when the entry cancels
+	// the request or does not come back, and when the server stops.
+	Handler func(ctx context.Context, in *Incoming)
+	// The callbacks are optional. Those of one peer are called one at a time
+	// and must not block for long.
+	OnPeer      func(Hello) // a link to this peer came up
+	OnHeartbeat func(peer Hello, hb Heartbeat)
+	OnControl   func(peer Hello, m Control)
+	OnPeerGone  func(peer Hello) // the link was lost and is not back
+}
+
+func (cfg *ServerConfig) setDefaults() {
+	cfg.Timing = cfg.Timing.withDefaults()
+	setDefault(&cfg.Retention, defaultRetention)
+	setDefault(&cfg.PeerGoneAfter, 10*time.Second)
+	setDefault(&cfg.MaxUnacked, 256<<10)
+	setDefault(&cfg.Hello.Protocol, ProtocolVersion)
+	setDefault(&cfg.Logger, &log.DefaultLogger)
+	if cfg.Heartbeat == nil {
+		cfg.Heartbeat = monotonicHeartbeat()
+	}
+}
+
+// Server is the agent's end of the links to all entries.
+type Server struct {
+	cfg ServerConfig
+
+	mu       sync.Mutex
+	peers    map[string]*peer // by boot id
+	draining bool
+	open     int           // streams whose handler runs or whose frames are not acknowledged
+	idle     chan struct{} // closed while open is 0
+	handlers sync.WaitGroup
+}
+
+// NewServer returns a server that accepts links when Serve is called.
+func NewServer(cfg ServerConfig) *Server {
+	cfg.setDefaults()
+	s := &Server{cfg: cfg, peers: map[string]*peer{}, idle: make(chan struct{})}
+	close(s.idle)
+	return s
+}
+
+// Serve accepts links on l until ctx is canceled. It closes l.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
+	defer stop()
+	var conns sync.WaitGroup
+	defer func() {
+		cancel()
+		conns.Wait()
+		s.dropAll()
+		s.handlers.Wait()
+	}()
+	for {
+		nc, err := l.Accept()
+		switch {
+		case ctx.Err() != nil:
+			if nc != nil {
+				_ = nc.Close()
+			}
+			return ctx.Err()
+		case errors.Is(err, net.ErrClosed):
+			return err
+		case err != nil:
+			s.cfg.Logger.Warn().Err(err).Msg("link: accept failed")
+			if !sleep(ctx, acceptPause) {
+				return ctx.Err()
+			}
+		default:
+			conns.Go(func() { s.serveConn(ctx, nc) })
+		}
+	}
+}
+
+// acceptPause keeps a lack of file descriptors from turning into a busy loop.
+const acceptPause = 50 * time.Millisecond
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *Server) serveConn(ctx context.Context, nc net.Conn) {
+	defer func() { _ = nc.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = nc.Close() })
+	defer stop()
+	h, err := newHandshake(nc, s.cfg.FleetKey, s.cfg.Timing.HandshakeTimeout)
+	if err != nil {
+		return
+	}
+	hello, dial, err := h.accept(s.cfg.Hello)
+	if err == nil {
+		err = s.servePeer(ctx, h, hello, dial)
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	event := s.cfg.Logger.Warn()
+	var he *HandshakeError
+	if errors.As(err, &he) {
+		event = s.cfg.Logger.Error()
+	}
+	event.Str("peer", hello.Name).Str("remote", nc.RemoteAddr().String()).Err(err).Msg("link: connection from entry ended")
+}
+
+func (s *Server) servePeer(ctx context.Context, h *handshake, hello Hello, dial uint64) error {
+	p := s.peer(ctx, hello)
+	c := newConn(h.nc, s.cfg.Timing, s.heartbeat, p.isActive)
+	if err := p.attach(c, dial); err != nil {
+		return err
+	}
+	defer p.detach(c)
+	err := h.welcome(p.session, s.heartbeat())
+	if err != nil {
+		return err
+	}
+	r, err := h.finish()
+	if err != nil {
+		return err
+	}
+	if s.cfg.OnPeer != nil {
+		c.post(func() { s.cfg.OnPeer(hello) })
+	}
+	return c.run(ctx, r, func(f *frame) error { return p.handle(c, f) })
+}
+
+// peer returns the session of an entry and creates it at the first link.
+func (s *Server) peer(ctx context.Context, hello Hello) *peer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.peers[hello.BootID]
+	if p == nil {
+		p = &peer{server: s, ctx: ctx, hello: hello, session: rand.Text(), streams: map[streamKey]*Incoming{}}
+		s.peers[hello.BootID] = p
+	}
+	return p
+}
+
+func (s *Server) heartbeat() Heartbeat {
+	hb := s.cfg.Heartbeat()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	hb.Draining = hb.Draining || s.draining
+	return hb
+}
+
+func (s *Server) list() []*peer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := make([]*peer, 0, len(s.peers))
+	for _, p := range s.peers {
+		all = append(all, p)
+	}
+	return all
+}
+
+func (s *Server) conns() []*conn {
+	var all []*conn
+	for _, p := range s.list() {
+		if c := p.current(); c != nil {
+			all = append(all, c)
+		}
+	}
+	return all
+}
+
+// Broadcast sends a control message to all connected entries.
+func (s *Server) Broadcast(m Control) {
+	for _, c := range s.conns() {
+		if err := c.sendControl(&m); err != nil {
+			s.cfg.Logger.Warn().Str("kind", m.Kind).Err(err).Msg("link: control message not sent")
+		}
+	}
+}
+
+// SendTo sends a control message to one entry.
+func (s *Server) SendTo(bootID string, m Control) error {
+	s.mu.Lock()
+	p := s.peers[bootID]
+	s.mu.Unlock()
+	if p == nil {
+		return ErrUnknownPeer
+	}
+	c := p.current()
+	if c == nil {
+		return ErrLinkDown
+	}
+	return c.sendControl(&m)
+}
+
+// Drain tells all entries, now and in every later heartbeat, that the agent
+// takes no new work. New streams still reach the handler, which refuses them.
+func (s *Server) Drain() {
+	s.mu.Lock()
+	s.draining = true
+	s.mu.Unlock()
+	for _, c := range s.conns() {
+		c.sendDrain()
+	}
+}
+
+// Peers returns the connected entries.
+func (s *Server) Peers() []Hello {
+	var all []Hello
+	for _, p := range s.list() {
+		if p.current() != nil {
+			all = append(all, p.hello)
+		}
+	}
+	return all
+}
+
+// Wait returns when no handler runs and all frames are acknowledged.
+func (s *Server) Wait(ctx context.Context) error {
+	for {
+		s.mu.Lock()
+		idle, open := s.idle, s.open
+		s.mu.Unlock()
+		if open == 0 {
+			return nil
+		}
+		select {
+		case <-idle:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (s *Server) streamOpened() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.open == 0 {
+		s.idle = make(chan struct{})
+	}
+	s.open++
+}
+
+func (s *Server) streamClosed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.open--; s.open == 0 {
+		close(s.idle)
+	}
+}
+
+func (s *Server) dropAll() {
+	for _, p := range s.list() {
+		p.drop(context.Canceled)
+	}
+}
+
+func (s *Server) forget(p *peer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.peers[p.hello.BootID] == p {
+		delete(s.peers, p.hello.BootID)
+	}
+}
