--- /dev/null
+++ b/embedded/bench_test.go
@@ -0,0 +1,137 @@
+package embedded
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"hyssoploom/config"
+	"hyssoploom/platform"
+	"hyssoploom/standin"
+)
+
+const benchRate = 2000 // requests/s
+
+// benchFleet has one entry before two engines without delays.
+func benchFleet(b *testing.B) *Fleet {
+	b.Helper()
+	spec := Spec{Entries: []EntrySpec{{Name: "entry-1", DataCentre: "jylland"}}}
+	for _, name := range []string{"small-1", "small-2"} {
+		spec.Backends = append(spec.Backends, BackendSpec{
+			Name: name, DataCentre: "jylland", ColdLimit: 256, WarmLimit: 256,
+			Serves: []config.Placement{{Model: "small", Version: "1"}},
+			Engine: standin.EngineConfig{Loaded: []platform.ModelRef{{Model: "small", Version: "1"}}, Tokens: 12, Resumes: true},
+		})
+	}
+	f, err := Start(b.Context(), spec)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { _ = f.Close() })
+	ctx, cancel := context.WithTimeout(b.Context(), 20*time.Second)
+	defer cancel()
+	if err := f.WaitReady(ctx); err != nil {
+		b.Fatal(err)
+	}
+	return f
+}
+
+// latencies are those of one kind of target.
+type latencies struct {
+	mu                         sync.Mutex
+	firstToken, lastToken, end *hdrhistogram.Histogram
+	failed                     int
+}
+
+func newLatencies() *latencies {
+	h := func() *hdrhistogram.Histogram { return hdrhistogram.New(1, 10_000_000, 3) }
+	return &latencies{firstToken: h(), lastToken: h(), end: h()}
+}
+
+// offer sends b.N streamed requests at benchRate, whether or not earlier ones
+// have ended.
+func offer(b *testing.B, url string, body string) *latencies {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512}}
+	l := newLatencies()
+	var running sync.WaitGroup
+	start := time.Now()
+	b.ResetTimer()
+	for i := range b.N {
+		time.Sleep(time.Until(start.Add(time.Duration(i) * time.Second / benchRate)))
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			l.one(client, url, body)
+		}()
+	}
+	running.Wait()
+	b.StopTimer()
+	return l
+}
+
+func (l *latencies) one(client *http.Client, url, body string) {
+	start := time.Now()
+	req, err := http.NewRequest(http.MethodPost, url+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	req.Header.Set("Authorization", "Bearer key-brydemaatte")
+	resp, err := client.Do(req)
+	var first, last time.Duration
+	complete := false
+	if err == nil {
+		lines := bufio.NewScanner(resp.Body)
+		for lines.Scan() {
+			switch text := lines.Text(); {
+			case text == "data: [DONE]":
+				complete = true
+			case strings.Contains(text, `"content":"w`):
+				last = time.Since(start)
+				if first == 0 {
+					first = last
+				}
+			}
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+	}
+	end := time.Since(start)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !complete {
+		l.failed++
+		return
+	}
+	_ = l.firstToken.RecordValue(first.Microseconds())
+	_ = l.lastToken.RecordValue(last.Microseconds())
+	_ = l.end.RecordValue(end.Microseconds())
+}
+
+func (l *latencies) report(b *testing.B) {
+	for name, h := range map[string]*hdrhistogram.Histogram{"first": l.firstToken, "last": l.lastToken, "end": l.end} {
+		b.ReportMetric(float64(h.ValueAtQuantile(50)), name+"-p50-µs")
+		b.ReportMetric(float64(h.ValueAtQuantile(99)), name+"-p99-µs")
+	}
+	b.ReportMetric(float64(l.failed), "failed")
+}
+
+// BenchmarkDirect sends requests to the stand-in engine itself.
+func BenchmarkDirect(b *testing.B) {
+	f := benchFleet(b)
+	l := offer(b, f.Backends["small-1"].Server.URL(), `{"model":"small@1","stream":true,"messages":[{"role":"user","content":"hello"}]}`)
+	l.report(b)
+}
+
+// BenchmarkPath sends the same requests through one entry and its agents.
+func BenchmarkPath(b *testing.B) {
+	f := benchFleet(b)
+	l := offer(b, f.Entries["entry-1"].URL, `{"model":"small","stream":true,"messages":[{"role":"user","content":"hello"}]}`)
+	l.report(b)
+}
