--- a/admission/controller.go
+++ b/admission/controller.go
@@ -8,11 +8,13 @@
 // Controller admits requests to one backend server. It is not safe for
 // concurrent use.
 type Controller struct {
-	limiter  limiter
-	queue    queue
-	running  map[uint64]*running
-	queued   map[uint64]bool
-	draining bool
+	limiter limiter
+	queue   queue
+	// queueLimit is that of the warm limit.
+	queueLimit int
+	running    map[uint64]*running
+	queued     map[uint64]bool
+	draining   bool
 }
 
 // running is a request at the backend server.
@@ -33,7 +35,7 @@
 	l := limiter{warmAfter: cmp.Or(c.WarmAfter, defaultWarmAfter),
 		slowFactor: cmp.Or(c.SlowFactor, defaultSlowFactor), backoff: 1}
 	l.configure(c.ColdLimit, c.WarmLimit)
-	return &Controller{limiter: l, queue: newQueue(c.QueueLimit),
+	return &Controller{limiter: l, queue: queue{flows: map[string]*flow{}}, queueLimit: max(c.QueueLimit, 0),
 		running: map[uint64]*running{}, queued: map[uint64]bool{}}
 }
 
@@ -56,6 +58,7 @@
 
 func (c *Controller) enqueue(now time.Duration, t Ticket) Verdict {
 	v := Verdict{Outcome: Queued}
+	c.limitQueue()
 	if c.queue.size >= c.queue.limit {
 		v.Drop = c.dropLate(now)
 	}
@@ -178,7 +181,14 @@
 	}
 }
 
-// dispatch drops late tickets and starts what the limit allows.
+// limitQueue keeps the queue in proportion to the limit, rounded up: behind a
+// cold server, a queue for a warm one would wait several times as long.
+func (c *Controller) limitQueue() {
+	c.queue.limit = (c.queueLimit*c.limiter.limit + c.limiter.warm - 1) / c.limiter.warm
+}
+
+// dispatch drops late tickets, starts what the limit allows, and hands back what
+// the queue cannot hold after the limit has fallen.
 func (c *Controller) dispatch(now time.Duration) Changes {
 	ch := Changes{Drop: c.dropLate(now)}
 	for c.queue.size > 0 && len(c.running) < c.limiter.limit {
@@ -187,6 +197,8 @@
 		c.begin(now, t.ID)
 		ch.Start = append(ch.Start, t.ID)
 	}
+	c.limitQueue()
+	ch.Drop = append(ch.Drop, c.dropped(c.queue.shed())...)
 	c.queue.forget()
 	return ch
 }
--- a/admission/controller_test.go
+++ b/admission/controller_test.go
@@ -205,3 +205,21 @@
 		t.Errorf("after return: %+v, %+v", v, c.Report())
 	}
 }
+
+// TestQueueFollowsLimit guards against requests that wait behind a cold server
+// while others are free.
+func TestQueueFollowsLimit(t *testing.T) {
+	var now time.Duration
+	c := warm(&now)
+	c.EngineStatus(now, "a", time.Second)
+	for id := range uint64(16) {
+		c.Arrive(now, Ticket{ID: id})
+	}
+	if r := c.Report(); r.Running != 8 || r.Queued != 8 {
+		t.Fatalf("before: %+v", r)
+	}
+	drop := c.EngineStatus(now, "b", 0).Drop
+	if r := c.Report(); len(drop) != 6 || drop[0] != (Dropped{15, CodeQueueFull}) || r.Queued != 2 {
+		t.Errorf("after: dropped %+v, %+v", drop, r)
+	}
+}
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -6,11 +6,16 @@
 	"time"
 )
 
+// burstCredit is the number of requests that a workspace may start ahead of the
+// others after it has used less than its share. Without it, the requests of a
+// small burst are served in turn with those of a workspace that always waits.
+const burstCredit = 4
+
 // queue is a short queue, fair between workspaces by start-time fair queueing:
 // the next request is that of the workspace whose previous request has the
 // least virtual finish time. One request is the unit of work.
 type queue struct {
-	limit   int
+	limit   int // set by the controller
 	size    int
 	virtual float64 // virtual start time of the last request that started
 	flows   map[string]*flow
@@ -28,8 +33,6 @@
 	waiting []Ticket
 }
 
-func newQueue(limit int) queue { return queue{limit: max(limit, 0), flows: map[string]*flow{}} }
-
 func (q *queue) flow(t Ticket) *flow {
 	f := q.flows[t.Workspace]
 	if f == nil {
@@ -37,7 +40,7 @@
 		q.flows[t.Workspace] = f
 	}
 	if len(f.waiting) == 0 {
-		f.start = max(q.virtual, f.finish)
+		f.start = max(q.virtual-f.credit(), f.finish)
 	}
 	f.weight = t.Weight
 	if t.Weight <= 0 {
@@ -56,12 +59,15 @@
 // forget removes flows that have no influence any more.
 func (q *queue) forget() {
 	for name, f := range q.flows {
-		if len(f.waiting) == 0 && f.finish <= q.virtual {
+		if len(f.waiting) == 0 && f.finish <= q.virtual-f.credit() {
 			delete(q.flows, name)
 		}
 	}
 }
 
+// credit is the burst credit in virtual time.
+func (f *flow) credit() float64 { return burstCredit / f.weight }
+
 // push adds a ticket behind those of the same or a higher priority.
 func (q *queue) push(t Ticket) {
 	f := q.flow(t)
@@ -93,11 +99,8 @@
 	return t
 }
 
-// displace makes room for a ticket in a full queue. The victim is the last
-// ticket of the workspace with the longest queue for its weight, so that a
-// workspace that sends too much does not keep others out. Within one workspace a
-// ticket displaces only one of lower priority.
-func (q *queue) displace(t Ticket) (Dropped, bool) {
+// longest returns the workspace with the longest queue for its weight, or nil.
+func (q *queue) longest() *flow {
 	var longest *flow
 	for _, f := range q.flows {
 		if len(f.waiting) == 0 {
@@ -107,6 +110,15 @@
 			longest = f
 		}
 	}
+	return longest
+}
+
+// displace makes room for a ticket in a full queue. The victim is the last
+// ticket of the workspace with the longest queue for its weight, so that a
+// workspace that sends too much does not keep others out. Within one workspace a
+// ticket displaces only one of lower priority.
+func (q *queue) displace(t Ticket) (Dropped, bool) {
+	longest := q.longest()
 	if longest == nil {
 		return Dropped{}, false
 	}
@@ -115,9 +127,24 @@
 		own != longest && own.share(1) >= longest.share(0) {
 		return Dropped{}, false
 	}
-	longest.waiting = longest.waiting[:len(longest.waiting)-1]
+	return q.dropLast(longest), true
+}
+
+func (q *queue) dropLast(f *flow) Dropped {
+	n := len(f.waiting) - 1
+	d := Dropped{f.waiting[n].ID, CodeQueueFull}
+	f.waiting = f.waiting[:n]
 	q.size--
-	return Dropped{last.ID, CodeQueueFull}, true
+	return d
+}
+
+// shed drops what is above the limit after the limit has fallen.
+func (q *queue) shed() []Dropped {
+	var out []Dropped
+	for q.size > q.limit {
+		out = append(out, q.dropLast(q.longest()))
+	}
+	return out
 }
 
 // share is the queue length with more tickets, for the weight.
--- a/admission/types.go
+++ b/admission/types.go
@@ -89,7 +89,8 @@
 type Config struct {
 	// ColdLimit and WarmLimit bound the concurrent requests; at least 1 each.
 	ColdLimit, WarmLimit int
-	// QueueLimit bounds the waiting requests; 0 means no queue.
+	// QueueLimit bounds the waiting requests at the warm limit; it shrinks in
+	// proportion to the limit. 0 means no queue.
 	QueueLimit int
 	// WarmAfter is the number of good completions before the first growth; 20
 	// when 0. It should not be below what the backend server needs to warm up.
--- a/route/picker.go
+++ b/route/picker.go
@@ -27,11 +27,12 @@
 }
 
 func (p *pick) score() {
-	p.preferred = p.config.affinity(p.eps, p.kept, p.req)
+	f := p.config.survey(p.eps, p.kept, p.req)
+	p.preferred = p.config.affinity(p.eps, p.kept, p.req, f)
 	p.scores = make([]float64, len(p.kept))
 	for k, i := range p.kept {
 		e := &p.eps[i]
-		p.scores[k] = p.config.loadScore(e) + p.config.localityScore(e, p.req) + p.config.warmUpScore(e)
+		p.scores[k] = p.config.loadScore(e, f) + p.config.localityScore(e, p.req) + p.config.warmUpScore(e)
 		if i == p.preferred {
 			p.scores[k] -= p.config.AffinityBonus
 		}
--- a/route/scorers.go
+++ b/route/scorers.go
@@ -1,6 +1,9 @@
 package route
 
 import (
+	"cmp"
+	"math"
+
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -22,15 +25,42 @@
 // hasRoom tells whether a request would start at once.
 func (c *Config) hasRoom(e *Endpoint) bool { return load(e) < c.limit(e) }
 
-// utilization returns the load with this request, relative to the limit.
-func (c *Config) utilization(e *Endpoint) float64 {
-	return float64(load(e)+1) / float64(c.limit(e))
+// fleet is what a score depends on besides the endpoint.
+type fleet struct {
+	mean  float64 // mean reported load of the warm candidates, relative to their limits
+	decay float64 // time constant of reports in seconds
+}
+
+// survey returns the state of the candidates.
+func (c *Config) survey(eps []Endpoint, candidates []int, r *Request) fleet {
+	work, limits := 0, 0
+	for _, i := range candidates {
+		if e := &eps[i]; !e.Cold {
+			work += e.Running + e.Queued
+			limits += c.limit(e)
+		}
+	}
+	answer := cmp.Or(r.AnswerTime, c.AssumedAnswer)
+	return fleet{mean: float64(work) / float64(max(limits, 1)), decay: c.ReportDecay * answer.Seconds()}
+}
+
+// utilization returns the estimated load with this request, relative to the
+// limit. A report loses weight against the mean as it ages: the requests it
+// counts end, and all entries send to the endpoints that it shows as free.
+func (c *Config) utilization(e *Endpoint, f fleet) float64 {
+	limit := float64(c.limit(e))
+	reported := float64(e.Running + e.Queued)
+	if e.ReportAge > 0 && f.decay > 0 && !e.Cold {
+		weight := math.Exp(-e.ReportAge.Seconds() / f.decay)
+		reported = weight*reported + (1-weight)*f.mean*limit
+	}
+	return (reported + float64(e.Sent+1)) / limit
 }
 
 // loadScore is the utilization; above 1 it rises steeply, because work waits. A
 // stale report makes an endpoint less attractive but does not exclude it.
-func (c *Config) loadScore(e *Endpoint) float64 {
-	u := c.utilization(e)
+func (c *Config) loadScore(e *Endpoint, f fleet) float64 {
+	u := c.utilization(e, f)
 	if u > 1 {
 		u += c.OverloadSlope * (u - 1)
 	}
@@ -68,7 +98,7 @@
 // rendezvous hash among the endpoints of the nearest region with room whose load
 // is within the bound. The bound keeps a large session
 // from overloading its endpoint.
-func (c *Config) affinity(eps []Endpoint, candidates []int, r *Request) int {
+func (c *Config) affinity(eps []Endpoint, candidates []int, r *Request, f fleet) int {
 	if r.Session == "" {
 		return -1
 	}
@@ -79,7 +109,7 @@
 	mean, n := 0.0, 0
 	for _, i := range candidates {
 		if !local || eps[i].Region == r.Region {
-			mean += c.utilization(&eps[i])
+			mean += c.utilization(&eps[i], f)
 			n++
 		}
 	}
@@ -87,7 +117,7 @@
 	best, bestHash := -1, uint64(0)
 	for _, i := range candidates {
 		e := &eps[i]
-		if local && e.Region != r.Region || e.Cold || !c.hasRoom(e) || c.utilization(e) > bound {
+		if local && e.Region != r.Region || e.Cold || !c.hasRoom(e) || c.utilization(e, f) > bound {
 			continue
 		}
 		if h := rendezvous(r.Session, e.Name); best < 0 || h > bestHash {
--- a/route/types.go
+++ b/route/types.go
@@ -47,6 +47,9 @@
 	// BodyBytes is the size of the request body; it raises the price of another
 	// region.
 	BodyBytes int
+	// AnswerTime is the entry's moving average of the time of a whole answer; 0
+	// when it has none yet. Config.ReportDecay depends on it.
+	AnswerTime time.Duration
 }
 
 // Reason tells which rule made the choice.
@@ -103,6 +106,11 @@
 	// StalePenalty is added when a report is older than StaleAfter.
 	StalePenalty float64
 	StaleAfter   time.Duration
+	// ReportDecay is the time in which a report loses all but 1/e of its weight
+	// against the mean of the endpoints, relative to the mean answer time;
+	// AssumedAnswer is the answer time when the request gives none.
+	ReportDecay   float64
+	AssumedAnswer time.Duration
 	// AssumedLimit is the limit of an endpoint whose report has none.
 	AssumedLimit int
 	// ColdReserve is added for a cold endpoint outside its warm-up share, and
@@ -126,13 +134,18 @@
 		OverloadSlope:    4,
 		StalePenalty:     0.5,
 		StaleAfter:       3 * time.Second, // three missed heartbeats
-		AssumedLimit:     2,               // the usual cold limit
-		ColdReserve:      0.5,
-		ColdFull:         4,
-		AffinityBonus:    1.0,
-		AffinityBound:    1.25,
-		AffinityFloor:    0.5,
-		Band:             0.25,
+		// docs/measurements/route.md has the trial behind ReportDecay and Band:
+		// without decay, and with a narrow band, entries with the same old reports
+		// choose the same few endpoints.
+		ReportDecay:   0.5,
+		AssumedAnswer: 2 * time.Second,
+		AssumedLimit:  2, // the usual cold limit
+		ColdReserve:   0.5,
+		ColdFull:      4,
+		AffinityBonus: 1.5,
+		AffinityBound: 1.25,
+		AffinityFloor: 0.5,
+		Band:          0.5,
 	}
 }
 
