--- a/cascade/memory.go
+++ b/cascade/memory.go
@@ -38,16 +38,6 @@
 // mean is the expectation under a uniform prior.
 func (b beta) mean() float64 { return (b.pass + 1) / (b.n() + 2) }
 
-// lower is the mean of a Beta distribution less z standard deviations.
-func (b beta) lower(z float64) float64 {
-	n := b.n()
-	if n == 0 {
-		return 0
-	}
-	m := b.pass / n
-	return max(0, m-z*math.Sqrt(m*(1-m)/(n+1)))
-}
-
 func (b beta) scale(f float64) beta { return beta{b.pass * f, b.fail * f} }
 
 func (b beta) atMost(n float64) beta {
@@ -135,6 +125,9 @@
 	key      cellKey
 	versions map[versionKey]*estimate
 	latest   map[string]string // model to the version seen last
+	// credit is the sum by which plans exceeded the quality target, less what
+	// was spent on plans below it.
+	credit float64
 }
 
 // version returns the estimate of a version. That of a new version starts from
--- a/cascade/policy.go
+++ b/cascade/policy.go
@@ -14,16 +14,17 @@
 	// MaxWaitShare is the share of requests whose first token may wait for a
 	// rating; 0.2.
 	MaxWaitShare float64
-	// Z is the number of standard deviations between an estimate's mean and the
-	// lower bound that has to meet the quality target; 1.
-	Z float64
 	// AuditRate is the share of answers rated after their release once a stage is
 	// known; 0.1.
 	AuditRate float64
 	// MaxCells bounds the remembered pairs of workspace and task class; 4096.
 	MaxCells int
-	// Bound replaces the lower bound of an estimate; u is uniform in [0, 1).
-	Bound func(pass, fail, u float64) float64
+	// Estimate gives the pass probability to reckon with, from the counts of a
+	// Beta distribution and u, uniform in [0, 1). The default is Thompson sampling:
+	// a draw from the distribution. A lower bound costs more at the same target
+	// (docs/measurements/rollout-cascade.md), because it underrates every stage,
+	// most of all those of which little is known, which are then never tried.
+	Estimate func(pass, fail, u float64) float64
 }
 
 const (
@@ -31,16 +32,23 @@
 	// rated, and explore the number below which some requests start at a stage
 	// that would not be chosen otherwise.
 	fullAudit = 200
-	explore   = 100
+	explore   = 60
 	// exploreRate is the share of requests that start at such a stage. They wait
 	// for the rating, so that exploring costs no quality.
-	exploreRate = 0.05
+	exploreRate = 0.15
 	// waitGain is the step of the price on waiting. At 0.005 the price needs some
 	// hundred requests from one end of its range to the other.
 	waitGain = 0.005
 	// qualityTie is the difference in quality that a best effort ignores for
 	// the sake of cost.
 	qualityTie = 0.005
+	// maxShortfall is how far an answer's expected quality may fall below the
+	// target on credit. Without this bound, a class that only the costliest stage
+	// answers well would get some answers from a stage that nearly always fails.
+	maxShortfall = 0.1
+	// maxCredit bounds the quality above the target that a task class saves up;
+	// 1 pays for ten answers in a row at the greatest shortfall.
+	maxCredit = 1
 	// missedLimit is the number of ratings in a row that have to be missing before
 	// the rater counts as down.
 	missedLimit = 3
@@ -57,14 +65,12 @@
 // NewPolicy returns a policy without any evidence.
 func NewPolicy(cfg Config) *Policy {
 	orDefault(&cfg.MaxWaitShare, 0.2)
-	orDefault(&cfg.Z, 1)
 	orDefault(&cfg.AuditRate, 0.1)
 	if cfg.MaxCells == 0 {
 		cfg.MaxCells = 4096
 	}
-	if cfg.Bound == nil {
-		z := cfg.Z
-		cfg.Bound = func(pass, fail, _ float64) float64 { return beta{pass, fail}.lower(z) }
+	if cfg.Estimate == nil {
+		cfg.Estimate = thompson
 	}
 	return &Policy{cfg: cfg, memory: newMemory(cfg.MaxCells)}
 }
@@ -102,12 +108,12 @@
 	Gate  bool
 	// Audit asks for a rating after the release of an answer that was not gated.
 	Audit bool
-	// BestEffort tells that no way through the cascade is known to meet the
-	// target; the plan is the one with the best quality.
+	// BestEffort tells that no way through the cascade is expected to meet the
+	// target; the plan is then the one with the best quality.
 	BestEffort bool
 	// Explore tells that the plan tries a stage that little is known about.
 	Explore bool
-	// Quality is the lower bound of the quality that the plan reaches.
+	// Quality is the expected quality of the plan.
 	Quality float64
 	// Hops are the stages in order; the first is Start.
 	Hops []Hop
@@ -124,7 +130,8 @@
 	target := r.Cascade.QualityTarget
 	options := enumerate(views, target, p.raterDown())
 	top := views[len(views)-1].price
-	best, met := choose(options, target, p.waitPrice*top)
+	own := p.memory.at(cellKey{r.Workspace, r.TaskClass})
+	best := choose(options, target, p.waitPrice*top, own.credit)
 	exploring := false
 	if u < exploreRate && !p.raterDown() {
 		if i, ok := unexplored(options, views, best); ok {
@@ -132,10 +139,11 @@
 		}
 	}
 	o := options[best]
-	plan := Plan{Start: o.hops[0].Stage, Gate: o.hops[0].Gate, BestEffort: !met, Explore: exploring,
+	plan := Plan{Start: o.hops[0].Stage, Gate: o.hops[0].Gate, BestEffort: !reachable(options, target), Explore: exploring,
 		Quality: o.quality, Hops: o.hops, OnRaterDown: r.Cascade.OnRaterDown}
 	plan.Audit = p.audit(views, plan, u)
 	p.chargeWait(plan.Gate)
+	own.credit = min(maxCredit, max(0, own.credit+o.quality-target))
 	return plan
 }
 
