--- a/supervise/signals.go
+++ b/supervise/signals.go
@@ -44,7 +44,7 @@
 		log.Info("Draining.", "signal", s.String())
 	}
 	drained := make(chan error, 1)
-	go func() { drained <- d.Drain(ctx) }()
+	go func() { drained <- d.Drain(serveCtx) }()
 	select {
 	case err := <-drained:
 		stop()
--- /dev/null
+++ b/telemetry/telemetry_test.go
@@ -0,0 +1,69 @@
+package telemetry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http/httptest"
+	"strings"
+	"testing"
+)
+
+// Guards against logs without the prefix of their part.
+func TestLoggerPrefix(t *testing.T) {
+	var out bytes.Buffer
+	l := NewLogger(&out, "info", "entry")
+	l.Debug("Not shown.")
+	l.Part("link").Warn("Link is down.", "peer", "small-1")
+	var line struct{ Level, Message, Peer string }
+	if err := json.Unmarshal(out.Bytes(), &line); err != nil {
+		t.Fatalf("%v in %s", err, out.String())
+	}
+	if line.Level != "warn" || line.Message != "link: Link is down." || line.Peer != "small-1" {
+		t.Errorf("logged %s", out.String())
+	}
+}
+
+// Guards against output of /debug/vars that is not JSON.
+func TestMetricsAreJSON(t *testing.T) {
+	m := NewMetrics()
+	m.Add("requests", 2)
+	m.Func("revision", func() any { return uint64(7) })
+	w := httptest.NewRecorder()
+	m.ServeHTTP(w, nil)
+	var doc struct {
+		Hyssoploom struct{ Requests, Revision int }
+	}
+	if err := json.Unmarshal(w.Body.Bytes(), &doc); err != nil {
+		t.Fatal(err)
+	}
+	if doc.Hyssoploom.Requests != 2 || doc.Hyssoploom.Revision != 7 || m.Get("requests") != 2 {
+		t.Errorf("got %+v", doc.Hyssoploom)
+	}
+}
+
+// Guards against a trace that breaks between two processes.
+func TestTraceParent(t *testing.T) {
+	var out bytes.Buffer
+	tracing, err := NewTracing(t.Context(), ExporterStdout, "", "test", &out)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, span := tracing.Tracer.Start(t.Context(), "entry")
+	parent := TraceParent(ctx)
+	_, child := tracing.Tracer.Start(WithTraceParent(context.Background(), parent), "agent")
+	child.End()
+	span.End()
+	if err := tracing.Shutdown(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if child.SpanContext().TraceID() != span.SpanContext().TraceID() {
+		t.Error("the agent's span is in another trace")
+	}
+	if n := strings.Count(out.String(), span.SpanContext().TraceID().String()); n < 2 {
+		t.Errorf("the exporter got %d spans of the trace, want 2", n)
+	}
+	if _, err := NewTracing(t.Context(), "paper", "", "test", &out); err == nil {
+		t.Error("an unknown exporter was accepted")
+	}
+}
