--- /dev/null
+++ b/e2e/command_test.go
@@ -0,0 +1,85 @@
+package e2e
+
+import (
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"os/exec"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"hyssoploom/standin"
+)
+
+// vars is the part of /debug/vars that the tests read.
+type vars struct {
+	Hyssoploom struct {
+		Revision uint64
+		Links    struct{ Alive int }
+	}
+}
+
+func readVars(url string) (vars, bool) {
+	var v vars
+	resp, err := http.Get(url + "/debug/vars")
+	if err != nil {
+		return v, false
+	}
+	defer resp.Body.Close()
+	return v, json.NewDecoder(resp.Body).Decode(&v) == nil
+}
+
+// Guards against settings errors that do not say what to mend.
+func TestSettingsErrors(t *testing.T) {
+	busy, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer busy.Close()
+	c := newCluster(t)
+	valid := "name = \"e\"\ndata_centre = \"jylland\"\nstore_url = \"http://127.0.0.1:1\"\nvm_list_url = \"http://127.0.0.1:1\"\nfleet_key = \"0123456789abcdef\"\n"
+	tests := []struct{ name, text, want string }{
+		{"unknown key", valid + "listen = \"127.0.0.1:0\"\nlisten_adress = \"x\"\n", "listen_adress"},
+		{"missing address", valid, "listen"},
+		{"bad duration", valid + "listen = \"127.0.0.1:0\"\ndrain_grace = \"soon\"\n", "drain_grace"},
+		{"address in use", valid + "listen = \"" + busy.Addr().String() + "\"\n", "listen: listen tcp"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			path := c.settings("entry", test.text)
+			out, err := exec.Command(hyssoploomBinary, "entry", "--settings", path).CombinedOutput()
+			var exit *exec.ExitError
+			if !errors.As(err, &exit) || exit.ExitCode() != 2 {
+				t.Errorf("ended with %v, want exit code 2", err)
+			}
+			lines := strings.Split(strings.TrimSpace(string(out)), "\n")
+			if len(lines) != 1 || !strings.Contains(lines[0], path) || !strings.Contains(lines[0], test.want) {
+				t.Errorf("printed %q, want one line with %s and %s", out, path, test.want)
+			}
+		})
+	}
+}
+
+// Guards against a second signal that has to wait for the drain.
+func TestSecondSignalEndsAtOnce(t *testing.T) {
+	f := startSmallFleet(t, standin.EngineConfig{Tokens: 1000, TokenDelay: 20 * time.Millisecond})
+	go f.chat("entry-1", "small", "A very long story.")
+	eventually(t, "the answer is under way", func() bool {
+		return len(f.engines["small-1"].Record().Runs)+len(f.engines["small-2"].Record().Runs) > 0
+	})
+	entry := f.entries["entry-1"]
+	entry.signal(t, syscall.SIGTERM)
+	eventually(t, "the drain has begun", func() bool { return strings.Contains(entry.output(), "Draining.") })
+	entry.signal(t, syscall.SIGTERM)
+	select {
+	case <-entry.exited:
+		if entry.cmd.ProcessState.ExitCode() == 0 {
+			t.Error("a stop without drain exits with 0")
+		}
+	case <-time.After(3 * time.Second):
+		t.Error("the entry still drains after the second signal")
+	}
+}
--- /dev/null
+++ b/e2e/faults_test.go
@@ -0,0 +1,340 @@
+package e2e
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"hyssoploom/config"
+	"hyssoploom/ledger"
+	"hyssoploom/platform"
+	"hyssoploom/standin"
+)
+
+// smallFleet is a cluster with two engines of model small, a booking runner
+// and two entries, all ready.
+type smallFleet struct {
+	*cluster
+	engines map[string]*standin.Engine
+	urls    map[string]string // of engines, by backend server
+	runner  *standin.BookingRunner
+}
+
+func startSmallFleet(t *testing.T, engine standin.EngineConfig) *smallFleet {
+	t.Helper()
+	f := &smallFleet{cluster: newCluster(t), engines: make(map[string]*standin.Engine), urls: make(map[string]string)}
+	engine.Loaded = []platform.ModelRef{{Model: "small", Version: "1"}}
+	engine.Resumes = true
+	for _, name := range []string{"small-1", "small-2"} {
+		f.engines[name] = standin.NewEngine(engine)
+		f.urls[name] = serve(t, f.engines[name].Handler())
+		f.startAgent(name, f.urls[name], engineRecord("jylland", "small", "1"))
+	}
+	f.runner = standin.NewBookingRunner(standin.BookingFaults{})
+	f.urls["booking"] = serve(t, f.runner.Handler())
+	f.startAgent("booking", f.urls["booking"], bookingRecord("jylland"))
+	for _, name := range []string{"entry-1", "entry-2"} {
+		f.startEntry(name, "jylland")
+		f.waitReady(name)
+	}
+	return f
+}
+
+func serve(t *testing.T, handler http.Handler) string {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+// waitReady waits until the entry has a link to every agent.
+func (f *smallFleet) waitReady(entry string) {
+	f.t.Helper()
+	eventually(f.t, entry+" is linked", func() bool {
+		vars, ok := readVars("http://" + f.entries[entry].addr)
+		return ok && vars.Hyssoploom.Links.Alive == len(f.urls)
+	})
+}
+
+// balancer stands for the platform's balancer: it learns with a lag which
+// entries are ready, and does not repeat a request.
+type balancer struct {
+	ready [2]atomic.Pointer[string] // address by entry; nil when not ready
+}
+
+const balancerInterval = 200 * time.Millisecond
+
+// watch follows the readiness of one entry until stop is closed.
+func (b *balancer) watch(i int, addr string, stop <-chan struct{}) {
+	for {
+		resp, err := http.Get("http://" + addr + "/readyz")
+		if err == nil && resp.Body.Close() == nil && resp.StatusCode == http.StatusOK {
+			b.ready[i].Store(&addr)
+		} else {
+			b.ready[i].Store(nil)
+		}
+		select {
+		case <-stop:
+			return
+		case <-time.After(balancerInterval):
+		}
+	}
+}
+
+// pick returns the address of a ready entry.
+func (b *balancer) pick(n int) (string, bool) {
+	for i := range b.ready {
+		if addr := b.ready[(n+i)%len(b.ready)].Load(); addr != nil {
+			return *addr, true
+		}
+	}
+	return "", false
+}
+
+// one sends request n through a ready entry.
+func (f *smallFleet) one(b *balancer, n int) response {
+	addr, ok := b.pick(n)
+	if !ok {
+		return response{err: errors.New("no entry is ready")}
+	}
+	body := fmt.Sprintf(`{"model":"small","messages":[{"role":"user","content":"question %d"}]}`, n)
+	return f.postTo(addr, "/v1/chat/completions", "key-brydemaatte", body, "X-Request-Id", fmt.Sprintf("load-%d", n))
+}
+
+// Guards against a planned stop that loses, refuses or cuts requests, exits
+// with an error, or leaves charges unwritten.
+func TestPlannedStopsUnderLoad(t *testing.T) {
+	f := startSmallFleet(t, standin.EngineConfig{Tokens: 20, TokenDelay: 2 * time.Millisecond})
+	// Charges are written more slowly than answers wait for them.
+	f.store.SetDelay(500 * time.Millisecond)
+	stop := make(chan struct{})
+	var b balancer
+	for i, name := range []string{"entry-1", "entry-2"} {
+		addr := f.entries[name].addr
+		b.ready[i].Store(&addr)
+		go b.watch(i, addr, stop)
+	}
+	var served atomic.Int64
+	var callers sync.WaitGroup
+	for caller := range 4 {
+		callers.Add(1)
+		go func() {
+			defer callers.Done()
+			for n := caller * 100_000; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if r := f.one(&b, n); r.status != http.StatusOK {
+					t.Errorf("request load-%d: %d %s %v", n, r.status, r.body, r.err)
+				}
+				served.Add(1)
+			}
+		}()
+	}
+	for _, name := range []string{"small-1", "small-2"} {
+		f.agents[name].stop(t)
+		f.startAgent(name, f.urls[name], engineRecord("jylland", "small", "1"))
+		f.waitReady("entry-1")
+		f.waitReady("entry-2")
+	}
+	long := make(chan response, 1)
+	go func() {
+		long <- f.post("entry-1", "/v1/chat/completions", "key-brydemaatte",
+			`{"model":"small","stream":true,"max_tokens":1500,"messages":[{"role":"user","content":"long"}]}`, "X-Request-Id", "long")
+	}()
+	eventually(t, "the long answer is under way", func() bool { return f.ran("long") })
+	f.entries["entry-1"].stop(t)
+	if r := <-long; !strings.Contains(r.body, "data: [DONE]") {
+		t.Errorf("long answer through the stopped entry: %d, %v, %d bytes", r.status, r.err, len(r.body))
+	}
+	f.startEntry("entry-1", "jylland")
+	f.waitReady("entry-1")
+	time.Sleep(2 * balancerInterval)
+	f.entries["entry-2"].stop(t)
+	close(stop)
+	callers.Wait()
+	f.entries["entry-1"].stop(t)
+	// The entries have written their charges themselves: agents take over only
+	// after some seconds or when they stop.
+	f.checkLedger("brydemaatte", int(served.Load())+1)
+	for _, agent := range f.agents {
+		agent.stop(t)
+	}
+}
+
+// ran reports whether an engine has been given the request.
+func (f *smallFleet) ran(requestID string) bool {
+	for _, engine := range f.engines {
+		for _, run := range engine.Record().Runs {
+			if run.RequestID == requestID {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// checkLedger compares the ledger with what the engines ran.
+func (f *smallFleet) checkLedger(workspace string, requests int) {
+	f.t.Helper()
+	book, err := ledger.Read(context.Background(), f.store)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ran := make(map[string]int64)
+	for _, engine := range f.engines {
+		for _, run := range engine.Record().Runs {
+			ran[run.RequestID] = max(ran[run.RequestID], int64(run.From+run.Tokens))
+		}
+	}
+	bill := book.Bill(ledger.Filter{Workspace: workspace})
+	if bill.Requests != requests || len(ran) != requests {
+		f.t.Errorf("the bill has %d requests, the engines ran %d, callers sent %d", bill.Requests, len(ran), requests)
+	}
+	for _, row := range book.Rows() {
+		if row.Workspace == workspace && row.TokensOut != ran[row.RequestID] {
+			f.t.Errorf("request %s: charged %d tokens, generated %d", row.RequestID, row.TokensOut, ran[row.RequestID])
+		}
+	}
+}
+
+// Guards against an answer that ends with the process in the middle of it: the
+// entry has to continue it on another backend server.
+func TestAgentKilledMidStream(t *testing.T) {
+	f := startSmallFleet(t, standin.EngineConfig{Tokens: 60, TokenDelay: 20 * time.Millisecond})
+	body := `{"model":"small","stream":true,"messages":[{"role":"user","content":"A long story."}]}`
+	req, err := http.NewRequest(http.MethodPost, "http://"+f.entries["entry-1"].addr+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer key-brydemaatte")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var got strings.Builder
+	lines := bufio.NewScanner(resp.Body)
+	for events := 0; lines.Scan(); {
+		got.WriteString(lines.Text() + "\n")
+		if !strings.HasPrefix(lines.Text(), "data: ") {
+			continue
+		}
+		if events++; events == 10 {
+			f.agents[f.busy()].kill()
+		}
+	}
+	want := strings.Join(standin.AnswerTokens("small", "1", "A long story.", 60, false), "")
+	if text := streamed(got.String()); text != want || !strings.Contains(got.String(), "data: [DONE]") {
+		t.Errorf("got %q, want the text %q; error of the read: %v", got.String(), want, lines.Err())
+	}
+}
+
+// busy returns the backend server whose engine has run something.
+func (f *smallFleet) busy() string {
+	for name, engine := range f.engines {
+		if len(engine.Record().Runs) > 0 {
+			return name
+		}
+	}
+	f.t.Fatal("no engine has run anything")
+	return ""
+}
+
+// streamed returns the text of a streamed answer.
+func streamed(body string) string {
+	var text strings.Builder
+	for line := range strings.SplitSeq(body, "\n") {
+		var chunk struct {
+			Choices []struct{ Delta struct{ Content string } }
+		}
+		if json.Unmarshal([]byte(strings.TrimPrefix(line, "data: ")), &chunk) == nil && len(chunk.Choices) == 1 {
+			text.WriteString(chunk.Choices[0].Delta.Content)
+		}
+	}
+	return text.String()
+}
+
+// Guards against a second run of a booking whose agent was frozen: no other
+// process may decide that the call did not happen.
+func TestAgentFrozenDuringBooking(t *testing.T) {
+	f := startSmallFleet(t, standin.EngineConfig{Tokens: 4})
+	f.runner.SetFaults(standin.BookingFaults{Delay: 500 * time.Millisecond})
+	first := make(chan response, 1)
+	go func() { first <- f.book("entry-1") }()
+	eventually(t, "the runner has the call", func() bool { return len(f.runner.Calls()) == 1 })
+	f.agents["booking"].signal(t, syscall.SIGSTOP)
+
+	duplicate := f.book("entry-2")
+	if duplicate.status != http.StatusConflict || duplicate.run() != "unknown" {
+		t.Errorf("duplicate while the agent is frozen: %d %s", duplicate.status, duplicate.body)
+	}
+	f.agents["booking"].signal(t, syscall.SIGCONT)
+	<-first
+	eventually(t, "the answer is stored", func() bool { return f.book("entry-2").status == http.StatusCreated })
+	if n := len(f.runner.Calls()); n != 1 {
+		t.Errorf("the runner was called %d times, want 1", n)
+	}
+}
+
+func (f *smallFleet) book(entry string) response {
+	return f.post(entry, "/services/booking/bookings", "key-aljibe", `{"crew":2}`, "Idempotency-Key", "visit-7")
+}
+
+// Guards against a dispatch that an entry had in hand while it was frozen and
+// sends after the request's deadline.
+func TestEntryFrozenBeforeDispatch(t *testing.T) {
+	f := startSmallFleet(t, standin.EngineConfig{Tokens: 4})
+	f.put(config.KindService, "booking", &config.Service{Price: 500, Timeout: config.Duration(time.Second)})
+	eventually(t, "the record is in force", func() bool { return f.inForce() })
+	f.store.SetDelay(300 * time.Millisecond)
+	done := make(chan response, 1)
+	go func() { done <- f.book("entry-1") }()
+	eventually(t, "the reservation is under way", func() bool {
+		kvs, _, err := f.store.List(context.Background(), "once/")
+		return err == nil && len(kvs) == 1
+	})
+	f.entries["entry-1"].signal(t, syscall.SIGSTOP)
+	f.store.SetDelay(0)
+	time.Sleep(1500 * time.Millisecond) // longer than the service's timeout
+	f.entries["entry-1"].signal(t, syscall.SIGCONT)
+	r := <-done
+	calls := len(f.runner.Calls())
+	if calls > 1 || calls == 1 && r.run() == "not_run" {
+		t.Errorf("answer %d %s after %d calls", r.status, r.body, calls)
+	}
+	again := f.book("entry-2")
+	if again.run() == "not_run" && len(f.runner.Calls()) > 0 || len(f.runner.Calls()) > 1 {
+		t.Errorf("second request: %d %s after %d calls", again.status, again.body, len(f.runner.Calls()))
+	}
+}
+
+// inForce reports whether all daemons have the newest records.
+func (f *smallFleet) inForce() bool {
+	kvs, _, err := f.store.List(context.Background(), "config/")
+	if err != nil {
+		return false
+	}
+	newest := uint64(0)
+	for _, kv := range kvs {
+		newest = max(newest, kv.Revision)
+	}
+	for _, entry := range f.entries {
+		if vars, ok := readVars("http://" + entry.addr); !ok || vars.Hyssoploom.Revision < newest {
+			return false
+		}
+	}
+	return true
+}
--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -270,7 +270,12 @@
 
 // post sends a request through an entry.
 func (c *cluster) post(entry, path, key, body string, header ...string) response {
-	req, err := http.NewRequest(http.MethodPost, "http://"+c.entries[entry].addr+path, strings.NewReader(body))
+	return c.postTo(c.entries[entry].addr, path, key, body, header...)
+}
+
+// postTo sends a request to the entry at an address.
+func (c *cluster) postTo(addr, path, key, body string, header ...string) response {
+	req, err := http.NewRequest(http.MethodPost, "http://"+addr+path, strings.NewReader(body))
 	if err != nil {
 		return response{err: err}
 	}
--- a/entry/links.go
+++ b/entry/links.go
@@ -20,6 +20,11 @@
 	"hyssoploom/supervise"
 )
 
+// resumeTimeout is how long a stream waits for a lost link to come back. After
+// it another backend server continues the answer; a caller notices a pause of
+// some seconds, and 30 s ended requests whose agent had died.
+const resumeTimeout = 1500 * time.Millisecond
+
 // peer is the link to one agent.
 type peer struct {
 	name    string // backend server
@@ -150,10 +155,11 @@
 		expect = "" // the VM list does not name backend servers
 	}
 	p.client = link.NewClient(link.ClientConfig{
-		Addr:     addr,
-		Expect:   expect,
-		FleetKey: []byte(e.settings.FleetKey),
-		Hello:    link.Hello{Name: e.settings.Name, BootID: e.bootID, DataCentre: e.settings.DataCentre},
+		Addr:          addr,
+		Expect:        expect,
+		FleetKey:      []byte(e.settings.FleetKey),
+		ResumeTimeout: resumeTimeout,
+		Hello:         link.Hello{Name: e.settings.Name, BootID: e.bootID, DataCentre: e.settings.DataCentre},
 		Heartbeat: func() link.Heartbeat {
 			return link.Heartbeat{
 				Clock:    e.clock(),
--- /dev/null
+++ b/ledger/select.go
@@ -0,0 +1,12 @@
+package ledger
+
+// Select returns the rows that the filter selects, in the order of their keys.
+func (b *Book) Select(f Filter) []Row {
+	var out []Row
+	for _, r := range b.Rows() {
+		if f.selects(r) {
+			out = append(out, r)
+		}
+	}
+	return out
+}
