--- a/link/client.go
+++ b/link/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
@@ -19,12 +20,15 @@
 	FleetKey []byte
 	Timing   Timing
 
-	Dial          func(ctx context.Context, addr string) (net.Conn, error) // TCP when nil
-	MinBackoff    time.Duration                                            // first wait before a new dial; 50 ms
-	MaxBackoff    time.Duration                                            // 5 s
-	OpenWait      time.Duration                                            // wait of Open for a link that is down; 250 ms
-	ResumeTimeout time.Duration                                            // open streams end when the link is down for longer; 30 s
-	Window        int                                                      // bytes of an answer that wait for Recv; 64 KiB
+	Dial       func(ctx context.Context, addr string) (net.Conn, error) // TCP when nil
+	MinBackoff time.Duration                                            // first wait before a new dial; 50 ms
+	// MaxBackoff is 2 s by default, well below the 10 s after which an agent
+	// reports an entry as gone.
+	MaxBackoff    time.Duration
+	Random        func() float64 // for the jitter, in [0, 1); math/rand/v2 when nil
+	OpenWait      time.Duration  // wait of Open for a link that is down; 250 ms
+	ResumeTimeout time.Duration  // open streams end when the link is down for longer; 30 s
+	Window        int            // bytes of an answer that wait for Recv; 64 KiB
 	Logger        *log.Logger
 
 	// Heartbeat returns what is sent to the agent.
@@ -41,7 +45,7 @@
 func (cfg *ClientConfig) setDefaults() {
 	cfg.Timing = cfg.Timing.withDefaults()
 	setDefault(&cfg.MinBackoff, 50*time.Millisecond)
-	setDefault(&cfg.MaxBackoff, 5*time.Second)
+	setDefault(&cfg.MaxBackoff, 2*time.Second)
 	setDefault(&cfg.OpenWait, 250*time.Millisecond)
 	setDefault(&cfg.ResumeTimeout, defaultRetention)
 	setDefault(&cfg.Window, 64<<10)
@@ -51,6 +55,9 @@
 		var d net.Dialer
 		cfg.Dial = func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) }
 	}
+	if cfg.Random == nil {
+		cfg.Random = rand.Float64
+	}
 	if cfg.Heartbeat == nil {
 		cfg.Heartbeat = monotonicHeartbeat()
 	}
@@ -90,7 +97,7 @@
 	c.mu.Unlock()
 	defer c.stop()
 	b := &backoff.ExponentialBackOff{InitialInterval: c.cfg.MinBackoff, MaxInterval: c.cfg.MaxBackoff,
-		Multiplier: 2, RandomizationFactor: 0.5}
+		Multiplier: 2}
 	for {
 		start := time.Now()
 		err := c.connectAndRun(ctx)
@@ -103,13 +110,19 @@
 			continue
 		}
 		select {
-		case <-time.After(b.NextBackOff()):
+		case <-time.After(c.jittered(b.NextBackOff())):
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
 }
 
+// jittered spreads the dials of many entries over half to one and a half times
+// the interval.
+func (c *Client) jittered(d time.Duration) time.Duration {
+	return time.Duration((0.5 + c.cfg.Random()) * float64(d))
+}
+
 // stableAfter is how long a link must have been up to be dialled again at once.
 const stableAfter = time.Second
 
--- a/link/conn.go
+++ b/link/conn.go
@@ -11,7 +11,7 @@
 
 const (
 	writeBatch    = 256 << 10 // bytes collected for one write
-	maxQueued     = 8 << 20   // bytes of control messages that wait to be sent
+	maxQueued     = 8 << 20   // queued bytes above which control messages are not accepted
 	callbackQueue = 256       // control messages and heartbeats that wait for their callback
 )
 
@@ -118,9 +118,6 @@
 	if c.err != nil {
 		return ErrLinkDown
 	}
-	if len(c.queued.buf) > maxQueued {
-		return ErrOverloaded
-	}
 	encode(c.queued)
 	if err := c.queued.end(); err != nil {
 		return err
@@ -145,9 +142,19 @@
 	if len(m.Body) > MaxPayload {
 		return &TooLargeError{What: "control message", Size: len(m.Body), Limit: MaxPayload}
 	}
+	if c.waiting() > maxQueued {
+		return ErrOverloaded
+	}
 	return c.send(func(w *frameWriter) { w.begin(kindControl, 1); w.value(m) })
 }
 
+// waiting returns the number of queued bytes.
+func (c *conn) waiting() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.queued.buf)
+}
+
 func (c *conn) sendHeartbeat() {
 	hb := c.beat()
 	_ = c.send(func(w *frameWriter) { w.begin(kindHeartbeat, 1); w.value(&hb) })
@@ -239,22 +246,22 @@
 
 // keep sends heartbeats and closes the connection when the peer is silent.
 func (c *conn) keep() {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
 	k := keeper{c: c}
+	timer := time.NewTimer(c.timing.HeartbeatIdle)
+	defer timer.Stop()
 	for {
-		select {
-		case <-c.done:
-			return
-		case <-c.wakeKeeper:
-		case <-timer.C:
-		}
 		wait, err := k.step(time.Since(c.start))
 		if err != nil {
 			c.close(err)
 			return
 		}
 		timer.Reset(wait)
+		select {
+		case <-c.done:
+			return
+		case <-c.wakeKeeper:
+		case <-timer.C:
+		}
 	}
 }
 
--- /dev/null
+++ b/link/handshake_test.go
@@ -0,0 +1,152 @@
+package link
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/phuslu/log"
+)
+
+// Guards against links to a process of another fleet, another protocol version
+// or another backend server, and against faults without a typed error and log
+// line.
+func TestHandshakeFaults(t *testing.T) {
+	tests := map[string]struct {
+		configure func(*ClientConfig, *ServerConfig)
+		code      HandshakeCode
+	}{
+		"key of the entry":      {func(c *ClientConfig, _ *ServerConfig) { c.FleetKey = []byte("other") }, HandshakeKey},
+		"key of the agent":      {func(_ *ClientConfig, s *ServerConfig) { s.FleetKey = nil }, HandshakeKey},
+		"protocol of the entry": {func(c *ClientConfig, _ *ServerConfig) { c.Hello.Protocol = 99 }, HandshakeProtocol},
+		"protocol of the agent": {func(_ *ClientConfig, s *ServerConfig) { s.Hello.Protocol = 99 }, HandshakeProtocol},
+		"name":                  {func(c *ClientConfig, _ *ServerConfig) { c.Expect = "gpu-2" }, HandshakeName},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var entryLog, agentLog bytes.Buffer
+				r := newRig(t, answer(1, 0), test.configure, func(c *ClientConfig, s *ServerConfig) {
+					c.Logger = &log.Logger{Writer: &log.IOWriter{Writer: &entryLog}}
+					s.Logger = &log.Logger{Writer: &log.IOWriter{Writer: &agentLog}}
+				})
+				synctest.Wait()
+				var fault *HandshakeError
+				if st := r.client.Status(); st.Alive || !errors.As(st.Err, &fault) || fault.Code != test.code {
+					t.Errorf("status %+v", st)
+				}
+				if len(r.server.Peers()) != 0 {
+					t.Error("the agent accepted the entry")
+				}
+				for side, text := range map[string]string{"entry": entryLog.String(), "agent": agentLog.String()} {
+					if !strings.Contains(text, string(test.code)) || !strings.Contains(text, `"message":"link: `) {
+						t.Errorf("log of the %s: %q", side, text)
+					}
+				}
+			})
+		})
+	}
+}
+
+// Guards against a proof of one side that is accepted as that of the other, and
+// against a proof that is replayed on a new connection.
+func TestProofsDiffer(t *testing.T) {
+	h := &handshake{key: testKey}
+	seen := map[string]bool{}
+	for _, label := range []string{labelClient, labelServer} {
+		for _, hellos := range [][2]string{{"c1", "s1"}, {"c2", "s1"}, {"c1", "s2"}, {"s1", "c1"}} {
+			seen[string(h.proof(label, []byte(hellos[0]), []byte(hellos[1])))] = true
+		}
+	}
+	if len(seen) != 8 {
+		t.Errorf("%d different proofs of 8", len(seen))
+	}
+}
+
+// Guards against a peer that connects and says nothing, or sends garbage or an
+// oversized frame, holding a connection or harming other links.
+func TestHostileConnection(t *testing.T) {
+	for name, bytesSent := range map[string]string{
+		"silence":   "",
+		"garbage":   "GET / HTTP/1.1\r\n\r\n",
+		"too large": "\x00\x00\x20\x00",
+		"no hello":  "\x00\x00\x00\x02\x91\x12",
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t, answer(1, 0))
+				local, remote := net.Pipe()
+				r.net.accepted <- remote
+				if _, err := local.Write([]byte(bytesSent)); err != nil {
+					t.Error(err)
+				}
+				start := time.Now()
+				if _, err := local.Read(make([]byte, 1)); err == nil || time.Since(start) > 5*time.Second {
+					t.Errorf("connection ended after %v with %v", time.Since(start), err)
+				}
+				wantAnswer(t, r.open("r"), "r", 1)
+			})
+		})
+	}
+}
+
+// Guards against frames of a connection that the entry has given up taking
+// effect after those of its successor.
+func TestOlderConnectionIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &peer{server: NewServer(ServerConfig{Logger: quiet}), ctx: t.Context(), streams: map[streamKey]*Incoming{}}
+		newer := newConn(new(net.TCPConn), Timing{}, nil, nil)
+		if err := p.attach(newer, 2); err != nil {
+			t.Fatal(err)
+		}
+		older := newConn(new(net.TCPConn), Timing{}, nil, nil)
+		if err := p.attach(older, 1); err != ErrSuperseded {
+			t.Errorf("attach of the older connection: %v", err)
+		}
+		if err := p.handle(older, &frame{kind: kindCancel}); err != ErrSuperseded {
+			t.Errorf("frame of the older connection: %v", err)
+		}
+	})
+}
+
+// Guards against payloads and messages over the frame limit, which would end
+// the link and with it all streams.
+func TestSizeLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var tooLarge *TooLargeError
+		r := newRig(t, func(ctx context.Context, in *Incoming) {
+			if err := in.Send(ctx, make([]byte, MaxPayload+1)); !errors.As(err, &tooLarge) {
+				t.Errorf("Send: %v", err)
+			}
+			if err := in.Finish(End{Charge: make([]byte, MaxFrame)}); !errors.As(err, &tooLarge) {
+				t.Errorf("Finish: %v", err)
+			}
+			_ = in.Send(ctx, make([]byte, MaxPayload))
+			if err := in.Refuse(Refusal{}); err != ErrStarted {
+				t.Errorf("Refuse after Send: %v", err)
+			}
+			_ = in.Finish(End{Complete: true})
+			if err := in.Send(ctx, nil); err != ErrFinished {
+				t.Errorf("Send after Finish: %v", err)
+			}
+		})
+		got, err := readAll(t.Context(), r.open(strings.Repeat("r", MaxRequestID)))
+		if len(got) != 1 || len(got[0]) != MaxPayload {
+			t.Errorf("%d payloads, %v", len(got), err)
+		}
+		if err := r.client.Send(Control{Body: make([]byte, MaxPayload+1)}); !errors.As(err, &tooLarge) {
+			t.Errorf("Send of a control message: %v", err)
+		}
+		if err := r.client.Send(Control{Kind: "records", Body: make([]byte, MaxPayload)}); err != nil {
+			t.Errorf("Send of the largest control message: %v", err)
+		}
+		if d := r.net.dials(); d != 1 {
+			t.Errorf("%d connections, want 1", d)
+		}
+	})
+}
--- a/link/network_test.go
+++ b/link/network_test.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -40,6 +41,7 @@
 // network connects a client with a server through relays that treat each frame
 // as rule says.
 type network struct {
+	relays   sync.WaitGroup
 	accepted chan net.Conn
 
 	rule frameRule
@@ -101,8 +103,8 @@
 	}
 	number := len(n.pairs)
 	n.pairs = append(n.pairs, p)
-	go n.relay(p, number, toServer, p.ends[1], p.ends[2])
-	go n.relay(p, number, toClient, p.ends[2], p.ends[1])
+	n.relays.Go(func() { n.relay(p, number, toServer, p.ends[1], p.ends[2]) })
+	n.relays.Go(func() { n.relay(p, number, toClient, p.ends[2], p.ends[1]) })
 	return p.ends[0], nil
 }
 
@@ -130,10 +132,11 @@
 
 func (n *network) closeAll() {
 	n.mu.Lock()
-	defer n.mu.Unlock()
 	for _, p := range n.pairs {
 		p.close()
 	}
+	n.mu.Unlock()
+	n.relays.Wait()
 }
 
 func (p *pair) close() {
@@ -216,7 +219,8 @@
 
 func newRigOn(t *testing.T, n *network, handler func(ctx context.Context, in *Incoming), configure ...func(*ClientConfig, *ServerConfig)) *rig {
 	r := &rig{t: t, net: n, runs: map[streamKey]int{}}
-	cc := ClientConfig{Hello: Hello{Name: "entry-1", BootID: "e1"}, Expect: "gpu-1", FleetKey: testKey, Logger: quiet, Dial: r.net.dial}
+	cc := ClientConfig{Hello: Hello{Name: "entry-1", BootID: "e1"}, Expect: "gpu-1", FleetKey: testKey, Logger: quiet, Dial: r.net.dial,
+		Random: rand.New(rand.NewPCG(1, 2)).Float64}
 	sc := ServerConfig{Hello: Hello{Name: "gpu-1", BootID: "a1"}, FleetKey: testKey, Logger: quiet,
 		OnPeer:     func(Hello) { r.note("peer") },
 		OnPeerGone: func(Hello) { r.note("gone") },
--- a/link/peer.go
+++ b/link/peer.go
@@ -16,6 +16,9 @@
 	hello   Hello
 	session string
 
+	// callbacks keeps a late OnPeerGone from following the OnPeer of a new link.
+	callbacks sync.Mutex
+
 	mu      sync.Mutex
 	dropped bool
 	conn    *conn // nil while the link is down
@@ -112,8 +115,17 @@
 	p.expiry = time.AfterFunc(p.server.cfg.Retention, func() { p.expire(dial) })
 }
 
+// announce reports that a link to the peer came up.
+func (p *peer) announce() {
+	p.callbacks.Lock()
+	defer p.callbacks.Unlock()
+	call(p.server.cfg.OnPeer, p.hello)
+}
+
 // lost reports a peer that did not come back.
 func (p *peer) lost(dial uint64) {
+	p.callbacks.Lock()
+	defer p.callbacks.Unlock()
 	if p.isBack(dial) {
 		return
 	}
--- a/link/server.go
+++ b/link/server.go
@@ -150,9 +150,7 @@
 	if err != nil {
 		return err
 	}
-	if s.cfg.OnPeer != nil {
-		c.post(func() { s.cfg.OnPeer(hello) })
-	}
+	c.post(p.announce)
 	return c.run(ctx, r, func(f *frame) error { return p.handle(c, f) })
 }
 
