--- a/route/picker.go
+++ b/route/picker.go
@@ -15,27 +15,33 @@
 		Candidates: len(kept), Saturated: p.saturated()}, nil
 }
 
-// pick is the state of one choice. Positions are indexes into kept and scores.
+// pick is the state of one choice. Positions are indexes into kept, utilization
+// and scores.
 type pick struct {
-	config    *Config
-	eps       []Endpoint
-	req       *Request
-	kept      []int
-	scores    []float64
-	preferred int // index into eps, or -1
-	rng       *rand.Rand
+	config      *Config
+	eps         []Endpoint
+	req         *Request
+	kept        []int // indexes into eps
+	utilization []float64
+	scores      []float64
+	preferred   int // position, or -1
+	rng         *rand.Rand
 }
 
 func (p *pick) score() {
 	f := p.config.survey(p.eps, p.kept, p.req)
-	p.preferred = p.config.affinity(p.eps, p.kept, p.req, f)
+	p.utilization = make([]float64, len(p.kept))
+	for k, i := range p.kept {
+		p.utilization[k] = p.config.utilization(&p.eps[i], &f)
+	}
+	p.preferred = p.affinity()
 	p.scores = make([]float64, len(p.kept))
 	for k, i := range p.kept {
 		e := &p.eps[i]
-		p.scores[k] = p.config.loadScore(e, f) + p.config.localityScore(e, p.req) + p.config.warmUpScore(e)
-		if i == p.preferred {
-			p.scores[k] -= p.config.AffinityBonus
-		}
+		p.scores[k] = p.config.loadScore(e, p.utilization[k]) + p.config.localityScore(e, p.req) + p.config.warmUpScore(e)
+	}
+	if p.preferred >= 0 {
+		p.scores[p.preferred] -= p.config.AffinityBonus
 	}
 }
 
@@ -53,7 +59,7 @@
 		return k, ReasonWarmUp
 	}
 	k := p.bestOfTwo()
-	if p.kept[k] == p.preferred {
+	if k == p.preferred {
 		return k, ReasonAffinity
 	}
 	return k, ReasonLoad
--- a/route/subset.go
+++ b/route/subset.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // AgentRef is an agent that an entry may link to.
@@ -70,9 +72,9 @@
 
 // rank orders agents by distance, then by rendezvous hash.
 func rank(entry, dataCentre, region string, agents []AgentRef) []rankedAgent {
-	ranked := make([]rankedAgent, len(agents))
+	ranked, own := make([]rankedAgent, len(agents)), xxhash.Sum64String(entry)
 	for i, a := range agents {
-		r := rankedAgent{AgentRef: a, distance: 2, hash: rendezvous(entry, a.Name)}
+		r := rankedAgent{AgentRef: a, distance: 2, hash: rendezvous(own, a.Name)}
 		switch {
 		case a.DataCentre == dataCentre:
 			r.distance = 0
--- a/route/types.go
+++ b/route/types.go
@@ -102,7 +102,8 @@
 	// DataCentrePrice is added for another data centre of the same region.
 	DataCentrePrice float64
 	// OverloadSlope multiplies utilization above 1: work there waits in a queue.
-	OverloadSlope float64
+	// Utilization counts up to OverloadCap.
+	OverloadSlope, OverloadCap float64
 	// StalePenalty is added when a report is older than StaleAfter.
 	StalePenalty float64
 	StaleAfter   time.Duration
@@ -132,6 +133,7 @@
 		RegionPricePerMB: 0.5,
 		DataCentrePrice:  0.05,
 		OverloadSlope:    4,
+		OverloadCap:      1.5,
 		StalePenalty:     0.5,
 		StaleAfter:       3 * time.Second, // three missed heartbeats
 		// docs/measurements/route.md has the trial behind ReportDecay and Band:
