--- a/agent/agent.go
+++ b/agent/agent.go
@@ -140,7 +140,7 @@
 	tree := supervise.New("agent", a.log)
 	tree.Add(a.poller)
 	tree.Add(a.ledger)
-	tree.Add(supervise.Every("status", statusInterval, a.readStatus))
+	tree.Add(supervise.Every("status", statusInterval, func(ctx context.Context) { a.readStatus(ctx) }))
 	tree.Add(supervise.Every("evidence", evidenceInterval, func(context.Context) {
 		a.health.Tick()
 		a.exposure.expire(a.clock())
@@ -303,10 +303,11 @@
 	}
 }
 
-// readStatus asks the backend server for its state.
-func (a *Agent) readStatus(ctx context.Context) {
+// readStatus asks the backend server for its state and reports whether it
+// answered.
+func (a *Agent) readStatus(ctx context.Context) bool {
 	if a.deps.Engine == nil {
-		return
+		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, 2*statusInterval)
 	defer cancel()
@@ -316,10 +317,11 @@
 		last := *a.loaded.Load()
 		last.ok = false
 		a.loaded.Store(&last)
-		return
+		return false
 	}
 	a.loaded.Store(&engineView{status: status, ok: true})
 	a.gate.engineStatus(status.BootID, status.Uptime)
+	return true
 }
 
 // readVMList learns whether the platform is about to stop this VM. The list
--- a/agent/chat.go
+++ b/agent/chat.go
@@ -50,7 +50,13 @@
 		return refusal
 	}
 	engineFault := err != nil && ctx.Err() == nil && runCtx.Err() == nil
-	a.gate.done(admission.Result{ID: ticket, OK: err == nil})
+	result := admission.Result{ID: ticket, OK: err == nil}
+	if engineFault {
+		// The engine may have restarted cold. The next load report would come
+		// too late: the slot that becomes free here is refilled at once.
+		result.RefusedConnection = !a.readStatus(context.WithoutCancel(ctx))
+	}
+	a.gate.done(result)
 	a.health.Record(versionKey(r.Model, r.Version), rollout.Observation{TaskClass: r.TaskClass, Started: true, Failed: engineFault})
 	a.finishChat(runCtx, in, generated, g, err)
 	return nil
