--- a/agent/service.go
+++ b/agent/service.go
@@ -96,7 +96,8 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
 	defer cancel()
-	if err := a.once.Abandon(ctx, r.Workspace, r.OnceKey, r.OnceNonce, a.bootID); err != nil {
+	err := a.once.Abandon(ctx, r.Workspace, r.OnceKey, r.OnceNonce, a.bootID)
+	if err != nil && !errors.Is(err, once.ErrNotStarted) { // a start that failed may have left the reservation
 		a.log.Warn("Could not cancel a record whose call did not run.", "key", r.OnceKey, "error", err.Error())
 	}
 }
--- a/once/faults_test.go
+++ b/once/faults_test.go
@@ -71,8 +71,10 @@
 		outcome = string(r)
 	case "finish":
 		outcome, err = "ok", w.logs["agent"].Finish(ctx, workspace, key, nonce, Answer{Status: 201, Body: []byte(nonce)})
-	case "abort":
-		outcome, err = "ok", w.logs["agent"].Abort(ctx, workspace, key, nonce)
+	case "abandon":
+		outcome, err = "ok", w.logs["agent"].Abandon(ctx, workspace, key, nonce, "a1")
+	case "abandon elsewhere":
+		outcome, err = "ok", w.logs["agent"].Abandon(ctx, workspace, key, nonce, "a2")
 	}
 	switch {
 	case errors.Is(err, platform.ErrUnknownOutcome):
@@ -144,7 +146,7 @@
 		{"cancel", []string{"reserve"}, "cancelled", StateReserved, StateCancelled},
 		{"start", []string{"reserve"}, "started", StateReserved, StateStarted},
 		{"finish", []string{"reserve", "start"}, "ok", StateStarted, StateFinished},
-		{"abort", []string{"reserve", "start"}, "ok", StateStarted, StateCancelled},
+		{"abandon", []string{"reserve", "start"}, "ok", StateStarted, StateCancelled},
 	}
 	const stop = faketest.Fault(-1) // the process stops at the call
 	faults := []struct {
--- a/once/log.go
+++ b/once/log.go
@@ -13,11 +13,13 @@
 	"hyssoploom/platform"
 )
 
-// Errors of Finish that a retry cannot mend, and of invalid arguments.
+// Errors of Finish and Abandon that a retry cannot mend, and of invalid arguments.
 var (
 	ErrNoRecord   = errors.New("once: no record")
 	ErrOtherNonce = errors.New("once: record belongs to another reservation")
 	ErrNotStarted = errors.New("once: call was not started")
+	// ErrOtherAgent is an error of Abandon only.
+	ErrOtherAgent = errors.New("once: call was started by another agent")
 	// ErrInvalid means that the workspace or key is empty, the key is too long,
 	// or the timeout is below 1 ms or above half of Retention.
 	ErrInvalid = errors.New("once: invalid reservation")
@@ -145,12 +147,14 @@
 	})
 }
 
-// Abort gives up a call that the caller has started by Start and that certainly
+// Abandon cancels a call that this agent has started by Start and that certainly
 // has not reached and will not reach the backend server, so that the key can be
-// used again. Its errors are those of Finish.
-func (l *Log) Abort(ctx context.Context, workspace, key, nonce string) error {
-	return l.end(ctx, "abort", workspace, key, func(cur *Record) (refusal, *Record) {
-		return abort(cur, nonce)
+// used again. The caller must be the only one in its process that called Start
+// with this nonce; a call that another agent started stays as it is. Its errors
+// are those of Finish and ErrOtherAgent.
+func (l *Log) Abandon(ctx context.Context, workspace, key, nonce, agentBootID string) error {
+	return l.end(ctx, "abandon", workspace, key, func(cur *Record) (refusal, *Record) {
+		return abandon(cur, nonce, agentBootID)
 	})
 }
 
--- a/once/log_test.go
+++ b/once/log_test.go
@@ -25,7 +25,7 @@
 		{[]string{"reserve"}, InProgress, Reserved, Mismatch},
 		{[]string{"reserve", "cancel"}, Reserved, InProgress, Mismatch},
 		{[]string{"reserve", "start"}, InProgress, Unknown, Mismatch},
-		{[]string{"reserve", "start", "abort"}, Reserved, InProgress, Mismatch},
+		{[]string{"reserve", "start", "abandon"}, Reserved, InProgress, Mismatch},
 		{[]string{"reserve", "start", "finish"}, Finished, Finished, Mismatch},
 	} {
 		t.Run(fmt.Sprint(c.steps), func(t *testing.T) {
@@ -142,16 +142,17 @@
 		state State
 	}{
 		{[]string{"finish"}, ErrNoRecord.Error(), "absent"},
-		{[]string{"abort"}, ErrNoRecord.Error(), "absent"},
+		{[]string{"abandon"}, ErrNoRecord.Error(), "absent"},
 		{[]string{"start"}, string(NotReserved), "absent"},
 		{[]string{"cancel"}, string(CancelSuperseded), "absent"},
 		{[]string{"reserve", "finish"}, ErrNotStarted.Error(), StateReserved},
-		{[]string{"reserve", "abort"}, ErrNotStarted.Error(), StateReserved},
+		{[]string{"reserve", "abandon"}, ErrNotStarted.Error(), StateReserved},
 		{[]string{"reserve", "cancel", "start"}, string(NotReserved), StateCancelled},
 		{[]string{"reserve", "start", "start"}, string(StartedElsewhere), StateStarted},
 		{[]string{"reserve", "start", "cancel"}, string(AlreadyStarted), StateStarted},
-		{[]string{"reserve", "start", "abort", "finish"}, ErrNotStarted.Error(), StateCancelled},
-		{[]string{"reserve", "start", "finish", "abort"}, ErrNotStarted.Error(), StateFinished},
+		{[]string{"reserve", "start", "abandon", "finish"}, ErrNotStarted.Error(), StateCancelled},
+		{[]string{"reserve", "start", "abandon elsewhere"}, ErrOtherAgent.Error(), StateStarted},
+		{[]string{"reserve", "start", "finish", "abandon"}, ErrNotStarted.Error(), StateFinished},
 		{[]string{"reserve", "start", "finish", "finish"}, "ok", StateFinished},
 		{[]string{"reserve", "start", "finish", "start"}, string(StartFinished), StateFinished},
 		{[]string{"reserve", "start", "finish", "cancel"}, string(AlreadyFinished), StateFinished},
--- a/once/property_test.go
+++ b/once/property_test.go
@@ -127,15 +127,15 @@
 }
 
 // agent makes the call if Start allows it. Some calls fail before they reach
-// the backend server and are aborted.
+// the backend server and are abandoned.
 func (f *fleet) agent(bootID, nonce string, done chan<- struct{}) {
 	ctx, log := context.Background(), f.newLog()
 	got, err := log.Start(ctx, workspace, key, nonce, bootID)
 	f.count("start " + string(got))
 	if err == nil && got == Started {
 		if f.wait().fault == faketest.Refuse {
-			f.count("abort")
-			_ = log.Abort(ctx, workspace, key, nonce)
+			f.count("abandon")
+			_ = log.Abandon(ctx, workspace, key, nonce, bootID)
 		} else {
 			f.note(&f.runs, nonce)
 			_ = f.wait() // the response is on its way
@@ -274,7 +274,7 @@
 		"reserve reserved", "reserve in_progress", "reserve unknown", "reserve finished",
 		"cancel cancelled", "cancel already_started", "cancel finished", "cancel superseded",
 		"start started", "start superseded", "start not_reserved", "start started_elsewhere", "start finished",
-		"abort", "runs 0", "runs 1",
+		"abandon", "runs 0", "runs 1",
 	} {
 		if seen[event] == 0 {
 			t.Errorf("no schedule reached %q", event)
--- a/once/record.go
+++ b/once/record.go
@@ -230,8 +230,11 @@
 	return end(cur, nonce, StateFinished, a.stored())
 }
 
-// abort decides for giving up a started call that was not made.
-func abort(cur *Record, nonce string) (refusal, *Record) {
+// abandon decides for giving up a call that the agent started and did not make.
+func abandon(cur *Record, nonce, agent string) (refusal, *Record) {
+	if cur != nil && cur.Nonce == nonce && cur.State == StateStarted && cur.Agent != agent {
+		return refusal{ErrOtherAgent}, nil
+	}
 	return end(cur, nonce, StateCancelled, nil)
 }
 
