--- a/cmd/hyssoploom/main.go
+++ b/cmd/hyssoploom/main.go
@@ -1,6 +1,21 @@
 // Command hyssoploom runs the daemons and the operator commands.
 package main
 
-import "os"
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
 
-func main() { os.Exit(0) }
+	"hyssoploom/cli"
+	"hyssoploom/daemon"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	root := cli.New()
+	root.AddCommand(daemon.EntryCommand(), daemon.AgentCommand(), daemon.DemoCommand())
+	code := cli.Run(ctx, root, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(int(code))
+}
