--- /dev/null
+++ b/admission/queue.go
@@ -0,0 +1,170 @@
+package admission
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// burstCredit is the number of requests that a workspace may start ahead of the
+// others after it has used less than its share. Without it, the requests of a
+// small burst are served in turn with those of a workspace that always waits.
+const burstCredit = 4
+
+// queue is a short queue, fair between workspaces by start-time fair queueing:
+// the next request is that of the workspace whose previous request has the
+// least virtual finish time. One request is the unit of work.
+type queue struct {
+	limit   int // set by the controller
+	size    int
+	virtual float64 // virtual start time of the last request that started
+	flows   map[string]*flow
+}
+
+// flow holds the waiting tickets of one workspace, the next to start first.
+type flow struct {
+	name   string
+	weight float64
+	// start is the virtual start time of the next request. It is fixed when the
+	// request becomes the next one: a start that moved on with the virtual time
+	// would let a heavier workspace overtake again and again.
+	start   float64
+	finish  float64 // virtual finish time of the last request that started
+	waiting []Ticket
+}
+
+func (q *queue) flow(t Ticket) *flow {
+	f := q.flows[t.Workspace]
+	if f == nil {
+		f = &flow{name: t.Workspace}
+		q.flows[t.Workspace] = f
+	}
+	if len(f.waiting) == 0 {
+		f.start = max(q.virtual-f.credit(), f.finish)
+	}
+	f.weight = t.Weight
+	if t.Weight <= 0 {
+		f.weight = 1
+	}
+	return f
+}
+
+// charge advances the virtual time for a request that starts.
+func (q *queue) charge(f *flow) {
+	q.virtual = max(q.virtual, f.start)
+	f.finish = f.start + 1/f.weight
+	f.start = f.finish
+}
+
+// forget removes flows that have no influence any more.
+func (q *queue) forget() {
+	for name, f := range q.flows {
+		if len(f.waiting) == 0 && f.finish <= q.virtual-f.credit() {
+			delete(q.flows, name)
+		}
+	}
+}
+
+// credit is the burst credit in virtual time.
+func (f *flow) credit() float64 { return burstCredit / f.weight }
+
+// push adds a ticket behind those of the same or a higher priority.
+func (q *queue) push(t Ticket) {
+	f := q.flow(t)
+	at := len(f.waiting)
+	for at > 0 && f.waiting[at-1].Priority < t.Priority {
+		at--
+	}
+	f.waiting = slices.Insert(f.waiting, at, t)
+	q.size++
+}
+
+// before orders workspaces by virtual start time; the heavier one wins a tie.
+func (f *flow) before(o *flow) bool {
+	return cmp.Or(cmp.Compare(f.start, o.start), cmp.Compare(o.weight, f.weight), cmp.Compare(f.name, o.name)) < 0
+}
+
+// pop returns the next ticket to start and charges it.
+func (q *queue) pop() Ticket {
+	var best *flow
+	for _, f := range q.flows {
+		if len(f.waiting) > 0 && (best == nil || f.before(best)) {
+			best = f
+		}
+	}
+	t := best.waiting[0]
+	best.waiting = best.waiting[1:]
+	q.size--
+	q.charge(best)
+	return t
+}
+
+// longest returns the workspace with the longest queue for its weight, or nil.
+func (q *queue) longest() *flow {
+	var longest *flow
+	for _, f := range q.flows {
+		if len(f.waiting) == 0 {
+			continue
+		}
+		if longest == nil || cmp.Or(cmp.Compare(f.share(0), longest.share(0)), cmp.Compare(f.name, longest.name)) > 0 {
+			longest = f
+		}
+	}
+	return longest
+}
+
+// displace makes room for a ticket in a full queue. The victim is the last
+// ticket of the workspace with the longest queue for its weight, so that a
+// workspace that sends too much does not keep others out. Within one workspace a
+// ticket displaces only one of lower priority.
+func (q *queue) displace(t Ticket) (Dropped, bool) {
+	longest := q.longest()
+	if longest == nil {
+		return Dropped{}, false
+	}
+	last := longest.waiting[len(longest.waiting)-1]
+	if own := q.flow(t); own == longest && t.Priority <= last.Priority ||
+		own != longest && own.share(1) >= longest.share(0) {
+		return Dropped{}, false
+	}
+	return q.dropLast(longest), true
+}
+
+func (q *queue) dropLast(f *flow) Dropped {
+	n := len(f.waiting) - 1
+	d := Dropped{f.waiting[n].ID, CodeQueueFull}
+	f.waiting = f.waiting[:n]
+	q.size--
+	return d
+}
+
+// shed drops what is above the limit after the limit has fallen.
+func (q *queue) shed() []Dropped {
+	var out []Dropped
+	for q.size > q.limit {
+		out = append(out, q.dropLast(q.longest()))
+	}
+	return out
+}
+
+// share is the queue length with more tickets, for the weight.
+func (f *flow) share(more int) float64 { return float64(len(f.waiting)+more) / f.weight }
+
+// remove takes out the tickets that match, in the order of their ids.
+func (q *queue) remove(code string, match func(Ticket) bool) []Dropped {
+	var out []Dropped
+	for _, f := range q.flows {
+		f.waiting = slices.DeleteFunc(f.waiting, func(t Ticket) bool {
+			if !match(t) {
+				return false
+			}
+			out = append(out, Dropped{t.ID, code})
+			return true
+		})
+	}
+	q.size -= len(out)
+	slices.SortFunc(out, func(a, b Dropped) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+func late(t Ticket, now time.Duration) bool { return t.Deadline > 0 && now >= t.Deadline }
--- /dev/null
+++ b/agent/exposure.go
@@ -0,0 +1,78 @@
+package agent
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"hyssoploom/config"
+	"hyssoploom/control"
+	"hyssoploom/health"
+	"hyssoploom/link"
+	"hyssoploom/rollout"
+)
+
+// exposure limits the answers of versions under test that are not rated yet.
+type exposure struct {
+	server   string // backend server
+	snapshot *config.Snapshot
+	health   *health.Keeper
+
+	mu      sync.Mutex
+	budgets *rollout.Exposure
+}
+
+func newExposure(server string, snapshot *config.Snapshot, keeper *health.Keeper) *exposure {
+	return &exposure{server: server, snapshot: snapshot, health: keeper, budgets: rollout.NewExposure()}
+}
+
+// acquire reports whether one more answer of the version may be produced.
+func (e *exposure) acquire(r *link.Request) bool {
+	key := versionKey(r.Model, r.Version)
+	if r.Kind != link.KindChat || !e.health.UnderTest(key) {
+		return true
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.budgets.Acquire(key, r.RequestID, e.share(key))
+}
+
+// release gives back the slot of an answer that was not produced.
+func (e *exposure) release(r *link.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.budgets.Release(versionKey(r.Model, r.Version), r.RequestID)
+}
+
+// onRating frees the slot of an answer that was rated.
+func (e *exposure) onRating(m control.Rating) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.budgets.Rated(m.Key, m.RequestID)
+}
+
+// expire frees the slots whose rating is lost.
+func (e *exposure) expire(now time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.budgets.Expire(now)
+}
+
+// share is this agent's part of the fleet-wide budget: every agent computes it
+// from the same records, so the parts sum to at most the budget.
+func (e *exposure) share(key rollout.VersionKey) int {
+	view := e.snapshot.View()
+	budget := 0 // selects the default
+	if v := modelVersion(view, key.Model, key.Version); v != nil {
+		budget = v.ExposureBudget
+	}
+	budget = e.health.Budget(key, budget)
+	var servers []string
+	for name, s := range view.BackendServers {
+		if serves(s, key.Model, key.Version) {
+			servers = append(servers, name)
+		}
+	}
+	slices.Sort(servers)
+	return rollout.Share(budget, len(servers), slices.Index(servers, e.server))
+}
--- a/cmd/hyssoploom/main.go
+++ b/cmd/hyssoploom/main.go
@@ -8,11 +8,14 @@
 	"syscall"
 
 	"hyssoploom/cli"
+	"hyssoploom/daemon"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	code := cli.Run(ctx, cli.New(), os.Args[1:], os.Stdout, os.Stderr)
+	root := cli.New()
+	root.AddCommand(daemon.EntryCommand(), daemon.AgentCommand(), daemon.DemoCommand())
+	code := cli.Run(ctx, root, os.Args[1:], os.Stdout, os.Stderr)
 	stop()
 	os.Exit(int(code))
 }
