--- a/entry/links.go
+++ b/entry/links.go
@@ -78,14 +78,9 @@
 // reconcile opens the links that are wanted and closes the others.
 func (l *links) reconcile() {
 	wanted := l.wanted()
+	l.close(l.unwanted(wanted))
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for name, p := range l.peers {
-		if wanted[name] != p.addr {
-			delete(l.peers, name)
-			_ = l.tree.Remove(p.service)
-		}
-	}
 	for name, addr := range wanted {
 		if _, ok := l.peers[name]; !ok {
 			l.peers[name] = l.connect(name, addr)
@@ -93,6 +88,46 @@
 	}
 }
 
+// unwanted takes out the peers whose links are to be closed. A link that was
+// opened by the VM list goes on under the name of its backend server: dialling
+// the agent again would break the link that works.
+func (l *links) unwanted(wanted map[string]string) []*peer {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []*peer
+	for name, p := range l.peers {
+		if wanted[name] == p.addr {
+			continue
+		}
+		delete(l.peers, name)
+		agent := p.client.Status().PeerHello.Name
+		if _, known := l.peers[agent]; known || p.name == agent || wanted[agent] != p.addr {
+			out = append(out, p)
+			continue
+		}
+		p.client.SetExpect(agent)
+		l.peers[agent] = &peer{name: agent, addr: p.addr, client: p.client, service: p.service}
+	}
+	return out
+}
+
+// close ends links and waits for their ends, so that a link that is dialled
+// next to the same agent does not meet the old one.
+func (l *links) close(peers []*peer) {
+	var ended sync.WaitGroup
+	for _, p := range peers {
+		ended.Go(func() {
+			if err := l.tree.RemoveAndWait(p.service, closeTimeout); err != nil {
+				l.entry.log.Warn("A link was not closed in time.", "peer", p.name, "error", err.Error())
+			}
+		})
+	}
+	ended.Wait()
+}
+
+// closeTimeout bounds the wait for the end of a link.
+const closeTimeout = time.Second
+
 // wanted maps backend servers to the addresses of their agents. Without any
 // record, for example after a start in a store outage, the VM list leads to
 // agents that have the records.
--- a/link/client.go
+++ b/link/client.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -72,7 +73,6 @@
 	stopped bool
 	streams map[streamKey]*Stream
 	session string
-	dials   uint64
 	status  Status
 	expiry  *time.Timer // ends the streams of a lost link
 }
@@ -123,13 +123,14 @@
 	c.mu.Lock()
 	repeated := c.status.Err != nil && c.status.Err.Error() == err.Error()
 	c.status.Err = err
+	expect := c.cfg.Expect
 	c.mu.Unlock()
 	var he *HandshakeError
 	switch {
 	case errors.As(err, &he):
-		c.cfg.Logger.Error().Str("addr", c.cfg.Addr).Str("peer", c.cfg.Expect).Err(err).Msg("link: agent not accepted")
+		c.cfg.Logger.Error().Str("addr", c.cfg.Addr).Str("peer", expect).Err(err).Msg("link: agent not accepted")
 	case !repeated:
-		c.cfg.Logger.Warn().Str("addr", c.cfg.Addr).Str("peer", c.cfg.Expect).Err(err).Msg("link: connection to agent ended")
+		c.cfg.Logger.Warn().Str("addr", c.cfg.Addr).Str("peer", expect).Err(err).Msg("link: connection to agent ended")
 	}
 }
 
@@ -162,16 +163,31 @@
 	return err
 }
 
-func (c *Client) handshake(nc net.Conn) (Hello, *frame, *frameReader, error) {
+// lastDial numbers the connections of this process. The clients share it,
+// because an agent refuses a connection that was dialled before the current one
+// of the same process, and another client may have dialled that one.
+var lastDial atomic.Uint64
+
+// SetExpect changes the name that later connections expect of the peer.
+func (c *Client) SetExpect(name string) {
 	c.mu.Lock()
-	c.dials++
-	dial := c.dials
-	c.mu.Unlock()
+	defer c.mu.Unlock()
+	c.cfg.Expect = name
+}
+
+func (c *Client) expected() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cfg.Expect
+}
+
+func (c *Client) handshake(nc net.Conn) (Hello, *frame, *frameReader, error) {
+	dial := lastDial.Add(1)
 	h, err := newHandshake(nc, c.cfg.FleetKey, c.cfg.Timing.HandshakeTimeout)
 	if err != nil {
 		return Hello{}, nil, nil, err
 	}
-	peer, accept, err := h.connect(c.cfg.Hello, dial, c.cfg.Expect)
+	peer, accept, err := h.connect(c.cfg.Hello, dial, c.expected())
 	if err != nil {
 		return peer, nil, nil, err
 	}
