--- a/agent/agent.go
+++ b/agent/agent.go
@@ -114,7 +114,7 @@
 	}), a.clock)
 	a.health = health.New(health.Config{
 		Origin: a.bootID, DataCentre: s.DataCentre, Snapshot: a.snapshot,
-		Broadcast: a.broadcast, Clock: a.clock, Log: deps.Log.Part("health"),
+		Broadcast: a.broadcast, Processes: a.processes, Clock: a.clock, Log: deps.Log.Part("health"),
 	})
 	a.exposure = newExposure(s.Name, a.snapshot, a.health)
 	a.ledger = ledger.NewWriter(deps.Store, a.bootID, func() time.Duration { return ledgerWindow })
@@ -193,6 +193,9 @@
 	return a.flushCharges(ctx)
 }
 
+// processes returns the number of agents that the records name.
+func (a *Agent) processes() int { return len(a.snapshot.View().BackendServers) }
+
 // clock is the agent's monotonic clock; deadlines of requests are expressed
 // in it.
 func (a *Agent) clock() time.Duration { return time.Since(a.started) }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -107,7 +107,7 @@
 	e.links = newLinks(e)
 	e.health = health.New(health.Config{
 		Origin: e.bootID, DataCentre: s.DataCentre, Snapshot: e.snapshot,
-		Broadcast: e.links.broadcast, Clock: e.clock, Log: deps.Log.Part("health"),
+		Broadcast: e.links.broadcast, Processes: e.processes, Clock: e.clock, Log: deps.Log.Part("health"),
 	})
 	e.policy = newPolicy(cascade.NewPolicy(cascade.Config{}))
 	e.ratings = newRatings(e)
@@ -115,7 +115,7 @@
 	e.ledger.OnDurable = e.links.reportDurable
 	e.watcher = provider.NewWatcher(deps.Store, e.snapshot, provider.Options{
 		Logger:    deps.Log.Base(),
-		Processes: func() int { return int(e.entries.Load()) },
+		Processes: e.processes,
 	})
 	e.publishMetrics()
 	e.addServices()
@@ -188,6 +188,9 @@
 	e.links.setVMs(vms)
 }
 
+// processes returns the number of entries that the VM list names.
+func (e *Entry) processes() int { return int(e.entries.Load()) }
+
 // uniform returns a random number in [0, 1).
 func (e *Entry) uniform() float64 {
 	e.randMu.Lock()
--- a/health/keeper.go
+++ b/health/keeper.go
@@ -24,6 +24,8 @@
 	Snapshot   *config.Snapshot
 	// Broadcast sends a control message to every linked process.
 	Broadcast func(link.Control)
+	// Processes returns the number of processes of this role in the fleet.
+	Processes func() int
 	Clock     func() time.Duration // monotonic
 	Log       *telemetry.Logger
 }
@@ -37,7 +39,8 @@
 	mu          sync.Mutex
 	evidence    *rollout.Evidence
 	quarantines *rollout.QuarantineSet
-	sent        uint64 // sequence number up to which evidence was broadcast
+	ticks       int
+	sent        sentMarks
 	verdicts    map[rollout.VersionKey]rollout.Verdict
 }
 
@@ -63,7 +66,9 @@
 	}
 	k.mu.Lock()
 	for _, recorded := range rollout.RecordKeys(model, key.Version) {
-		k.evidence.Record(recorded, o)
+		if k.records(recorded) {
+			k.evidence.Record(recorded, o)
+		}
 	}
 	raised := k.judge(key)
 	k.mu.Unlock()
@@ -74,8 +79,7 @@
 // under test.
 func (k *Keeper) Tick() {
 	k.mu.Lock()
-	delta := k.evidence.Delta(k.sent)
-	k.sent = delta.Through
+	delta := k.nextDelta()
 	raised := k.judgeAll()
 	k.mu.Unlock()
 	if m, ok := k.encode(delta); ok {
@@ -103,7 +107,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	var out []link.Control
-	if m, ok := k.encode(k.evidence.Delta(0)); ok {
+	if m, ok := k.encode(k.evidence.DeltaFor(0, k.exchanged)); ok {
 		out = append(out, m)
 	}
 	if all := k.quarantines.All(); len(all) > 0 {
