--- a/internal/faketest/store.go
+++ b/internal/faketest/store.go
@@ -35,20 +35,38 @@
 // Store is an in-memory store. Its zero value is empty and has no faults.
 // Watches and leases are not provided.
 type Store struct {
-	// Fault, if set, decides the fate of each call. It may block, which holds the
-	// call back before it is applied.
-	Fault func(Call) Fault
-	// After, if set, is called when a call was applied and before its result is
-	// returned. It may block, which holds the result back.
-	After func(Call)
-
 	mu       sync.Mutex
+	fault    func(Call) Fault
+	after    func(Call)
 	revision uint64
 	keys     map[string]platform.KV
 	late     []platform.Write
 	calls    []Call
 }
 
+// OnCall sets the function that decides the fate of each call; nil means Pass.
+// It may block, which holds the call back before it is applied.
+func (s *Store) OnCall(fault func(Call) Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = fault
+}
+
+// OnApplied sets the function that is called after a call and before its result
+// is returned. It may block, which holds the result back.
+func (s *Store) OnApplied(after func(Call)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.after = after
+}
+
+// Copy returns a store with the same keys and without faults.
+func (s *Store) Copy() *Store {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &Store{revision: s.revision, keys: maps.Clone(s.keys)}
+}
+
 // Get reads a key.
 func (s *Store) Get(ctx context.Context, key string) (kv platform.KV, err error) {
 	err = s.call(ctx, Call{Op: "get", Key: key}, func() error {
@@ -87,37 +105,43 @@
 }
 
 func (s *Store) call(ctx context.Context, c Call, apply func() error) error {
+	s.mu.Lock()
+	decide := s.fault
+	s.calls = append(s.calls, c)
+	s.mu.Unlock()
 	fault := Pass
-	if s.Fault != nil {
-		fault = s.Fault(c)
+	if decide != nil {
+		fault = decide(c)
 	}
 	if err := ctx.Err(); err != nil && fault == Pass {
 		return err
 	}
+	err := s.perform(c, fault, apply)
 	s.mu.Lock()
-	s.calls = append(s.calls, c)
-	var err error
+	after := s.after
+	s.mu.Unlock()
+	if after != nil {
+		after(c)
+	}
+	return err
+}
+
+func (s *Store) perform(c Call, fault Fault, apply func() error) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	switch fault {
-	case Fail:
-		err = platform.ErrUnknownOutcome
+	case Pass:
+		return apply()
 	case Refuse:
-		err = platform.ErrUnavailable
+		return platform.ErrUnavailable
+	case Lose:
+		_ = apply()
 	case Late:
-		err = platform.ErrUnknownOutcome
 		if c.Write != nil {
 			s.late = append(s.late, *c.Write)
 		}
-	case Lose:
-		_ = apply()
-		err = platform.ErrUnknownOutcome
-	default:
-		err = apply()
 	}
-	s.mu.Unlock()
-	if s.After != nil {
-		s.After(c)
-	}
-	return err
+	return platform.ErrUnknownOutcome
 }
 
 func (s *Store) apply(w platform.Write) error {
--- a/ledger/compact.go
+++ b/ledger/compact.go
@@ -6,6 +6,7 @@
 	"crypto/rand"
 	"errors"
 	"fmt"
+	"math"
 
 	"hyssoploom/platform"
 )
@@ -21,8 +22,9 @@
 func WithSmallBytes(n int) CompactOption { return func(c *compaction) { c.small = n } }
 
 // WithMaxWrites bounds the store writes of one compaction, because they count
-// against the rate that the fleet shares; no bound when absent.
-func WithMaxWrites(n int) CompactOption { return func(c *compaction) { c.maxWrites = n } }
+// against the rate that the fleet shares. A compaction needs at least 3 writes;
+// no bound when absent.
+func WithMaxWrites(n int) CompactOption { return func(c *compaction) { c.maxWrites = max(n, 3) } }
 
 type compaction struct {
 	store     platform.Store
@@ -41,7 +43,7 @@
 // its sources are removed, each by compare-and-swap. A compactor that is paused
 // at any point, or runs beside another, leaves at most copies, which merge.
 func Compact(ctx context.Context, store platform.Store, opts ...CompactOption) error {
-	c := &compaction{store: store, id: "compact-" + rand.Text(), small: DefaultSmallBytes}
+	c := &compaction{store: store, id: "compact-" + rand.Text(), small: DefaultSmallBytes, maxWrites: math.MaxInt}
 	for _, o := range opts {
 		o(c)
 	}
@@ -80,7 +82,7 @@
 			failed = append(failed, fmt.Errorf("ledger: batch %q cannot be decoded: %w", kv.Key, err))
 			continue
 		}
-		if size+len(kv.Value) > MaxBatchBytes {
+		if size+len(kv.Value) > MaxBatchBytes || len(g)+2 > c.maxWrites {
 			flush()
 		}
 		g = append(g, kv)
@@ -93,7 +95,7 @@
 // replace writes the union of the sources and then removes them.
 func (c *compaction) replace(ctx context.Context, sources []platform.KV) error {
 	// A group that is begun is also ended, so that no copies are left.
-	if c.maxWrites > 0 && c.writes+1+len(sources) > c.maxWrites && c.writes > 0 {
+	if c.writes+1+len(sources) > c.maxWrites {
 		return errBudget
 	}
 	value, err := union(sources)
--- a/ledger/holder.go
+++ b/ledger/holder.go
@@ -34,7 +34,9 @@
 	rows[r.Key()] = r.normal()
 }
 
-// Release forgets rows that are in the store.
+// Release forgets rows that are in the store. An entry must report a key only to
+// agents whose rows with that key it has added to its Writer: an agent that is
+// told about another agent's smaller row would forget the larger one.
 func (h *Holder) Release(keys []RowKey) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -76,6 +78,10 @@
 	return ids
 }
 
+// Full tells that the agent should refuse new work that will be charged. The
+// bound is the one of the agent's Writer.
+func (h *Holder) Full() bool { return h.Len() >= h.writer.maxRows || h.writer.Full() }
+
 // Len returns the number of rows held.
 func (h *Holder) Len() int {
 	h.mu.Lock()
--- a/ledger/row.go
+++ b/ledger/row.go
@@ -104,6 +104,8 @@
 const MaxBatchBytes = 512 << 10
 
 // batchVersion is the first element of a batch; the second is the list of rows.
+// A change of Row's fields needs a new version: a compactor of an older version
+// would drop fields that it does not know, and leaves unknown versions alone.
 const batchVersion = 1
 
 // batchHeaderBytes is the largest size of what precedes the rows of a batch.
@@ -138,12 +140,18 @@
 	if n != 2 || version != batchVersion {
 		return nil, errBatchVersion
 	}
-	var rows []Row
-	if err := dec.Decode(&rows); err != nil {
+	if n, err = dec.DecodeArrayLen(); err != nil {
 		return nil, err
 	}
-	for i := range rows {
-		rows[i] = rows[i].normal()
+	// The rows are decoded one by one: the decoder would allocate a whole list by
+	// its stated length, which in a damaged batch may be 4 billion.
+	var rows []Row
+	for range n {
+		var r Row
+		if err := dec.Decode(&r); err != nil {
+			return nil, err
+		}
+		rows = append(rows, r.normal())
 	}
 	return rows, nil
 }
--- a/ledger/writer.go
+++ b/ledger/writer.go
@@ -17,7 +17,7 @@
 	// DefaultWindow is the commit window when none is given.
 	DefaultWindow = 20 * time.Millisecond
 	// DefaultMaxRows is the number of rows at which a Writer is full. A row takes
-	// about 0.5 KiB in memory.
+	// about 0.5 KiB in memory (BenchmarkWriterAdd).
 	DefaultMaxRows = 65_536
 
 	callTimeout  = 5 * time.Second
@@ -35,7 +35,8 @@
 // that the other holder keeps its copy.
 type Writer struct {
 	// OnDurable, if set before Serve, is called with the keys of rows that are in
-	// the store. A key is left out while a larger form of its row is waiting.
+	// the store. A key is left out while another form of its row is waiting, such
+	// as that of a later attempt on another agent: its holder must keep it.
 	OnDurable func([]RowKey)
 
 	store   platform.Store
@@ -304,15 +305,15 @@
 	w.stats.Batches++
 	w.stats.Rows += uint64(len(b.rows))
 	w.stats.Bytes += uint64(len(b.value))
+	if len(w.order) > 0 {
+		w.signal()
+	}
 	keys := make([]RowKey, 0, len(b.rows))
 	for _, p := range b.rows {
-		if _, larger := w.waiting[p.row.Key()]; !larger {
+		if _, again := w.waiting[p.row.Key()]; !again {
 			keys = append(keys, p.row.Key())
 		}
 	}
-	if len(w.order) > 0 {
-		w.signal()
-	}
 	return keys
 }
 
@@ -350,6 +351,7 @@
 	kv, err := w.store.Get(ctx, b.key)
 	switch {
 	case errors.Is(err, platform.ErrNotFound):
+		b.unknown = false // the next write needs no reading before
 		return false, false, nil
 	case err != nil:
 		return false, false, err
