--- a/ledger/writer.go
+++ b/ledger/writer.go
@@ -174,17 +174,21 @@
 	}
 	w.mu.Unlock()
 	retry := newBackoff()
+	var last time.Time // start of the last commit
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-w.wake:
 		}
-		pause := w.window()
+		// The window bounds the rate of writes; a row that comes after a pause
+		// need not wait for others.
+		pause := time.Until(last.Add(w.window()))
 		for {
 			if err := sleep(ctx, pause); err != nil {
 				return err
 			}
+			last = time.Now()
 			if err := w.commitOne(ctx); err == nil {
 				break
 			}
