--- a/settings/check.go
+++ b/settings/check.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/url"
 	"os"
+	"regexp"
 	"slices"
 	"strconv"
 	"strings"
@@ -44,9 +45,13 @@
 type file struct {
 	path   string
 	text   []byte
+	values map[string]any // as written
 	errors []error
 }
 
+// wrongType matches the decoder's message for a value of a wrong type.
+var wrongType = regexp.MustCompile(`^cannot decode TOML (.+) into (?:a |struct field ).* (?:of type )?(\S+)$`)
+
 // load decodes the file strictly into settings.
 func load(path string, settings any) (*file, error) {
 	text, err := os.ReadFile(path)
@@ -68,17 +73,24 @@
 			f.decodeError(&unknown.Errors[i], "unknown key")
 		}
 	case errors.As(err, &wrong):
-		f.decodeError(wrong, wrong.Error())
+		reason := strings.TrimPrefix(wrong.Error(), "toml: ")
+		if m := wrongType.FindStringSubmatch(reason); m != nil {
+			reason = fmt.Sprintf("is of type %s, needs %s", m[1], m[2])
+		}
+		f.decodeError(wrong, reason)
 	default:
 		f.errors = append(f.errors, &Error{File: path, Reason: oneLine(err.Error())})
 	}
-	return f, f.err()
+	if len(f.errors) > 0 {
+		return nil, f.err()
+	}
+	return f, toml.Unmarshal(text, &f.values)
 }
 
 func (f *file) decodeError(e *toml.DecodeError, reason string) {
 	line, _ := e.Position()
 	f.errors = append(f.errors, &Error{
-		File: f.path, Line: line, Key: strings.Join(e.Key(), "."), Reason: oneLine(strings.TrimPrefix(reason, "toml: ")),
+		File: f.path, Line: line, Key: strings.Join(e.Key(), "."), Reason: oneLine(reason),
 	})
 }
 
@@ -136,7 +148,7 @@
 	}
 	u, err := url.Parse(value)
 	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
-		f.fail(key, "%q is not an http or https URL", value)
+		f.fail(key, "is not an http or https URL") // it may contain a password
 	}
 }
 
@@ -147,8 +159,11 @@
 	}
 }
 
+// duration refuses a bare number, which the decoder takes for nanoseconds.
 func (f *file) duration(key string, d config.Duration) {
-	if d <= 0 {
+	if _, number := f.values[key].(int64); number {
+		f.fail(key, "needs a unit, such as \"30s\"")
+	} else if d <= 0 {
 		f.fail(key, "must be longer than 0")
 	}
 }
