--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -62,7 +62,7 @@
 
 // start runs a command and waits until ready finds the address in a line of
 // its output.
-func start(t *testing.T, ready func(line string) (string, bool), binary string, args ...string) *proc {
+func start(t testing.TB, ready func(line string) (string, bool), binary string, args ...string) *proc {
 	t.Helper()
 	p := &proc{cmd: exec.Command(binary, args...), exited: make(chan struct{})}
 	out, w := io.Pipe()
@@ -120,7 +120,7 @@
 	<-p.exited
 }
 
-func (p *proc) signal(t *testing.T, s syscall.Signal) {
+func (p *proc) signal(t testing.TB, s syscall.Signal) {
 	t.Helper()
 	if err := p.cmd.Process.Signal(s); err != nil {
 		t.Fatal(err)
--- a/embedded/fleet.go
+++ b/embedded/fleet.go
@@ -112,6 +112,12 @@
 	vms      map[string]platform.VM
 }
 
+// URLs are the addresses of the platform's stand-ins.
+type URLs struct{ Store, VMList, Rater string }
+
+// URLs returns the addresses of the platform's stand-ins.
+func (f *Fleet) URLs() URLs { return URLs{Store: f.storeURL, VMList: f.vmURL, Rater: f.raterURL} }
+
 // process is a daemon that runs in this process.
 type process struct {
 	cancel context.CancelFunc
