--- a/cli/write.go
+++ b/cli/write.go
@@ -112,7 +112,11 @@
 			return p.result(Unknown, 0, fmt.Sprintf("%v; reading back failed: %v", lost, err))
 		}
 		if kv.Revision != p.expect {
-			return p.resolve(kv)
+			r := p.resolve(kv)
+			if r.Outcome == Conflict && r.Detail == "" {
+				r.Detail = "the response was lost, so this change may have been in force before that"
+			}
+			return r
 		}
 		time.Sleep(settleInterval)
 	}
--- /dev/null
+++ b/config/bench_test.go
@@ -0,0 +1,70 @@
+package config
+
+import (
+	"fmt"
+	"testing"
+)
+
+// fleet returns the records of a fleet of the size expected in two years:
+// 650 backend servers, 9 versions of 3 models, 6 data centres, 40 workspaces.
+func fleet(tb testing.TB) []Record {
+	var specs []Envelope
+	for i := range 6 {
+		specs = append(specs, Envelope{Kind: KindDataCentre, Name: fmt.Sprintf("dc-%d", i), Spec: &DataCentre{Region: "region-1", State: DataCentreIn}})
+	}
+	for i := range 3 {
+		m := &Model{}
+		for v := range 3 {
+			m.Versions = append(m.Versions, ModelVersion{Version: fmt.Sprintf("v%d", v), State: VersionActive, Weight: 1, PriceIn: 10, PriceOut: 20})
+		}
+		specs = append(specs, Envelope{Kind: KindModel, Name: fmt.Sprintf("model-%d", i), Spec: m})
+	}
+	for i := range 650 {
+		specs = append(specs, Envelope{Kind: KindBackendServer, Name: fmt.Sprintf("backend-%03d", i), Spec: &BackendServer{
+			VM: fmt.Sprintf("vm-%04d", i), DataCentre: fmt.Sprintf("dc-%d", i%6), AgentAddr: fmt.Sprintf("10.0.%d.%d:7100", i/250, i%250+1),
+			State: BackendServerIn, ColdLimit: 4, WarmLimit: 64, ChecksFencing: true, Serves: []Placement{{fmt.Sprintf("model-%d", i%3), "v1"}}}})
+	}
+	for i := range 40 {
+		specs = append(specs, Envelope{Kind: KindWorkspace, Name: fmt.Sprintf("workspace-%02d", i), Spec: &Workspace{Weight: 1,
+			KeyHashes: []string{fmt.Sprintf("%064x", i)}, Allow: []ModelGrant{{Model: "model-0"}, {Model: "model-1"}}}})
+	}
+	records := make([]Record, 0, len(specs))
+	for i, e := range specs {
+		e.SchemaVersion, e.Writer, e.ChangeID = LatestSchema(e.Kind), "operator@console-1", "01JZZZZZZZZZZZZZZZZZZZZZZZ"
+		records = append(records, Record{Key: Key(e.Kind, e.Name), Revision: uint64(i + 1), Raw: raw(tb, e)})
+	}
+	return records
+}
+
+// BenchmarkAdoptList measures the start of a process.
+func BenchmarkAdoptList(b *testing.B) {
+	records, bytes := fleet(b), 0
+	for _, r := range records {
+		bytes += len(r.Key) + len(r.Raw)
+	}
+	for b.Loop() {
+		NewSnapshot().AdoptList(records, 10_000)
+	}
+	b.ReportMetric(float64(bytes), "list-bytes")
+}
+
+// BenchmarkAdoptListAgain measures a periodic list that finds nothing new.
+func BenchmarkAdoptListAgain(b *testing.B) {
+	records, s := fleet(b), NewSnapshot()
+	s.AdoptList(records, 10_000)
+	for b.Loop() {
+		s.AdoptList(records, 10_000)
+	}
+}
+
+// BenchmarkAdoptOne measures one configuration change.
+func BenchmarkAdoptOne(b *testing.B) {
+	records, s := fleet(b), NewSnapshot()
+	s.AdoptList(records, 10_000)
+	r := records[100]
+	r.Revision = 20_000
+	for b.Loop() {
+		r.Revision++
+		s.Adopt([]Record{r})
+	}
+}
--- a/provider/follower.go
+++ b/provider/follower.go
@@ -64,34 +64,38 @@
 	if f.listed.Load() && time.Now().Before(f.listDue) {
 		return f.changes(ctx)
 	}
-	if err := f.list(ctx); err != nil {
+	size, err := f.list(ctx)
+	if err != nil {
 		// Changes can still be had while lists fail, for example by a timeout.
 		f.listDue = time.Now().Add(maxBackoff)
 		return 0, err
 	}
-	f.listDue = time.Now().Add(jitter(f.opts.ListEvery))
+	f.listDue = time.Now().Add(jitter(f.opts.listInterval(size)))
 	if f.longPoll {
 		return 0, nil
 	}
 	return jitter(f.opts.pollInterval()), nil
 }
 
-func (f *follower) list(ctx context.Context) error {
+// list adopts a full list and returns its size in bytes.
+func (f *follower) list(ctx context.Context) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, f.opts.CallTimeout)
 	defer cancel()
 	kvs, revision, err := f.store.List(ctx, f.prefix)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	f.contact.Store(time.Now().UnixNano())
 	records := make([]config.Record, 0, len(kvs))
+	size := 0
 	for _, kv := range kvs {
+		size += len(kv.Key) + len(kv.Value)
 		records = append(records, config.Record{Key: kv.Key, Revision: kv.Revision, Raw: kv.Value})
 	}
 	f.adopted(f.snap.AdoptPrefix(f.prefix, records, revision))
 	f.cursor = revision
 	f.listed.Store(true)
-	return nil
+	return size, nil
 }
 
 // changes watches or polls once.
--- a/provider/provider.go
+++ b/provider/provider.go
@@ -21,17 +21,22 @@
 	DefaultCallTimeout     = 5 * time.Second
 	minPollInterval        = 2 * time.Second
 	minWatchSpacing        = 50 * time.Millisecond
-	pollsPerSecond         = 100.0  // of all processes of one kind, per prefix
-	watchesPerSecond       = 1000.0 // of all entries while records change
+	pollsPerSecond         = 100.0 // of all processes of one kind, per prefix
+	watchesPerSecond       = 400.0 // of all entries while records change
 	minBackoff, maxBackoff = 200 * time.Millisecond, 5 * time.Second
 	jitterShare            = 0.2
+	// A list of 700 records takes 360 KB on the wire; every 30 s it would use
+	// 12 KB/s of the 15 KB/s that control traffic may cost a node.
+	listBytesPerSecond = 4 << 10
+	wireFactor         = 4.0 / 3 // values are base64 on the wire
 )
 
 // Options change a Watcher or Poller. The zero value selects the defaults.
 type Options struct {
 	// Idle is the longest wait of one watch.
 	Idle time.Duration
-	// ListEvery is the interval of full lists, which find what watches missed.
+	// ListEvery is the shortest interval of full lists, which find what watches
+	// missed. Large lists are spaced further, to listBytesPerSecond.
 	ListEvery time.Duration
 	// CallTimeout bounds each call; for a watch it is added to the wait.
 	CallTimeout time.Duration
@@ -77,6 +82,11 @@
 	return max(minWatchSpacing, seconds(float64(o.Processes())/watchesPerSecond))
 }
 
+// listInterval spaces full lists of a size in bytes.
+func (o Options) listInterval(size int) time.Duration {
+	return max(o.ListEvery, seconds(float64(size)*wireFactor/listBytesPerSecond))
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // Provider is a service that follows the store. Use NewWatcher or NewPoller.
--- a/provider/provider_test.go
+++ b/provider/provider_test.go
@@ -7,6 +7,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"hyssoploom/config"
 	"hyssoploom/platform"
 	"hyssoploom/standin"
@@ -34,6 +36,140 @@
 	return ""
 }
 
+// faultyStore can answer lists and watches with what the store held earlier.
+type faultyStore struct {
+	platform.Store
+	kvs      []platform.KV
+	events   []platform.Event // sent once, before the store's own
+	revision uint64
+}
+
+func (s *faultyStore) List(ctx context.Context, prefix string) ([]platform.KV, uint64, error) {
+	if s.revision > 0 {
+		return s.kvs, s.revision, nil
+	}
+	return s.Store.List(ctx, prefix)
+}
+
+func (s *faultyStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]platform.Event, uint64, error) {
+	if events := s.events; prefix == config.RecordPrefix && len(events) > 0 {
+		s.events = nil
+		return events, events[len(events)-1].Revision, nil
+	}
+	return s.Store.Watch(ctx, prefix, after, wait)
+}
+
+// Guards against records that turn back when late events arrive, when a watch
+// starts again at an old revision, and when a process that was restarted in an
+// outage gets an old list from a store that comes back.
+func TestNothingTurnsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.NewStore()
+		first := put(t, store, 0, config.DataCentreIn)
+		old, _, _ := store.List(t.Context(), config.RecordPrefix)
+		put(t, store, first, config.DataCentreOut)
+		all, rev, _ := store.List(t.Context(), config.RecordPrefix)
+		peer := config.NewSnapshot()
+		peer.AdoptList([]config.Record{{Key: all[0].Key, Revision: all[0].Revision, Raw: all[0].Value}}, rev)
+
+		faulty := &faultyStore{Store: store, kvs: old, revision: first}
+		store.SetDown(true)
+		faulty.events = []platform.Event{{KV: old[0]}, {KV: platform.KV{Key: old[0].Key, Revision: first}, Deleted: true}}
+		snap := config.NewSnapshot()
+		for range 200 {
+			snap.Adopt(peer.All()) // the restarted process asks its peers
+			p := NewWatcher(faulty, snap, Options{})
+			stop := start(t, p)
+			time.Sleep(30 * time.Second)
+			stop()
+			if got := stateOf(snap); got != config.DataCentreOut {
+				t.Fatalf("state is %q after an old list and late events, want out", got)
+			}
+			store.SetDown(false)
+		}
+		faulty.revision = 0
+		defer start(t, NewWatcher(faulty, snap, Options{}))()
+		third := put(t, store, all[0].Revision, config.DataCentreIn)
+		time.Sleep(time.Second)
+		if got := stateOf(snap); got != config.DataCentreIn || snap.Revision() != third {
+			t.Fatalf("state is %q at revision %d after the store caught up", got, snap.Revision())
+		}
+	})
+}
+
+// Guards against changes that are missed when the store has compacted them.
+func TestCompaction(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, snap := standin.NewStore(), config.NewSnapshot()
+		rev := put(t, store, 0, config.DataCentreIn)
+		defer start(t, NewPoller(store, snap, Options{}))()
+		time.Sleep(time.Second)
+		store.SetHistory(1)
+		put(t, store, rev, config.DataCentreOut)
+		for i := range 3 {
+			if _, err := store.Swap(t.Context(), platform.Write{Key: fmt.Sprint("once/", i)}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(3 * time.Second)
+		if got := stateOf(snap); got != config.DataCentreOut {
+			t.Fatalf("state is %q after a compaction, want out", got)
+		}
+	})
+}
+
+// Guards against a fleet whose reads overload the store: at rest, while many
+// records change, and when the store returns after an outage.
+func TestFleetReadRate(t *testing.T) {
+	const entries, agents, limit = 420, 650, 2000 // reads per second
+	silent := &log.Logger{Level: log.PanicLevel}
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.NewStore()
+		rev := put(t, store, 0, config.DataCentreIn)
+		snaps := make([]*config.Snapshot, entries+agents)
+		for i := range snaps {
+			snaps[i] = config.NewSnapshot()
+			make, n := NewWatcher, entries
+			if i >= entries {
+				make, n = NewPoller, agents
+			}
+			p := make(store, snaps[i], Options{Processes: func() int { return n }, Logger: silent})
+			time.AfterFunc(time.Duration(i)*20*time.Millisecond, func() { t.Cleanup(start(t, p)) })
+		}
+		time.Sleep(time.Minute)
+		rate := func(when string, seconds int, during func()) {
+			worst, begun := 0, store.Counts().Reads
+			for range seconds {
+				before := store.Counts().Reads
+				during()
+				worst = max(worst, store.Counts().Reads-before)
+			}
+			t.Logf("%s: mean %d reads/s, at most %d in a second", when, (store.Counts().Reads-begun)/seconds, worst)
+			if worst > limit {
+				t.Errorf("%s: %d reads in a second, the store carries %d", when, worst, limit)
+			}
+		}
+		quiet := func() { time.Sleep(time.Second) }
+		rate("at rest", 30, quiet)
+		rate("20 changes a second", 5, func() {
+			for range 20 {
+				rev = put(t, store, rev, config.DataCentreOut)
+				time.Sleep(time.Second / 20)
+			}
+		})
+		store.SetDown(true)
+		time.Sleep(2 * time.Minute)
+		store.SetDown(false)
+		rev = put(t, store, rev, config.DataCentreIn)
+		rate("store is back", 12, quiet)
+		for i, s := range snaps {
+			if s.Revision() != rev {
+				t.Fatalf("process %d has revision %d 12 s after the store is back, want %d", i, s.Revision(), rev)
+			}
+		}
+	})
+}
+
 func start(t *testing.T, p *Provider) (stop func()) {
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
