--- a/route/route_test.go
+++ b/route/route_test.go
@@ -196,3 +196,32 @@
 		t.Errorf("%d retries for 1000 requests", retries)
 	}
 }
+
+// TestPickIsAllowed guards against a choice that a filter forbids, and against a
+// refusal while an endpoint is left, for any state of the fleet.
+func TestPickIsAllowed(t *testing.T) {
+	for seed := range uint64(3000) {
+		r := rng(seed)
+		eps, req, left := make([]Endpoint, 1+r.IntN(12)), testRequest, 0
+		req.Tried = map[string]bool{"1": true}
+		if r.IntN(2) == 0 {
+			req.Session = fmt.Sprint(seed)
+		}
+		for i := range eps {
+			eps[i] = Endpoint{Name: fmt.Sprint(i), Region: fmt.Sprint("r", r.IntN(3)), Alive: r.IntN(4) > 0, Draining: r.IntN(8) == 0,
+				Out: r.IntN(8) == 0, Leaving: r.IntN(8) == 0, Loaded: []string{fmt.Sprint("m@", r.IntN(2))}, Running: r.IntN(20),
+				Queued: r.IntN(4), Sent: r.IntN(4), Limit: r.IntN(10), Cold: r.IntN(3) == 0, ReportAge: time.Duration(r.IntN(5)) * time.Second}
+			if allowed(eps[i], req) {
+				left++
+			}
+		}
+		d, err := NewRouter(Config{}).Pick(eps, req, r)
+		if (err == nil) != (left > 0) || err == nil && (d.Candidates != left || !allowed(eps[d.Index], req) || eps[d.Index].Name != d.Endpoint) {
+			t.Fatalf("seed %d: %d endpoints left, got %+v, %v", seed, left, d, err)
+		}
+	}
+}
+
+func allowed(e Endpoint, r Request) bool {
+	return e.Alive && !e.Draining && !e.Out && !e.Leaving && e.Loaded[0] == "m@1" && !r.Tried[e.Name]
+}
--- a/route/scorers.go
+++ b/route/scorers.go
@@ -13,7 +13,7 @@
 	if e.Limit > 0 {
 		return e.Limit
 	}
-	return c.AssumedLimit
+	return max(c.AssumedLimit, 1)
 }
 
 // load counts the work at an endpoint: what it reported and what this entry has
--- a/route/types.go
+++ b/route/types.go
@@ -139,7 +139,7 @@
 		// docs/measurements/route.md has the trial behind ReportDecay and Band:
 		// without decay, and with a narrow band, entries with the same old reports
 		// choose the same few endpoints.
-		ReportDecay:   0.5,
+		ReportDecay:   0.25,
 		AssumedAnswer: 2 * time.Second,
 		AssumedLimit:  2, // the usual cold limit
 		ColdReserve:   0.5,
--- a/standin/engine_test.go
+++ b/standin/engine_test.go
@@ -199,3 +199,50 @@
 		}
 	}
 }
+
+// TestEngineCollapse guards against a stand-in that warms although it is
+// overrun, and against one whose restart lets running answers end normally.
+func TestEngineCollapse(t *testing.T) {
+	e, _, client := startEngine(t, EngineConfig{Cold: true, ColdLimit: 1, WarmAfter: 2, CollapseDelay: time.Millisecond,
+		TokenDelay: time.Millisecond, CollapseFactor: 3})
+	results := make(chan error, 3)
+	for range 3 {
+		go func() {
+			_, _, err := generate(client, chat("a", 20))
+			results <- err
+		}()
+	}
+	for range 3 {
+		if err := <-results; err != nil {
+			t.Error(err)
+		}
+	}
+	if r := e.Record(); !r.Cold || r.ColdPeak < 2 || r.Collapses == 0 {
+		t.Errorf("after 3 concurrent requests: %+v", r)
+	}
+	go func() {
+		_, _, err := generate(client, chat("a", 10000))
+		results <- err
+	}()
+	for e.Status().Running == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	e.Restart()
+	if err := <-results; err == nil || errors.Is(err, platform.ErrRefusedConnection) {
+		t.Errorf("restarted during an answer: got %v", err)
+	}
+}
+
+// TestEngineHang guards against a client that waits past its deadline.
+func TestEngineHang(t *testing.T) {
+	for name, f := range map[string]EngineFaults{"before the first token": {Hang: true}, "after two tokens": {HangAfter: 2}} {
+		e, _, client := startEngine(t, EngineConfig{})
+		e.SetFaults(f)
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		g, err := client.Generate(ctx, chat("a", 5), func(platform.Token) error { return nil })
+		if !errors.Is(err, context.DeadlineExceeded) || g.Usage.TokensOut != int64(f.HangAfter) {
+			t.Errorf("%s: got %+v, %v", name, g, err)
+		}
+	}
+}
