--- a/agent/handler.go
+++ b/agent/handler.go
@@ -53,6 +53,9 @@
 	id, code := a.gate.enter(ctx, a.ticket(r))
 	if code != "" {
 		a.exposure.release(r)
+		if code == admission.CodeDeadline {
+			code = codeDeadline
+		}
 		return a.refuse(code, "the request was dropped before it ran")
 	}
 	// The configuration may have changed while the request was queued.
--- a/agent/rules.go
+++ b/agent/rules.go
@@ -23,7 +23,7 @@
 	codeLeaving          = link.CodeLeaving
 	codeNotServed        = "not_served"
 	codeNotLoaded        = "not_loaded"
-	codeDeadline         = "deadline_passed"
+	codeDeadline         = link.CodeDeadline
 	codeExposure         = "exposure_budget"
 	codeUnreachable      = "backend_unreachable"
 	codeOverloaded       = "backend_overloaded"
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -22,6 +22,10 @@
 	noEndpointWait = 2 * time.Second
 	// pollInterval is the pause between two looks for a backend server.
 	pollInterval = 25 * time.Millisecond
+	// verdictWait is how much earlier than the entry an agent gives up a request.
+	// Without it an entry whose time is up cannot tell a request that waited in
+	// the agent's queue from one that ran.
+	verdictWait = 200 * time.Millisecond
 )
 
 // stageRun is one stage of a request: the attempts that produce one answer.
@@ -155,20 +159,26 @@
 var errCallerGone = errors.New("caller closed the connection")
 
 func (run *stageRun) request(ctx context.Context, p *peer) *link.Request {
-	deadline, _ := ctx.Deadline()
-	now := time.Now()
 	return &link.Request{
 		Kind: link.KindChat, RequestID: run.requestID, Attempt: run.attempt + uint32(run.index)<<16,
 		Workspace: run.workspace.Name, Model: run.stage.model, Version: run.stage.version,
 		Pinned: run.stage.pinned, Session: run.sessionID, TaskClass: run.taskClass, Stage: run.index,
 		Priority: run.workspace.Priority,
-		Deadline: p.client.Status().AgentClock(now) + deadline.Sub(now),
+		Deadline: agentDeadline(ctx, p),
 		Revision: run.entry.snapshot.Revision(),
 		Body:     run.body, ResumeFrom: run.tokens, ResumeText: run.text.String(),
 		TraceParent: telemetry.TraceParent(ctx),
 	}
 }
 
+// agentDeadline returns the time by the agent's clock at which it gives up a
+// request.
+func agentDeadline(ctx context.Context, p *peer) time.Duration {
+	deadline, _ := ctx.Deadline()
+	now := time.Now()
+	return p.client.Status().AgentClock(now) + deadline.Sub(now) - verdictWait
+}
+
 // afterBreak decides what follows a refusal or a lost stream.
 func (run *stageRun) afterBreak(ctx context.Context, p *peer, err error) follow {
 	var refused *link.RefusedError
@@ -176,6 +186,9 @@
 	var notSent *link.NotSentError
 	switch {
 	case errors.As(err, &refused):
+		if refused.Refusal.Code == link.CodeDeadline {
+			return follow{err: run.timedOut()}
+		}
 		run.refused = &refused.Refusal
 		return follow{avoidVersion: refused.Refusal.Code == "exposure_budget"}
 	case errors.As(err, &notSent):
@@ -203,8 +216,11 @@
 // afterFailure decides what follows an answer that the backend server cut.
 func (run *stageRun) afterFailure(p *peer, end *link.End) follow {
 	run.entry.log.Warn("Attempt failed.", "request", run.requestID, "backend_server", p.name, "code", end.Code)
-	if end.Moved() {
+	switch {
+	case end.Moved():
 		return run.resume(end.Code, end.Message)
+	case end.Code == link.CodeDeadline:
+		return follow{err: run.timedOut()}
 	}
 	return run.retry(end.Code, end.Message)
 }
--- a/entry/service.go
+++ b/entry/service.go
@@ -311,12 +311,10 @@
 }
 
 func (s *serviceCall) request(ctx context.Context, p *peer) *link.Request {
-	deadline, _ := ctx.Deadline()
-	now := time.Now()
 	return &link.Request{
 		Kind: link.KindService, RequestID: s.requestID, Attempt: s.attempt,
 		Workspace: s.workspace.Name, Priority: s.workspace.Priority,
-		Deadline: p.client.Status().AgentClock(now) + deadline.Sub(now),
+		Deadline: agentDeadline(ctx, p),
 		Revision: s.entry.snapshot.Revision(),
 		OnceKey:  s.onceKey, OnceNonce: s.nonce,
 		Service: s.service.Name, Method: s.method, Path: s.path, Header: s.header, Body: s.body,
--- a/link/codes.go
+++ b/link/codes.go
@@ -7,5 +7,9 @@
 	CodeLeaving       = "backend_server_leaving"
 )
 
+// CodeDeadline is the code of a refusal or End of a request whose deadline has
+// passed at the agent.
+const CodeDeadline = "deadline_passed"
+
 // Moved reports whether an answer was cut to be resumed elsewhere.
 func (e *End) Moved() bool { return e.Code == CodeDataCentreOut || e.Code == CodeLeaving }
