--- a/invariants/allowed_test.go
+++ b/invariants/allowed_test.go
@@ -91,4 +91,3 @@
 		t.Errorf("the withdrawn version got new work: %v", runs)
 	}
 }
-
