--- a/route/affinity.go
+++ b/route/affinity.go
@@ -20,7 +20,7 @@
 	best, bestHash := -1, uint64(0)
 	for k, i := range p.kept {
 		e := &p.eps[i]
-		if !eligible(k) || e.Cold || !p.config.hasRoom(e) || p.utilization[k] > bound {
+		if !eligible(k) || isCold(e) || !p.config.hasRoom(e) || p.utilization[k] > bound {
 			continue
 		}
 		if h := rendezvous(session, e.Name); best < 0 || h > bestHash {
--- a/route/picker.go
+++ b/route/picker.go
@@ -92,7 +92,7 @@
 
 // coldShare is the limit of a cold endpoint that can start a request, else 0.
 func (p *pick) coldShare(e *Endpoint) int {
-	if !e.Cold || !p.config.hasRoom(e) || e.ReportAge > p.config.StaleAfter {
+	if !isCold(e) || !p.config.hasRoom(e) || e.ReportAge > p.config.StaleAfter {
 		return 0
 	}
 	return p.config.limit(e)
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -117,6 +117,8 @@
 			map[string][2]float64{"b": {1, 1}}},
 		{"cold one gets its share at low load", []Endpoint{ep("a"), ep("b"), ep("c", cold(2))}, testRequest,
 			map[string][2]float64{"a": {.4, .5}, "b": {.4, .5}, "c": {.07, .11}}},
+		{"report of zero gets a share", []Endpoint{ep("a"), ep("b"), ep("c", func(e *Endpoint) { e.Limit = 0 })}, testRequest,
+			map[string][2]float64{"a": {.4, .5}, "b": {.4, .5}, "c": {.07, .11}}},
 		{"cold and full", []Endpoint{ep("a", running(9)), ep("c", cold(2), running(2))}, testRequest, map[string][2]float64{"a": {1, 1}}},
 		{"cold takes over when warm ones are full", []Endpoint{ep("a", running(12)), ep("c", cold(2))}, testRequest,
 			map[string][2]float64{"c": {1, 1}}},
--- a/route/scorers.go
+++ b/route/scorers.go
@@ -16,6 +16,10 @@
 	return max(c.AssumedLimit, 1)
 }
 
+// isCold tells whether an endpoint is treated as cold. Without a report it is:
+// it may just have started, and all entries see the same zero.
+func isCold(e *Endpoint) bool { return e.Cold || e.Limit <= 0 }
+
 // load counts the work at an endpoint: what it reported and what this entry has
 // sent since.
 func load(e *Endpoint) int { return e.Running + e.Queued + e.Sent }
@@ -37,7 +41,7 @@
 	var work, limits [2]int
 	for _, i := range candidates {
 		e := &eps[i]
-		if e.Cold {
+		if isCold(e) {
 			continue
 		}
 		group := 0
@@ -58,7 +62,7 @@
 func (c *Config) utilization(e *Endpoint, f *fleet) float64 {
 	limit := float64(c.limit(e))
 	reported := float64(e.Running + e.Queued)
-	if e.ReportAge > 0 && f.decay > 0 && !e.Cold {
+	if e.ReportAge > 0 && f.decay > 0 && !isCold(e) {
 		mean := f.own
 		if e.Region != f.region {
 			mean = f.elsewhere
@@ -101,7 +105,7 @@
 // warm ones have room, and away from work that it cannot start.
 func (c *Config) warmUpScore(e *Endpoint) float64 {
 	switch {
-	case !e.Cold:
+	case !isCold(e):
 		return 0
 	case c.hasRoom(e):
 		return c.ColdReserve
