--- a/config/declare.go
+++ b/config/declare.go
@@ -185,7 +185,7 @@
 	if err != nil {
 		return nil, err
 	}
-	table, ok := plainNumbers(tree(wire)).(map[string]any)
+	table, ok := forTOML(tree(wire)).(map[string]any)
 	if !ok {
 		return nil, fmt.Errorf("%s/%s has no spec", kind, name)
 	}
@@ -193,16 +193,20 @@
 	return toml.Marshal(map[Kind]map[string]any{kind: {name: table}})
 }
 
-// plainNumbers replaces json.Number, which TOML would write as text.
-func plainNumbers(t any) any {
+// forTOML replaces json.Number, which TOML would write as text, and removes
+// null, which TOML does not have.
+func forTOML(t any) any {
 	switch t := t.(type) {
 	case map[string]any:
 		for k, v := range t {
-			t[k] = plainNumbers(v)
+			t[k] = forTOML(v)
+			if v == nil {
+				delete(t, k)
+			}
 		}
 	case []any:
 		for i, v := range t {
-			t[i] = plainNumbers(v)
+			t[i] = forTOML(v)
 		}
 	case json.Number:
 		if n, err := t.Int64(); err == nil {
--- a/config/validate.go
+++ b/config/validate.go
@@ -51,7 +51,7 @@
 		c.workspace(w)
 	}
 	for _, k := range v.Cascades {
-		c.stages(recordName(KindCascade, k.Name), k)
+		c.cascade(recordName(KindCascade, k.Name), k)
 	}
 	for _, b := range v.BackendServers {
 		c.backendServer(b)
@@ -125,7 +125,10 @@
 	}
 }
 
-func (c *crossChecker) stages(record string, k *Cascade) {
+func (c *crossChecker) cascade(record string, k *Cascade) {
+	if _, ok := c.view.Models[k.Name]; ok {
+		c.fail(record, "name", "is the name of a model too; callers could not tell them apart")
+	}
 	for _, model := range k.Stages {
 		known(c, record, "stages", KindModel, c.view.Models, model)
 	}
--- a/provider/follower.go
+++ b/provider/follower.go
@@ -79,7 +79,7 @@
 
 // list adopts a full list and returns its size in bytes.
 func (f *follower) list(ctx context.Context) (int, error) {
-	ctx, cancel := context.WithTimeout(ctx, f.opts.CallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, listTimeoutFactor*f.opts.CallTimeout)
 	defer cancel()
 	kvs, revision, err := f.store.List(ctx, f.prefix)
 	if err != nil {
@@ -109,6 +109,7 @@
 	begun := time.Now()
 	events, revision, err := f.store.Watch(ctx, f.prefix, f.cursor, wait)
 	if errors.Is(err, platform.ErrCompacted) {
+		f.contact.Store(time.Now().UnixNano())
 		f.listDue = time.Time{}
 		return jitter(f.opts.watchSpacing()), nil
 	}
--- a/provider/provider.go
+++ b/provider/provider.go
@@ -19,6 +19,7 @@
 	DefaultWatcherList     = 30 * time.Second
 	DefaultPollerList      = 5 * time.Minute
 	DefaultCallTimeout     = 5 * time.Second
+	listTimeoutFactor      = 2 // a list takes longer than other calls
 	minPollInterval        = 2 * time.Second
 	minWatchSpacing        = 50 * time.Millisecond
 	pollsPerSecond         = 100.0 // of all processes of one kind, per prefix
