--- a/session/binder.go
+++ b/session/binder.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"hyssoploom/internal/lru"
@@ -43,9 +44,13 @@
 	store platform.Store
 	now   func() time.Time
 	cache *lru.Cache[string, cached]
+	mu    sync.Mutex // makes remember atomic
 }
 
-type cached struct{ model, version string }
+type cached struct {
+	model, version string
+	revision       uint64 // of the record in the store
+}
 
 // BinderOption changes a Binder.
 type BinderOption func(*Binder)
@@ -88,14 +93,27 @@
 	if err != nil {
 		return "", err
 	}
-	b.cache.Delete(key) // the write may take effect after an error
-	return b.settle(ctx, key, model, func(version string) bool { return version != "" && version != from }, choose)
+	version, err := b.settle(ctx, key, model, func(version string) bool { return version != "" && version != from }, choose)
+	if err != nil {
+		b.cache.Delete(key) // the write may have taken effect
+	}
+	return version, err
+}
+
+// remember caches a version unless a newer one is cached, as after a Bind that
+// read the record before a Repin and returns after it.
+func (b *Binder) remember(key string, c cached) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if old, ok := b.cache.Get(key); !ok || old.revision < c.revision {
+		b.cache.Put(key, c)
+	}
 }
 
 // Forget drops the cached sessions of a version. An entry calls it when the
 // version is withdrawn, because other entries may then have repinned them.
 func (b *Binder) Forget(model, version string) {
-	b.cache.DeleteFunc(func(_ string, c cached) bool { return c == cached{model, version} })
+	b.cache.DeleteFunc(func(_ string, c cached) bool { return c.model == model && c.version == version })
 }
 
 // settle returns the stored version as soon as it is good, and otherwise writes
@@ -119,7 +137,7 @@
 			}
 		}
 		if good(p.Version) {
-			b.cache.Put(key, cached{model, p.Version})
+			b.remember(key, cached{model, p.Version, kv.Revision})
 			return p.Version, nil
 		}
 		if chosen == "" {
@@ -131,9 +149,9 @@
 		if err != nil {
 			return "", err
 		}
-		_, err = b.store.Swap(ctx, platform.Write{Key: key, Value: value, Expect: kv.Revision})
+		revision, err := b.store.Swap(ctx, platform.Write{Key: key, Value: value, Expect: kv.Revision})
 		if err == nil {
-			b.cache.Put(key, cached{model, chosen})
+			b.remember(key, cached{model, chosen, revision})
 			return chosen, nil
 		}
 		if last = err; errors.Is(err, platform.ErrUnavailable) {
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"testing"
 	"time"
 
@@ -22,6 +23,10 @@
 	signer := NewSigner(fleetKey)
 	text := signer.Sign(sample)
 	other := NewSigner([]byte("another fleet key"))
+	// The last character of this text has spare bits, which are 0.
+	alphabet := "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_"
+	last := len(text) - 1
+	spare := text[:last] + string(alphabet[strings.IndexByte(alphabet, text[last])+1])
 	for _, c := range []struct {
 		name, text, workspace string
 		signer                *Signer
@@ -39,6 +44,7 @@
 		{"signature only", text[len(text)-42:], "jylland", signer, now, ErrMalformed},
 		{"line break inside", text[:10] + "\n" + text[10:], "jylland", signer, now, ErrMalformed},
 		{"changed", text[:8] + "A" + text[9:], "jylland", signer, now, ErrForged},
+		{"spare bits set", spare, "jylland", signer, now, ErrMalformed},
 		{"too long", text + string(make([]byte, MaxTokenBytes)), "jylland", signer, now, ErrMalformed},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -55,28 +61,56 @@
 
 func choose(v string) func() (string, error) { return func() (string, error) { return v, nil } }
 
-// Guards against two entries that pin one session to different versions,
-// whatever happens to the response of the first write.
-func TestBindIsFleetWide(t *testing.T) {
-	for _, fault := range []faketest.Fault{faketest.Pass, faketest.Lose, faketest.Fail, faketest.Refuse, faketest.Late} {
-		store := new(faketest.Store)
-		first := true
-		store.OnCall(func(c faketest.Call) faketest.Fault {
-			if c.Op == "swap" && first {
-				first = false
-				return fault
+// Guards against two entries that pin or repin one session to different
+// versions, whatever happens to the first entry's write and the read after it,
+// and whether the second entry comes after it or while it is on its way.
+func TestVersionIsFleetWide(t *testing.T) {
+	ctx := context.Background()
+	for name, act := range map[string]func(b *Binder, to string) (string, error){
+		"bind":  func(b *Binder, to string) (string, error) { return b.Bind(ctx, "w", "new", "m", choose(to)) },
+		"repin": func(b *Binder, to string) (string, error) { return b.Repin(ctx, "w", "old", "m", "v0", choose(to)) },
+	} {
+		for _, write := range []faketest.Fault{faketest.Pass, faketest.Lose, faketest.Fail, faketest.Refuse, faketest.Late} {
+			for _, read := range []faketest.Fault{faketest.Pass, faketest.Refuse} {
+				for _, overtaken := range []bool{false, true} {
+					store := new(faketest.Store)
+					first, second := NewBinder(store), NewBinder(store)
+					if _, err := first.Bind(ctx, "w", "old", "m", choose("v0")); err != nil {
+						t.Fatal(err)
+					}
+					writes, overtaking := 0, false
+					store.OnCall(func(c faketest.Call) faketest.Fault {
+						switch {
+						case overtaking:
+							return faketest.Pass
+						case c.Op != "swap" && writes == 1:
+							return read
+						case c.Op != "swap":
+							return faketest.Pass
+						}
+						if writes++; writes > 1 {
+							return faketest.Pass
+						}
+						if overtaking = overtaken; overtaken {
+							_, _ = act(second, "v2")
+							overtaking = false
+						}
+						return write
+					})
+					a, errA := act(first, "v1")
+					store.OnCall(nil)
+					store.Deliver()
+					b, errB := act(second, "v2")
+					again, errAgain := act(first, "v3")
+					if errB != nil || errAgain != nil || b != again || (errA == nil && a != b) || (overtaken && b != "v2") {
+						t.Errorf("%s, write %d, read %d, overtaken %v: %q %v, then %q %v, then %q %v",
+							name, write, read, overtaken, a, errA, b, errB, again, errAgain)
+					}
+					if errA != nil && !errors.Is(errA, ErrUnavailable) {
+						t.Errorf("%s: error = %v, want ErrUnavailable", name, errA)
+					}
+				}
 			}
-			return faketest.Pass
-		})
-		ctx := context.Background()
-		a, errA := NewBinder(store).Bind(ctx, "w", "id", "m", choose("v1"))
-		store.Deliver()
-		b, errB := NewBinder(store).Bind(ctx, "w", "id", "m", choose("v2"))
-		if errB != nil || (errA == nil && a != b) {
-			t.Errorf("fault %d: first entry got %q, %v; second %q, %v", fault, a, errA, b, errB)
-		}
-		if fault == faketest.Refuse && !errors.Is(errA, ErrUnavailable) {
-			t.Errorf("refused write: error = %v, want ErrUnavailable", errA)
 		}
 	}
 }
@@ -127,3 +161,77 @@
 		t.Fatalf("Bind after Repin = %q, %v; want v2", v, err)
 	}
 }
+
+// Guards against a session that goes back to its old version because a Bind read
+// the record before a Repin and returned after it.
+func TestBindOvertakenByRepin(t *testing.T) {
+	store, ctx := new(faketest.Store), context.Background()
+	if _, err := NewBinder(store).Bind(ctx, "w", "id", "m", choose("v1")); err != nil {
+		t.Fatal(err)
+	}
+	b := NewBinder(store)
+	store.OnApplied(func(faketest.Call) {
+		store.OnApplied(nil)
+		if v, err := b.Repin(ctx, "w", "id", "m", "v1", choose("v2")); v != "v2" || err != nil {
+			t.Errorf("Repin() = %q, %v; want v2", v, err)
+		}
+	})
+	_, _ = b.Bind(ctx, "w", "id", "m", choose("v3"))
+	if v, err := b.Bind(ctx, "w", "id", "m", choose("v3")); v != "v2" || err != nil {
+		t.Errorf("Bind() = %q, %v; want v2", v, err)
+	}
+}
+
+// Guards against a session that goes back to its old version after a Repin whose
+// write took effect and whose outcome stayed unknown.
+func TestRepinOfUnknownOutcome(t *testing.T) {
+	store, ctx := new(faketest.Store), context.Background()
+	b := NewBinder(store)
+	if _, err := b.Bind(ctx, "w", "id", "m", choose("v1")); err != nil {
+		t.Fatal(err)
+	}
+	written := false
+	store.OnCall(func(c faketest.Call) faketest.Fault {
+		if written {
+			return faketest.Refuse
+		}
+		if written = c.Op == "swap"; written {
+			return faketest.Lose
+		}
+		return faketest.Pass
+	})
+	if _, err := b.Repin(ctx, "w", "id", "m", "v1", choose("v2")); !errors.Is(err, ErrUnavailable) {
+		t.Fatalf("Repin() error = %v, want ErrUnavailable", err)
+	}
+	store.OnCall(nil)
+	if v, err := b.Bind(ctx, "w", "id", "m", choose("v3")); v != "v2" || err != nil {
+		t.Errorf("Bind() = %q, %v; want v2", v, err)
+	}
+}
+
+// Guards against pins without a version, ids that share a record, and errors of
+// choose that are hidden.
+func TestBindArguments(t *testing.T) {
+	store, ctx := new(faketest.Store), context.Background()
+	b, noVersion := NewBinder(store, WithCacheSize(1)), errors.New("no version is active")
+	if _, err := b.Bind(ctx, "w", "id", "m", func() (string, error) { return "", noVersion }); !errors.Is(err, noVersion) {
+		t.Errorf("error = %v, want the one of choose", err)
+	}
+	for _, args := range [][3]string{{"", "id", "m"}, {"w", "", "m"}, {"w", "id", ""}, {"w", string(make([]byte, MaxIDBytes+1)), "m"}} {
+		if _, err := b.Bind(ctx, args[0], args[1], args[2], choose("v1")); !errors.Is(err, ErrInvalid) {
+			t.Errorf("%q: error = %v, want ErrInvalid", args, err)
+		}
+	}
+	for i, id := range []string{"a/m", "a", "..", "a%2Fm"} {
+		want := string(rune('1' + i))
+		if v, err := b.Bind(ctx, "w", id, "m", choose(want)); v != want || err != nil {
+			t.Errorf("id %q got %q, %v; want %q", id, v, err, want)
+		}
+	}
+	if _, err := store.Swap(ctx, platform.Write{Key: "session/w/bad/m", Value: []byte("{")}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := b.Bind(ctx, "w", "bad", "m", choose("v1")); err == nil {
+		t.Error("a record that cannot be decoded was replaced")
+	}
+}
--- a/session/token.go
+++ b/session/token.go
@@ -114,10 +114,13 @@
 		return Token{}, ErrForged
 	}
 	var w wireToken
-	dec := msgpack.NewDecoder(bytes.NewReader(body))
-	if err := dec.Decode(&w); err != nil {
+	rest := bytes.NewReader(body)
+	if err := msgpack.NewDecoder(rest).Decode(&w); err != nil {
 		return Token{}, fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
+	if rest.Len() > 0 {
+		return Token{}, ErrMalformed
+	}
 	t := Token{
 		Workspace: w.Workspace, Session: w.Session, Model: w.Model, Version: w.Version,
 		Expires: time.Unix(w.Expires, 0).UTC(),
