--- a/agent/chat.go
+++ b/agent/chat.go
@@ -82,7 +82,9 @@
 	}
 	switch {
 	case errors.Is(err, platform.ErrRefusedConnection):
-		a.gate.done(admission.Result{ID: ticket, RefusedConnection: true})
+		// A call that was cancelled before its connection says nothing about the
+		// engine.
+		a.gate.done(admission.Result{ID: ticket, RefusedConnection: !errors.Is(err, context.Canceled)})
 		return a.refuse(codeUnreachable, fmt.Sprintf("backend server %q refused the connection", a.settings.Name))
 	case errors.Is(err, platform.ErrOverloaded):
 		a.gate.done(admission.Result{ID: ticket, Overloaded: true})
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -93,6 +93,7 @@
 	request := route.Request{
 		Model: run.stage.model, Version: run.stage.version, Session: run.sessionID,
 		DataCentre: e.settings.DataCentre, Region: e.region(), Tried: run.tried,
+		BodyBytes: len(run.body), AnswerTime: e.answerTime.mean(),
 	}
 	return e.pick(request)
 }
@@ -114,6 +115,7 @@
 	p.sent.Add(1)
 	defer p.sent.Add(-1)
 	run.entry.metrics.Add("attempts", 1)
+	began := time.Now()
 	stream, err := p.client.Open(ctx, run.request(ctx, p))
 	if err != nil {
 		return nil, run.afterBreak(ctx, p, err)
@@ -129,6 +131,7 @@
 	if !end.Complete {
 		return nil, run.afterFailure(p, end)
 	}
+	run.entry.answerTime.add(time.Since(began))
 	return &answer{
 		stage: run.index, model: run.stage.model, version: run.stage.version,
 		text: run.text.String(), tokensIn: end.TokensIn, tokensOut: end.TokensOut,
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -66,8 +66,21 @@
 		case err == nil:
 			e.snapshot.Adopt([]config.Record{{Key: key, Revision: revision, Raw: raw}})
 		case errors.As(err, &conflict):
-			current := conflict.Current
-			e.snapshot.Adopt([]config.Record{{Key: key, Revision: current.Revision, Raw: current.Value}})
+			e.adoptQuarantine(ctx, key, raw, conflict.Current)
 		}
 	}
 }
+
+// adoptQuarantine follows a conflict. A key that is gone without a tombstone was
+// removed from the store by other means than an operator's lift; the quarantine
+// is then written anew.
+func (e *Entry) adoptQuarantine(ctx context.Context, key string, raw []byte, current platform.KV) {
+	if current.Revision == 0 {
+		revision, err := e.deps.Store.Swap(ctx, platform.Write{Key: key, Value: raw})
+		if err != nil {
+			return // the next round tries again
+		}
+		current = platform.KV{Revision: revision, Value: raw}
+	}
+	e.snapshot.Adopt([]config.Record{{Key: key, Revision: current.Revision, Raw: current.Value}})
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -34,6 +34,10 @@
 	quarantineInterval = time.Second
 	vmListInterval     = 2 * time.Second
 	dutyInterval       = 10 * time.Second
+	// watchIdle and watchMargin together stay below the 8 s within which a record
+	// has to be in force: a silent watch is found after their sum.
+	watchIdle   = 5 * time.Second
+	watchMargin = 2 * time.Second
 	// minLedgerWindow is the shortest group commit window.
 	minLedgerWindow = 20 * time.Millisecond
 	// ledgerWritesPerSecond is the part of the store's write rate that the
@@ -77,6 +81,8 @@
 	ledger   *ledger.Writer
 	pending  pendingCharges
 
+	answerTime movingAverage
+
 	entries  atomic.Int64 // number of entries in the VM list, at least 1
 	draining atomic.Bool
 	requests supervise.Inflight
@@ -116,6 +122,9 @@
 	e.watcher = provider.NewWatcher(deps.Store, e.snapshot, provider.Options{
 		Logger:    deps.Log.Base(),
 		Processes: e.processes,
+		// A watch that has gone silent is found before a record may be late.
+		Idle:        watchIdle,
+		CallTimeout: watchMargin,
 	})
 	e.publishMetrics()
 	e.addServices()
--- a/route/measure_test.go
+++ b/route/measure_test.go
@@ -123,21 +123,34 @@
 // backend servers have joined a running fleet cold: of the requests that arrive
 // in the first 10 s, and in 60 s. The load is relative to the capacity of the
 // other 17. With long answers the baseline harms fewer than 5% of the requests
-// of 60 s, so that its p95 is near that of an idle fleet and half of it cannot be
-// reached; the target is then set on the first 10 s only.
+// of 60 s, so that its p95 is near that of an idle fleet; that case has a test of
+// its own.
 func TestMeasureColdServers(t *testing.T) {
 	t.Parallel()
-	const target = 0.5
-	cases := []struct {
-		name  string
-		work  work
-		load  float64
-		whole bool // the target holds for 60 s too
-	}{
+	measureColdServers(t, []coldCase{
 		{"short answers, load 0.60", shortAnswers, 0.60, true},
 		{"short answers, load 0.85", shortAnswers, 0.85, true},
 		{"long answers, load 0.60", longAnswers, 0.60, false},
-	}
+	})
+}
+
+// TestMeasureColdServersLongAnswersMinute asks for the target over 60 s of long
+// answers too.
+func TestMeasureColdServersLongAnswersMinute(t *testing.T) {
+	t.Parallel()
+	measureColdServers(t, []coldCase{{"long answers, load 0.60", longAnswers, 0.60, true}})
+}
+
+// coldCase is one load of TestMeasureColdServers.
+type coldCase struct {
+	name  string
+	work  work
+	load  float64
+	whole bool // the target is checked for 60 s too
+}
+
+func measureColdServers(t *testing.T, cases []coldCase) {
+	const target = 0.5
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
@@ -232,6 +245,19 @@
 // own share. The baseline has one flow for all workspaces.
 func TestMeasureSmallWorkspace(t *testing.T) {
 	t.Parallel()
+	measureSmallWorkspace(t, func(answer, _ float64) float64 { return answer })
+}
+
+// TestMeasureSmallWorkspaceFirstToken asks for the same target for the first
+// token.
+func TestMeasureSmallWorkspaceFirstToken(t *testing.T) {
+	t.Parallel()
+	measureSmallWorkspace(t, func(_, first float64) float64 { return first })
+}
+
+// measureSmallWorkspace checks the ratio that it chooses from those of whole
+// answers and of first tokens.
+func measureSmallWorkspace(t *testing.T, choose func(answer, first float64) float64) {
 	const end, target, servers = 60 * time.Second, 1.3, 4
 	var answers, firsts, baseline spread
 	for seed := uint64(1); seed <= measureSeeds; seed++ {
@@ -261,7 +287,7 @@
 		answers, firsts, baseline = append(answers, ratio(ours, alone)), append(firsts, ratio(oursFirst, aloneFirst)), append(baseline, ratio(base, alone))
 		t.Logf("seed %2d: p95 answer alone %v, fair %v, one flow %v; p95 first token alone %v, fair %v, one flow %v; refused alone %d, fair %d, one flow %d",
 			seed, round(alone), round(ours), round(base), round(aloneFirst), round(oursFirst), round(baseFirst), aloneFailed, failed, baseFailed)
-		if r := ratio(ours, alone); r > target || failed > aloneFailed {
+		if r := choose(ratio(ours, alone), ratio(oursFirst, aloneFirst)); r > target || failed > aloneFailed {
 			t.Errorf("seed %d: ratio %.3f, target %.2f; %d requests of the small workspace refused, target %d", seed, r, target, failed, aloneFailed)
 		}
 	}
