--- a/entry/api.go
+++ b/entry/api.go
@@ -6,8 +6,10 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"regexp"
 	"strings"
+	"time"
 
 	"github.com/gorilla/mux"
 	"github.com/oklog/ulid/v2"
@@ -149,6 +151,11 @@
 
 func (e *Entry) identify(r *http.Request) (*call, *apiError) {
 	c := &call{requestID: r.Header.Get(headerRequestID), view: e.snapshot.View()}
+	if size := headerBytes(r.Header); size > maxHeaderBytes {
+		c.requestID = ""
+		return c, refusal(http.StatusRequestHeaderFieldsTooLarge, "headers_too_large",
+			"the headers have %d bytes, more than %d", size, maxHeaderBytes)
+	}
 	if c.requestID == "" {
 		c.requestID = ulid.Make().String()
 	}
@@ -175,13 +182,35 @@
 	return c, nil
 }
 
-// readBody reads a body within the size limit.
+const (
+	// maxHeaderBytes bounds the headers of a request.
+	maxHeaderBytes = 32 << 10
+	// bodyTimeout bounds the time in which a caller has to send the body.
+	bodyTimeout = 10 * time.Second
+)
+
+func headerBytes(h http.Header) int {
+	size := 0
+	for name, values := range h {
+		for _, value := range values {
+			size += len(name) + len(value)
+		}
+	}
+	return size
+}
+
+// readBody reads a body within the limits of size and time.
 func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *apiError) {
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.settings.MaxBodyBytes))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, refusal(http.StatusRequestEntityTooLarge, "body_too_large", "the body is larger than %d bytes", tooLarge.Limit)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, refusal(http.StatusRequestTimeout, "body_too_slow", "the body did not arrive within %s", bodyTimeout)
 	case err != nil:
 		return nil, refusal(http.StatusBadRequest, "body_unreadable", "the body could not be read: %v", err)
 	}
--- a/golden/sessions_test.go
+++ b/golden/sessions_test.go
@@ -2,6 +2,11 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -131,3 +136,53 @@
 
 // inForce reports whether all entries have the newest record.
 func (tr *transcript) inForce() bool { return tr.fleet.InForce() }
+
+// Guards against limits that are answered by something else than JSON.
+func TestLimits(t *testing.T) {
+	tr := newTranscript(t, embedded.DefaultSpec())
+	const chat = "/v1/chat/completions"
+	tr.hideBodies = true
+	tr.send("entry-jylland", http.MethodPost, chat, "key-aljibe", `{"model":"small","pad":"`+strings.Repeat("x", 600<<10)+`"}`)
+	tr.send("entry-jylland", http.MethodPost, chat, "key-aljibe", `{}`, "X-Task-Class", strings.Repeat("x", 40<<10))
+	tr.send("entry-jylland", http.MethodPost, chat, "key-aljibe", `{"model":"small","messages":[{"role":"user","content":"x"}]}`, "X-Task-Class", strings.Repeat("x", 65))
+	tr.send("entry-jylland", http.MethodPost, "/services/booking/bookings", "key-aljibe", `{}`, "Idempotency-Key", "no spaces")
+	tr.compare("limits")
+}
+
+// Guards against an operator who overwrites the change of another one unseen.
+func TestApplyLosesRace(t *testing.T) {
+	tr := newTranscript(t, embedded.DefaultSpec())
+	dir := t.TempDir()
+	tr.directory = dir
+	write := func(weight string) {
+		text := "[workspace.aljibe]\nkey_hashes = [\"" + embedded.Hash("key-aljibe") + "\"]\nallow = [{ model = \"small\" }]\nweight = " + weight + "\n"
+		if err := os.WriteFile(filepath.Join(dir, "workspaces.toml"), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	// The other operator writes between this one's read and write.
+	var race sync.Once
+	handler := tr.fleet.Store.Handler()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/v1/swap" {
+			race.Do(func() {
+				tr.put(config.KindWorkspace, "aljibe", &config.Workspace{
+					KeyHashes: []string{embedded.Hash("key-aljibe")}, Allow: []config.ModelGrant{{Model: "medium"}}, Weight: 3,
+				})
+			})
+		}
+		handler.ServeHTTP(w, r)
+	}))
+	defer server.Close()
+	write("2.0")
+	tr.command("check", dir)
+	tr.command("diff", dir, "--store", server.URL)
+	tr.note("Another operator is faster.")
+	tr.command("apply", dir, "--store", server.URL, "--writer", "night-shift")
+	tr.command("get", "workspace", "aljibe", "--store", server.URL)
+	tr.note("This operator has seen the difference and applies again.")
+	tr.command("apply", dir, "--store", server.URL, "--writer", "night-shift")
+	write("-1.0")
+	tr.command("check", dir)
+	tr.compare("apply-loses-a-race")
+}
--- a/golden/transcript_test.go
+++ b/golden/transcript_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/sebdah/goldie/v2"
 
+	"hyssoploom/cli"
 	"hyssoploom/embedded"
 )
 
@@ -24,6 +25,10 @@
 	text  bytes.Buffer
 	token string
 	n     int
+	// hideBodies leaves long request bodies and headers out of the transcript.
+	hideBodies bool
+	// directory is shown as ./records.
+	directory string
 }
 
 // volatile values differ from run to run and are replaced.
@@ -74,14 +79,14 @@
 	fmt.Fprintf(&tr.text, "> %s %s (%s, key %s)\n", method, path, entry, key)
 	for i := 0; i+1 < len(header); i += 2 {
 		req.Header.Set(header[i], header[i+1])
-		fmt.Fprintf(&tr.text, "> %s: %s\n", header[i], header[i+1])
+		fmt.Fprintf(&tr.text, "> %s: %s\n", header[i], tr.shown(header[i+1]))
 	}
 	if tr.token != "" {
 		req.Header.Set("X-Session-Token", tr.token)
 		fmt.Fprintln(&tr.text, "> X-Session-Token: <token of this session>")
 	}
 	if body != "" {
-		fmt.Fprintf(&tr.text, "> %s\n", body)
+		fmt.Fprintf(&tr.text, "> %s\n", tr.shown(body))
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
@@ -107,6 +112,25 @@
 	return resp
 }
 
+// longText is the length from which hideBodies shows the length only.
+const longText = 60
+
+func (tr *transcript) shown(text string) string {
+	if tr.hideBodies && len(text) > longText {
+		return fmt.Sprintf("<%d bytes>", len(text))
+	}
+	return text
+}
+
+// command runs an operator command and writes down what it prints.
+func (tr *transcript) command(args ...string) {
+	tr.t.Helper()
+	fmt.Fprintf(&tr.text, "$ hyssoploom %s\n", strings.Join(args, " "))
+	var out bytes.Buffer
+	code := cli.Run(tr.t.Context(), cli.New(), args, &out, &out)
+	fmt.Fprintf(&tr.text, "%sexit code %d\n\n", out.String(), code)
+}
+
 // chat sends one chat message in the session.
 func (tr *transcript) chat(entry, model, text string, header ...string) {
 	tr.t.Helper()
@@ -121,6 +145,9 @@
 func (tr *transcript) compare(name string) {
 	tr.t.Helper()
 	text := tr.text.Bytes()
+	if tr.directory != "" {
+		text = bytes.ReplaceAll(text, []byte(tr.directory), []byte("./records"))
+	}
 	for _, v := range volatile {
 		text = v.pattern.ReplaceAll(text, []byte(v.text))
 	}
--- a/supervise/http.go
+++ b/supervise/http.go
@@ -10,7 +10,8 @@
 
 const (
 	readHeaderTimeout = 5 * time.Second
-	maxHeaderBytes    = 64 << 10
+	// maxHeaderBytes is above the limit of the entry, which answers in JSON.
+	maxHeaderBytes = 256 << 10
 )
 
 // HTTP returns a service that serves handler on listener until ctx ends.
