--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -5,6 +5,7 @@
 
 import (
 	"container/list"
+	"slices"
 	"strconv"
 	"time"
 
@@ -60,7 +61,35 @@
 // maxForgotten bounds the memory of versions that have left the records.
 const maxForgotten = 256
 
-type cells map[uint8]Counts
+// Cell holds the counters of one stratum.
+type Cell struct {
+	ID uint8
+	Counts
+}
+
+// cells are ordered by ID. There are few, so a scan is faster than a map.
+type cells []Cell
+
+func (c cells) at(id uint8) Counts {
+	for i := range c {
+		if c[i].ID == id {
+			return c[i].Counts
+		}
+	}
+	return Counts{}
+}
+
+func (c cells) with(id uint8, n Counts) cells {
+	i := 0
+	for i < len(c) && c[i].ID < id {
+		i++
+	}
+	if i == len(c) || c[i].ID != id {
+		c = slices.Insert(c, i, Cell{ID: id})
+	}
+	c[i].Counts = n
+	return c
+}
 
 type part struct {
 	origin string
@@ -136,12 +165,12 @@
 		bySite.Errors = 1
 	}
 	id := partKey{e.origin(), k}
-	own := cells{}
+	var own cells
 	if el := e.parts[id]; el != nil {
 		own = el.Value.(*part).cells
 	}
 	c, s := classCell(o.TaskClass), siteCell(o.DataCentre)
-	e.raise(id, cells{c: own[c].add(byClass), s: own[s].add(bySite)})
+	e.raise(id, []Cell{{c, own.at(c).add(byClass)}, {s, own.at(s).add(bySite)}})
 }
 
 func (e *Evidence) countError(k VersionKey, now time.Duration) bool {
@@ -155,31 +184,31 @@
 
 // raise lifts the counters of one part to at least those given and reports
 // whether any rose.
-func (e *Evidence) raise(id partKey, to cells) bool {
+func (e *Evidence) raise(id partKey, to []Cell) bool {
 	el := e.parts[id]
 	var p *part
 	if el != nil {
 		p = el.Value.(*part)
 	}
 	changed := false
-	for cell, n := range to {
+	for _, n := range to {
 		var old Counts
 		if p != nil {
-			old = p.cells[cell]
+			old = p.cells.at(n.ID)
 		}
-		high := old.max(n)
+		high := old.max(n.Counts)
 		if high == old {
 			continue
 		}
 		if p == nil {
-			p = &part{origin: id.origin, key: id.key, cells: cells{}}
+			p = &part{origin: id.origin, key: id.key}
 			el = e.order.PushBack(p)
 			e.parts[id] = el
 		}
-		p.cells[cell] = high
+		p.cells = p.cells.with(n.ID, high)
 		changed = true
 		if !e.isFolded(id.origin) {
-			e.addTotal(id.key, cell, Counts{high.Answers - old.Answers, high.Rated - old.Rated,
+			e.addTotal(id.key, n.ID, Counts{high.Answers - old.Answers, high.Rated - old.Rated,
 				high.Passed - old.Passed, high.Errors - old.Errors})
 		}
 	}
@@ -193,11 +222,7 @@
 
 func (e *Evidence) addTotal(k VersionKey, cell uint8, n Counts) {
 	t := e.totals[k]
-	if t == nil {
-		t = cells{}
-		e.totals[k] = t
-	}
-	t[cell] = t[cell].add(n)
+	e.totals[k] = t.with(cell, t.at(cell).add(n))
 }
 
 // Merge adopts every counter of d that is higher than the local one and
@@ -231,28 +256,20 @@
 			break
 		}
 		if keep(p.key) {
-			d.Parts = append(d.Parts, Part{Origin: p.origin, Key: p.key, Cells: copyCells(p.cells)})
+			d.Parts = append(d.Parts, Part{Origin: p.origin, Key: p.key, Cells: slices.Clone(p.cells)})
 		}
 	}
 	return d
 }
 
-func copyCells(c cells) cells {
-	out := make(cells, len(c))
-	for id, n := range c {
-		out[id] = n
-	}
-	return out
-}
-
 // Totals sums the counters of a version over all origins.
 func (e *Evidence) Totals(k VersionKey) Counts {
 	var sum Counts
-	for id, n := range e.totals[k] {
-		if !isClass(id) {
-			n = Counts{Errors: n.Errors} // the class cells already count the answers
+	for _, c := range e.totals[k] {
+		if !isClass(c.ID) {
+			c.Counts = Counts{Errors: c.Errors} // the class cells already count the answers
 		}
-		sum = sum.add(n)
+		sum = sum.add(c.Counts)
 	}
 	return sum
 }
--- a/rollout/exposure.go
+++ b/rollout/exposure.go
@@ -135,11 +135,16 @@
 // Unlimited is the budget of a version that has passed its test.
 const Unlimited = math.MaxInt
 
+// maxPenalty bounds what a failed rating takes from a budget.
+const maxPenalty = 3
+
 // Budget is the part of a version's exposure budget that is open to it. It
-// starts at two fifths, grows by one answer for each that passes and shrinks by
-// one for each that fails, down to one: the first ratings of a bad version
-// arrive while agents that do not have them yet still refill freed slots.
-func Budget(budget int, candidate Counts, v Verdict) int {
+// starts at two fifths, because the first ratings of a bad version arrive while
+// agents that do not have them yet still refill freed slots. Each answer that
+// passes opens one more, and each that fails closes so many that the budget of
+// a version as good as its baseline still grows. One always stays open, or the
+// test could not end.
+func Budget(budget int, candidate, baseline Counts, v Verdict) int {
 	switch v {
 	case Bad:
 		return 0
@@ -149,6 +154,11 @@
 	if budget <= 0 {
 		budget = DefaultBudget
 	}
-	failed := int(candidate.Rated - candidate.Passed)
-	return min(budget, max(1, (2*budget+4)/5+int(candidate.Passed)-failed))
+	penalty := 1.0
+	if b := ratingArm(baseline); b.n() >= controlRated {
+		penalty = min(maxPenalty, 0.5*b.pass/max(1, b.fail))
+	}
+	start := float64((2*budget + 4) / 5)
+	c := ratingArm(candidate)
+	return min(budget, max(1, int(start+c.pass-penalty*c.fail)))
 }
--- a/rollout/fold.go
+++ b/rollout/fold.go
@@ -60,7 +60,7 @@
 	sum := map[VersionKey]cells{}
 	for _, p := range e.fold.Sum {
 		if !e.forgotten[p.Key] {
-			sum[p.Key] = copyCells(p.Cells)
+			sum[p.Key] = slices.Clone(p.Cells)
 		}
 	}
 	added := map[string]bool{}
@@ -72,11 +72,8 @@
 			added[id.origin] = true
 			f.Members = append(f.Members, originHash(id.origin))
 		}
-		if sum[id.key] == nil {
-			sum[id.key] = cells{}
-		}
-		for cell, n := range el.Value.(*part).cells {
-			sum[id.key][cell] = sum[id.key][cell].add(n)
+		for _, c := range el.Value.(*part).cells {
+			sum[id.key] = sum[id.key].with(c.ID, sum[id.key].at(c.ID).add(c.Counts))
 		}
 	}
 	if len(added) == 0 {
@@ -120,9 +117,9 @@
 func (e *Evidence) rebuildTotals() {
 	e.totals = map[VersionKey]cells{}
 	for _, p := range e.fold.Sum {
-		for cell, n := range p.Cells {
+		for _, c := range p.Cells {
 			if !e.forgotten[p.Key] {
-				e.addTotal(p.Key, cell, n)
+				e.addTotal(p.Key, c.ID, c.Counts)
 			}
 		}
 	}
@@ -130,8 +127,8 @@
 		if e.isFolded(id.origin) {
 			continue
 		}
-		for cell, n := range el.Value.(*part).cells {
-			e.addTotal(id.key, cell, n)
+		for _, c := range el.Value.(*part).cells {
+			e.addTotal(id.key, c.ID, c.Counts)
 		}
 	}
 }
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -36,7 +36,7 @@
 }
 
 func (c TestConfig) withDefaults() TestConfig {
-	orDefault(&c.Alpha, 0.0005)
+	orDefault(&c.Alpha, 0.005)
 	orDefault(&c.Margin, 0.02)
 	orDefault(&c.ErrorMargin, 0.02)
 	orDefault(&c.GoodMargin, 0.1)
@@ -95,8 +95,8 @@
 // weakens the evidence instead of falsifying it. Failures that hit both alike
 // leave it below 1.
 func Judge(candidate, baseline Counts, cfg TestConfig) Verdict {
-	c := cells{0: withoutErrors(candidate), classCells: candidate}
-	b := cells{0: withoutErrors(baseline), classCells: baseline}
+	c := cells{{0, withoutErrors(candidate)}, {classCells, candidate}}
+	b := cells{{0, withoutErrors(baseline)}, {classCells, baseline}}
 	return judge(c, b, b, cfg).Verdict
 }
 
@@ -141,9 +141,9 @@
 
 func sum(c cells, want func(uint8) bool) Counts {
 	var out Counts
-	for id, n := range c {
-		if want(id) {
-			out = out.add(n)
+	for _, n := range c {
+		if want(n.ID) {
+			out = out.add(n.Counts)
 		}
 	}
 	return out
@@ -204,9 +204,9 @@
 func compareRatings(candidate, baseline cells, margin float64) (pooled, classes float64) {
 	c, b := standardize(candidate, baseline, isClass, ratingArm)
 	var total float64
-	for id, n := range candidate {
-		if isClass(id) && n.Rated > 0 && baseline[id].Rated > 0 {
-			total += math.Exp(logE(ratingArm(n), ratingArm(baseline[id]).capped(), margin))
+	for _, n := range candidate {
+		if base := baseline.at(n.ID); isClass(n.ID) && n.Rated > 0 && base.Rated > 0 {
+			total += math.Exp(logE(ratingArm(n.Counts), ratingArm(base).capped(), margin))
 		}
 	}
 	return logE(c, b, margin), math.Log(total / classCells)
@@ -221,15 +221,15 @@
 // baseline's rates by the candidate's share of answers in each. Otherwise a
 // version that happened to get the harder tasks would look worse.
 func standardize(candidate, baseline cells, want func(uint8) bool, of func(Counts) arm) (c, b arm) {
-	for id, n := range candidate {
-		if a := of(n); want(id) && a.n() > 0 && of(baseline[id]).n() > 0 {
+	for _, n := range candidate {
+		if a := of(n.Counts); want(n.ID) && a.n() > 0 && of(baseline.at(n.ID)).n() > 0 {
 			c.pass, c.fail = c.pass+a.pass, c.fail+a.fail
 		}
 	}
 	var rate, spread float64
-	for id, n := range candidate {
-		a, base := of(n), of(baseline[id])
-		if !want(id) || a.n() == 0 || base.n() == 0 {
+	for _, n := range candidate {
+		a, base := of(n.Counts), of(baseline.at(n.ID))
+		if !want(n.ID) || a.n() == 0 || base.n() == 0 {
 			continue
 		}
 		w := a.n() / c.n()
@@ -268,7 +268,7 @@
 func logNull(c, b arm, margin float64) float64 {
 	at := func(p float64) float64 { return logLikelihood(c, p) + logLikelihood(b, p+margin) }
 	lo, hi := 0.0, 1-margin
-	const steps = 40 // narrows the interval below 1e-6
+	const steps = 24 // narrows the interval below 1e-4; the maximum is flat
 	for range steps {
 		third := (hi - lo) / 3
 		if at(lo+third) < at(hi-third) {
--- a/rollout/merge_test.go
+++ b/rollout/merge_test.go
@@ -118,7 +118,7 @@
 		t.Fatal(err)
 	}
 	got.Through = want.Through
-	if diff := cmp.Diff(want, got, cmp.Comparer(func(a, b cells) bool { return fmt.Sprint(a) == fmt.Sprint(b) })); diff != "" {
+	if diff := cmp.Diff(want, got); diff != "" {
 		t.Error(diff)
 	}
 	for i := range b {
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -117,17 +117,19 @@
 // Guards against a budget that ignores the ratings so far.
 func TestBudget(t *testing.T) {
 	for _, c := range []struct {
-		counts  Counts
-		verdict Verdict
-		want    int
+		counts, baseline Counts
+		verdict          Verdict
+		want             int
 	}{
-		{Counts{}, Continue, 8},
-		{Counts{Rated: 30, Passed: 30}, Continue, 20},
-		{Counts{Rated: 30}, Continue, 1},
-		{Counts{}, Bad, 0},
-		{Counts{}, Good, Unlimited},
+		{Counts{}, Counts{}, Continue, 8},
+		{Counts{Rated: 30, Passed: 30}, Counts{}, Continue, 20},
+		{Counts{Rated: 30}, Counts{}, Continue, 1},
+		{Counts{Rated: 3, Passed: 1}, Counts{Rated: 100, Passed: 90}, Continue, 3},
+		{Counts{Rated: 100, Passed: 10}, Counts{Rated: 100, Passed: 10}, Continue, 13},
+		{Counts{}, Counts{}, Bad, 0},
+		{Counts{}, Counts{}, Good, Unlimited},
 	} {
-		if got := Budget(0, c.counts, c.verdict); got != c.want {
+		if got := Budget(0, c.counts, c.baseline, c.verdict); got != c.want {
 			t.Errorf("Budget(%+v, %v) = %d; want %d", c.counts, c.verdict, got, c.want)
 		}
 	}
--- a/rollout/wire.go
+++ b/rollout/wire.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"fmt"
-	"slices"
 
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -12,7 +11,7 @@
 type Part struct {
 	Origin string
 	Key    VersionKey
-	Cells  map[uint8]Counts
+	Cells  []Cell // by ID
 }
 
 // Delta is evidence on its way to a peer.
@@ -81,14 +80,8 @@
 	out := make([][]uint64, 0, len(parts))
 	for _, p := range parts {
 		row := append(make([]uint64, 0, 3+cellWidth*len(p.Cells)), t.id(p.Origin), t.id(p.Key.Model), t.id(p.Key.Version))
-		ids := make([]uint8, 0, len(p.Cells))
-		for id := range p.Cells {
-			ids = append(ids, id)
-		}
-		slices.Sort(ids)
-		for _, id := range ids {
-			c := p.Cells[id]
-			row = append(row, uint64(id), c.Answers, c.Rated, c.Passed, c.Errors)
+		for _, c := range p.Cells {
+			row = append(row, uint64(c.ID), c.Answers, c.Rated, c.Passed, c.Errors)
 		}
 		out = append(out, row)
 	}
@@ -136,12 +129,12 @@
 				return nil, &MalformedError{fmt.Sprintf("string %d of %d", i, len(table))}
 			}
 		}
-		p := Part{Origin: table[row[0]], Key: VersionKey{table[row[1]], table[row[2]]}, Cells: cells{}}
+		p := Part{Origin: table[row[0]], Key: VersionKey{table[row[1]], table[row[2]]}}
 		for c := row[3:]; len(c) > 0; c = c[cellWidth:] {
 			if c[0] >= cellCount {
 				return nil, &MalformedError{fmt.Sprintf("cell %d", c[0])}
 			}
-			p.Cells[uint8(c[0])] = Counts{c[1], c[2], c[3], c[4]}
+			p.Cells = cells(p.Cells).with(uint8(c[0]), Counts{c[1], c[2], c[3], c[4]})
 		}
 		out = append(out, p)
 	}
