--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -22,6 +22,10 @@
 	noEndpointWait = 2 * time.Second
 	// pollInterval is the pause between two looks for a backend server.
 	pollInterval = 25 * time.Millisecond
+	// verdictWait is how much earlier than the entry an agent gives up a request.
+	// Without it an entry whose time is up cannot tell a request that waited in
+	// the agent's queue from one that ran.
+	verdictWait = 200 * time.Millisecond
 )
 
 // stageRun is one stage of a request: the attempts that produce one answer.
@@ -89,6 +93,7 @@
 	request := route.Request{
 		Model: run.stage.model, Version: run.stage.version, Session: run.sessionID,
 		DataCentre: e.settings.DataCentre, Region: e.region(), Tried: run.tried,
+		BodyBytes: len(run.body), AnswerTime: e.answerTime.mean(),
 	}
 	return e.pick(request)
 }
@@ -110,6 +115,7 @@
 	p.sent.Add(1)
 	defer p.sent.Add(-1)
 	run.entry.metrics.Add("attempts", 1)
+	began := time.Now()
 	stream, err := p.client.Open(ctx, run.request(ctx, p))
 	if err != nil {
 		return nil, run.afterBreak(ctx, p, err)
@@ -125,6 +131,7 @@
 	if !end.Complete {
 		return nil, run.afterFailure(p, end)
 	}
+	run.entry.answerTime.add(time.Since(began))
 	return &answer{
 		stage: run.index, model: run.stage.model, version: run.stage.version,
 		text: run.text.String(), tokensIn: end.TokensIn, tokensOut: end.TokensOut,
@@ -155,20 +162,26 @@
 var errCallerGone = errors.New("caller closed the connection")
 
 func (run *stageRun) request(ctx context.Context, p *peer) *link.Request {
-	deadline, _ := ctx.Deadline()
-	now := time.Now()
 	return &link.Request{
 		Kind: link.KindChat, RequestID: run.requestID, Attempt: run.attempt + uint32(run.index)<<16,
 		Workspace: run.workspace.Name, Model: run.stage.model, Version: run.stage.version,
 		Pinned: run.stage.pinned, Session: run.sessionID, TaskClass: run.taskClass, Stage: run.index,
 		Priority: run.workspace.Priority,
-		Deadline: p.client.Status().AgentClock(now) + deadline.Sub(now),
+		Deadline: agentDeadline(ctx, p),
 		Revision: run.entry.snapshot.Revision(),
 		Body:     run.body, ResumeFrom: run.tokens, ResumeText: run.text.String(),
 		TraceParent: telemetry.TraceParent(ctx),
 	}
 }
 
+// agentDeadline returns the time by the agent's clock at which it gives up a
+// request.
+func agentDeadline(ctx context.Context, p *peer) time.Duration {
+	deadline, _ := ctx.Deadline()
+	now := time.Now()
+	return p.client.Status().AgentClock(now) + deadline.Sub(now) - verdictWait
+}
+
 // afterBreak decides what follows a refusal or a lost stream.
 func (run *stageRun) afterBreak(ctx context.Context, p *peer, err error) follow {
 	var refused *link.RefusedError
@@ -176,6 +189,9 @@
 	var notSent *link.NotSentError
 	switch {
 	case errors.As(err, &refused):
+		if refused.Refusal.Code == link.CodeDeadline {
+			return follow{err: run.timedOut()}
+		}
 		run.refused = &refused.Refusal
 		return follow{avoidVersion: refused.Refusal.Code == "exposure_budget"}
 	case errors.As(err, &notSent):
@@ -203,15 +219,18 @@
 // afterFailure decides what follows an answer that the backend server cut.
 func (run *stageRun) afterFailure(p *peer, end *link.End) follow {
 	run.entry.log.Warn("Attempt failed.", "request", run.requestID, "backend_server", p.name, "code", end.Code)
-	if end.Moved() {
+	switch {
+	case end.Moved():
 		return run.resume(end.Code, end.Message)
+	case end.Code == link.CodeDeadline:
+		return follow{err: run.timedOut()}
 	}
 	return run.retry(end.Code, end.Message)
 }
 
 // retry allows another attempt within the retry budget.
 func (run *stageRun) retry(code, message string) follow {
-	if !run.entry.budget.allow() {
+	if !run.entry.budgets.allow(run.workspace.Name) {
 		return follow{err: run.failed(code, message+"; the retry budget is used up")}
 	}
 	return run.resume(code, message)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -34,6 +34,10 @@
 	quarantineInterval = time.Second
 	vmListInterval     = 2 * time.Second
 	dutyInterval       = 10 * time.Second
+	// watchIdle and watchMargin together stay below the 8 s within which a record
+	// has to be in force: a silent watch is found after their sum.
+	watchIdle   = 5 * time.Second
+	watchMargin = 2 * time.Second
 	// minLedgerWindow is the shortest group commit window.
 	minLedgerWindow = 20 * time.Millisecond
 	// ledgerWritesPerSecond is the part of the store's write rate that the
@@ -67,7 +71,7 @@
 	tree     *suture.Supervisor
 
 	router   *route.Router
-	budget   *retryBudget
+	budgets  *retryBudgets
 	policy   *policy
 	health   *health.Keeper
 	ratings  *ratings
@@ -77,6 +81,8 @@
 	ledger   *ledger.Writer
 	pending  pendingCharges
 
+	answerTime movingAverage
+
 	entries  atomic.Int64 // number of entries in the VM list, at least 1
 	draining atomic.Bool
 	requests supervise.Inflight
@@ -96,7 +102,7 @@
 		started:  time.Now(),
 		snapshot: config.NewSnapshot(),
 		router:   route.NewRouter(route.Config{}),
-		budget:   newRetryBudget(),
+		budgets:  newRetryBudgets(),
 		signer:   session.NewSigner([]byte(s.FleetKey)),
 		sessions: session.NewBinder(deps.Store),
 		once:     once.New(deps.Store),
@@ -116,6 +122,9 @@
 	e.watcher = provider.NewWatcher(deps.Store, e.snapshot, provider.Options{
 		Logger:    deps.Log.Base(),
 		Processes: e.processes,
+		// A watch that has gone silent is found before a record may be late.
+		Idle:        watchIdle,
+		CallTimeout: watchMargin,
 	})
 	e.publishMetrics()
 	e.addServices()
@@ -223,26 +232,6 @@
 	e.metrics.Func("draining", func() any { return e.draining.Load() })
 }
 
-// retryBudget makes route.RetryBudget safe for concurrent use.
-type retryBudget struct {
-	mu     sync.Mutex
-	bucket *route.RetryBudget
-}
-
-func newRetryBudget() *retryBudget { return &retryBudget{bucket: route.NewRetryBudget()} }
-
-func (b *retryBudget) request() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.bucket.Request()
-}
-
-func (b *retryBudget) allow() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.bucket.Retry()
-}
-
 // policy makes cascade.Policy safe for concurrent use.
 type policy struct {
 	mu    sync.Mutex
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -117,6 +117,8 @@
 			map[string][2]float64{"b": {1, 1}}},
 		{"cold one gets its share at low load", []Endpoint{ep("a"), ep("b"), ep("c", cold(2))}, testRequest,
 			map[string][2]float64{"a": {.4, .5}, "b": {.4, .5}, "c": {.07, .11}}},
+		{"report of zero gets a share", []Endpoint{ep("a"), ep("b"), ep("c", func(e *Endpoint) { e.Limit = 0 })}, testRequest,
+			map[string][2]float64{"a": {.4, .5}, "b": {.4, .5}, "c": {.07, .11}}},
 		{"cold and full", []Endpoint{ep("a", running(9)), ep("c", cold(2), running(2))}, testRequest, map[string][2]float64{"a": {1, 1}}},
 		{"cold takes over when warm ones are full", []Endpoint{ep("a", running(12)), ep("c", cold(2))}, testRequest,
 			map[string][2]float64{"c": {1, 1}}},
@@ -196,3 +198,32 @@
 		t.Errorf("%d retries for 1000 requests", retries)
 	}
 }
+
+// TestPickIsAllowed guards against a choice that a filter forbids, and against a
+// refusal while an endpoint is left, for any state of the fleet.
+func TestPickIsAllowed(t *testing.T) {
+	for seed := range uint64(3000) {
+		r := rng(seed)
+		eps, req, left := make([]Endpoint, 1+r.IntN(12)), testRequest, 0
+		req.Tried = map[string]bool{"1": true}
+		if r.IntN(2) == 0 {
+			req.Session = fmt.Sprint(seed)
+		}
+		for i := range eps {
+			eps[i] = Endpoint{Name: fmt.Sprint(i), Region: fmt.Sprint("r", r.IntN(3)), Alive: r.IntN(4) > 0, Draining: r.IntN(8) == 0,
+				Out: r.IntN(8) == 0, Leaving: r.IntN(8) == 0, Loaded: []string{fmt.Sprint("m@", r.IntN(2))}, Running: r.IntN(20),
+				Queued: r.IntN(4), Sent: r.IntN(4), Limit: r.IntN(10), Cold: r.IntN(3) == 0, ReportAge: time.Duration(r.IntN(5)) * time.Second}
+			if allowed(eps[i], req) {
+				left++
+			}
+		}
+		d, err := NewRouter(Config{}).Pick(eps, req, r)
+		if (err == nil) != (left > 0) || err == nil && (d.Candidates != left || !allowed(eps[d.Index], req) || eps[d.Index].Name != d.Endpoint) {
+			t.Fatalf("seed %d: %d endpoints left, got %+v, %v", seed, left, d, err)
+		}
+	}
+}
+
+func allowed(e Endpoint, r Request) bool {
+	return e.Alive && !e.Draining && !e.Out && !e.Leaving && e.Loaded[0] == "m@1" && !r.Tried[e.Name]
+}
