--- a/agent/agent.go
+++ b/agent/agent.go
@@ -36,9 +36,11 @@
 	statusInterval   = 500 * time.Millisecond // engine load report
 	evidenceInterval = time.Second
 	vmListInterval   = 2 * time.Second
-	ordersInterval   = time.Second
-	expireInterval   = 50 * time.Millisecond
-	heldInterval     = time.Second
+	// vmListRate bounds the calls per second of all agents together.
+	vmListRate     = 100
+	ordersInterval = time.Second
+	expireInterval = 50 * time.Millisecond
+	heldInterval   = time.Second
 	// heldLimit is how long a charge waits for its entry to make it durable. An
 	// entry that lost the end of the answer never does.
 	heldLimit = 10 * time.Second
@@ -145,7 +147,9 @@
 		a.health.Tick()
 		a.exposure.expire(a.clock())
 	}))
-	tree.Add(supervise.Every("vm list", vmListInterval, a.readVMList))
+	tree.Add(supervise.Spaced("vm list", func() time.Duration {
+		return supervise.Shared(vmListInterval, a.processes(), vmListRate)
+	}, a.readVMList))
 	tree.Add(supervise.Every("queue", expireInterval, func(context.Context) { a.gate.expire() }))
 	tree.Add(supervise.Every("held charges", heldInterval, a.expireHeld))
 	tree.Add(supervise.Func{Name: "limits", Run: a.followLimits})
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -34,6 +34,11 @@
 	quarantineInterval = time.Second
 	vmListInterval     = 2 * time.Second
 	dutyInterval       = 10 * time.Second
+	// vmListRate, dutyRate and quarantineRate bound the calls per second of all
+	// entries together.
+	vmListRate     = 100
+	dutyRate       = 1
+	quarantineRate = 50
 	// watchIdle and watchMargin together stay below the 8 s within which a record
 	// has to be in force: a silent watch is found after their sum.
 	watchIdle   = 5 * time.Second
@@ -136,9 +141,9 @@
 	e.tree.Add(e.ledger)
 	e.tree.Add(e.links)
 	e.tree.Add(supervise.Every("evidence", evidenceInterval, func(context.Context) { e.health.Tick() }))
-	e.tree.Add(supervise.Every("quarantines", quarantineInterval, e.storeQuarantines))
-	e.tree.Add(supervise.Every("vm list", vmListInterval, e.readVMList))
-	e.tree.Add(supervise.Every("duties", dutyInterval, e.runDuties))
+	e.tree.Add(supervise.Spaced("quarantines", e.shared(quarantineInterval, quarantineRate), e.storeQuarantines))
+	e.tree.Add(supervise.Spaced("vm list", e.shared(vmListInterval, vmListRate), e.readVMList))
+	e.tree.Add(supervise.Spaced("duties", e.shared(dutyInterval, dutyRate), e.runDuties))
 }
 
 // ServeOn answers callers on listener until ctx ends.
@@ -197,6 +202,11 @@
 	e.links.setVMs(vms)
 }
 
+// shared spaces calls by the number of entries.
+func (e *Entry) shared(shortest time.Duration, rate float64) func() time.Duration {
+	return func() time.Duration { return supervise.Shared(shortest, e.processes(), rate) }
+}
+
 // processes returns the number of entries that the VM list names.
 func (e *Entry) processes() int { return int(e.entries.Load()) }
 
--- a/supervise/tree.go
+++ b/supervise/tree.go
@@ -4,7 +4,7 @@
 
 import (
 	"context"
-	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"github.com/thejerf/suture/v4"
@@ -50,16 +50,30 @@
 
 // Every returns a service that calls f at each interval until ctx ends.
 func Every(name string, interval time.Duration, f func(ctx context.Context)) Func {
-	return Func{Name: fmt.Sprintf("%s every %s", name, interval), Run: func(ctx context.Context) error {
-		ticker := time.NewTicker(interval)
-		defer ticker.Stop()
+	return Spaced(name, func() time.Duration { return interval }, f)
+}
+
+// Spaced returns a service that calls f until ctx ends, after the pause that
+// interval returns each time.
+func Spaced(name string, interval func() time.Duration, f func(ctx context.Context)) Func {
+	return Func{Name: name, Run: func(ctx context.Context) error {
 		for {
+			timer := time.NewTimer(interval())
 			select {
 			case <-ctx.Done():
+				timer.Stop()
 				return ctx.Err()
-			case <-ticker.C:
+			case <-timer.C:
 				f(ctx)
 			}
 		}
 	}}
 }
+
+// Shared returns the interval at which each of n processes may make a call, so
+// that all of them together stay within rate calls per second. It is at least
+// shortest, and varies by a tenth so that the processes spread out.
+func Shared(shortest time.Duration, n int, rate float64) time.Duration {
+	interval := max(shortest, time.Duration(float64(n)/rate*float64(time.Second)))
+	return interval + time.Duration((rand.Float64()-0.5)*0.2*float64(interval))
+}
