--- a/health/keeper.go
+++ b/health/keeper.go
@@ -229,9 +229,13 @@
 
 // Budget is the part of a version's exposure budget that is open to it now.
 func (k *Keeper) Budget(key rollout.VersionKey, budget int) int {
+	var baseline rollout.VersionKey
+	if version, ok := lookup(k.snapshot.View(), key); ok {
+		baseline = rollout.VersionKey{Model: key.Model, Version: version.Baseline}
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return rollout.Budget(budget, k.evidence.Totals(key), k.verdicts[key])
+	return rollout.Budget(budget, k.evidence.Totals(key), k.evidence.Totals(baseline), k.verdicts[key])
 }
 
 // Quarantined reports whether the store or a process of the fleet has put the
