--- a/agent/agent.go
+++ b/agent/agent.go
@@ -132,6 +132,7 @@
 		OnControl:   a.onControl,
 		OnPeerGone:  a.onPeerGone,
 		Logger:      deps.Log.Base(),
+		Retention:   streamRetention,
 	})
 	a.publishMetrics()
 	a.tree = a.buildTree()
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -36,7 +36,7 @@
 	out     *output
 	gated   bool
 	tried   map[string]bool
-	attempt uint32
+	attempt uint32 // unique in this entry, because callers choose request ids
 	// text and tokens are what earlier attempts have produced and the caller may
 	// have seen.
 	text    strings.Builder
@@ -106,7 +106,7 @@
 
 // try runs one attempt on one backend server.
 func (run *stageRun) try(ctx context.Context, p *peer) (*answer, follow) {
-	run.attempt++
+	run.attempt = run.entry.attempts.Add(1)
 	run.tried[p.name] = true
 	ctx, span := run.entry.deps.Tracing.Tracer.Start(ctx, "link")
 	defer span.End()
@@ -163,7 +163,7 @@
 
 func (run *stageRun) request(ctx context.Context, p *peer) *link.Request {
 	return &link.Request{
-		Kind: link.KindChat, RequestID: run.requestID, Attempt: run.attempt + uint32(run.index)<<16,
+		Kind: link.KindChat, RequestID: run.requestID, Attempt: run.attempt,
 		Workspace: run.workspace.Name, Model: run.stage.model, Version: run.stage.version,
 		Pinned: run.stage.pinned, Session: run.sessionID, TaskClass: run.taskClass, Stage: run.index,
 		Priority: run.workspace.Priority,
@@ -257,7 +257,7 @@
 // keep the larger one.
 func (run *stageRun) chargeCut(p *peer) {
 	run.entry.chargeCut(cutCharge{
-		call: run.call, body: run.body, stage: run.index, attempt: run.attempt, peer: p,
+		call: run.call, body: run.body, stage: run.index, peer: p,
 		model: run.stage.model, version: run.stage.version, tokensOut: run.tokens,
 	})
 }
--- a/entry/charges.go
+++ b/entry/charges.go
@@ -62,7 +62,6 @@
 	call      *call
 	body      []byte
 	stage     int
-	attempt   uint32
 	peer      *peer
 	model     string
 	version   string
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -88,7 +88,8 @@
 
 	answerTime movingAverage
 
-	entries  atomic.Int64 // number of entries in the VM list, at least 1
+	attempts atomic.Uint32 // numbers the attempts of all requests
+	entries  atomic.Int64  // number of entries in the VM list, at least 1
 	draining atomic.Bool
 	requests supervise.Inflight
 
--- a/entry/service.go
+++ b/entry/service.go
@@ -45,7 +45,7 @@
 	onceKey string
 	nonce   string
 	tried   map[string]bool
-	attempt uint32
+	attempt uint32 // unique in this entry, because callers choose request ids
 	refused *link.Refusal
 	handed  bool
 }
@@ -253,7 +253,7 @@
 		return nil, errors.Join(errNoPeer, err)
 	}
 	s.tried[p.name] = true
-	s.attempt++
+	s.attempt = e.attempts.Add(1)
 	p.sent.Add(1)
 	defer p.sent.Add(-1)
 	e.metrics.Add("attempts", 1)
@@ -304,7 +304,7 @@
 	default:
 		s.handed = true
 		if s.onceKey == "" {
-			s.entry.chargeCut(cutCharge{call: s.call, body: s.body, attempt: s.attempt, peer: p, service: s.service.Name})
+			s.entry.chargeCut(cutCharge{call: s.call, body: s.body, peer: p, service: s.service.Name})
 		}
 	}
 	return err
