--- a/agent/agent.go
+++ b/agent/agent.go
@@ -41,6 +41,9 @@
 	ordersInterval = time.Second
 	expireInterval = 50 * time.Millisecond
 	heldInterval   = time.Second
+	// streamRetention is how long the streams of a lost link go on. Entries give
+	// up such a stream sooner and continue it elsewhere.
+	streamRetention = 5 * time.Second
 	// heldLimit is how long a charge waits for its entry to make it durable. An
 	// entry that lost the end of the answer never does.
 	heldLimit = 10 * time.Second
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -257,7 +257,7 @@
 // keep the larger one.
 func (run *stageRun) chargeCut(p *peer) {
 	run.entry.chargeCut(cutCharge{
-		call: run.call, body: run.body, stage: run.index, peer: p,
+		call: run.call, body: run.body, stage: run.index,
 		model: run.stage.model, version: run.stage.version, tokensOut: run.tokens,
 	})
 }
--- a/entry/charges.go
+++ b/entry/charges.go
@@ -62,7 +62,6 @@
 	call      *call
 	body      []byte
 	stage     int
-	peer      *peer
 	model     string
 	version   string
 	service   string
--- a/entry/service.go
+++ b/entry/service.go
@@ -304,7 +304,7 @@
 	default:
 		s.handed = true
 		if s.onceKey == "" {
-			s.entry.chargeCut(cutCharge{call: s.call, body: s.body, peer: p, service: s.service.Name})
+			s.entry.chargeCut(cutCharge{call: s.call, body: s.body, service: s.service.Name})
 		}
 	}
 	return err
