--- a/internal/faketest/store.go
+++ b/internal/faketest/store.go
@@ -23,6 +23,7 @@
 	Fail         // do not apply the call, and fail with ErrUnknownOutcome
 	Refuse       // do not apply the call, and fail with ErrUnavailable
 	Late         // fail with ErrUnknownOutcome, and apply the call at Deliver
+	Hang         // apply the call, and return when the context ends
 )
 
 // Call describes one call to the store. Write is nil for reads.
@@ -117,6 +118,10 @@
 		return err
 	}
 	err := s.perform(c, fault, apply)
+	if fault == Hang {
+		<-ctx.Done()
+		err = ctx.Err()
+	}
 	s.mu.Lock()
 	after := s.after
 	s.mu.Unlock()
@@ -134,7 +139,7 @@
 		return apply()
 	case Refuse:
 		return platform.ErrUnavailable
-	case Lose:
+	case Lose, Hang:
 		_ = apply()
 	case Late:
 		if c.Write != nil {
--- a/ledger/writer_test.go
+++ b/ledger/writer_test.go
@@ -168,13 +168,13 @@
 }
 
 // Guards against rows that are lost, or reported durable when they are not, when
-// half of all calls to the store fail in one of the four ways.
+// half of all calls to the store fail in one of the five ways.
 func TestWriterLostResponses(t *testing.T) {
 	for seed := range uint64(20) {
 		bubble(t, func(t *testing.T, store *faketest.Store, w *Writer) {
 			rng := rand.New(rand.NewPCG(seed, 0))
 			store.OnCall(func(faketest.Call) faketest.Fault {
-				return faketest.Fault(max(0, rng.IntN(2*int(faketest.Late))-int(faketest.Late)+1))
+				return faketest.Fault(max(0, rng.IntN(2*int(faketest.Hang))-int(faketest.Hang)+1))
 			})
 			want, stored := new(Book), 0
 			w.OnDurable = func(keys []RowKey) {
