--- a/rollout/merge_test.go
+++ b/rollout/merge_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -50,7 +51,7 @@
 func state(e *Evidence) string {
 	d := e.Delta(0)
 	slices.SortFunc(d.Parts, func(a, b Part) int {
-		return cmpString(fmt.Sprint(a.Origin, a.Key), fmt.Sprint(b.Origin, b.Key))
+		return strings.Compare(fmt.Sprint(a.Origin, a.Key), fmt.Sprint(b.Origin, b.Key))
 	})
 	out := ""
 	for _, p := range d.Parts {
@@ -62,16 +63,6 @@
 	return out
 }
 
-func cmpString(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 // Guards against counters that depend on the order of deltas, or count a
 // repeated delta again, or lose what a later full delta repeats.
 func TestEvidenceMergeAnyOrder(t *testing.T) {
@@ -152,6 +143,10 @@
 		for _, i := range r.Perm(len(deltas)) {
 			late.Merge(deltas[i])
 		}
+		want := fmt.Sprint(plain.totals)
+		if got := fmt.Sprint(late.totals); got != want {
+			return fmt.Sprintf("late, after the first folds: %s; want %s", got, want)
+		}
 		da, db := a.Delta(0), b.Delta(0)
 		a.Merge(db)
 		b.Merge(da)
@@ -161,7 +156,6 @@
 		for _, d := range sent {
 			late.Merge(d)
 		}
-		want := fmt.Sprint(plain.totals)
 		for name, e := range map[string]*Evidence{"a": a, "b": b, "late": late} {
 			if got := fmt.Sprint(e.totals); got != want {
 				return fmt.Sprintf("%s: %s; want %s", name, got, want)
