--- a/admission/controller.go
+++ b/admission/controller.go
@@ -162,6 +162,10 @@
 	}
 }
 
+// Reset falls to the cold limit, because the backend server may have been
+// restarted while it was out of service.
+func (c *Controller) Reset() { c.limiter.reset() }
+
 // Report returns the load report.
 func (c *Controller) Report() Report {
 	l := &c.limiter
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -335,18 +335,29 @@
 	}
 	for _, vm := range vms {
 		if vm.Name == a.settings.VM {
-			a.vmLeaving.Store(vm.Leaving)
+			if a.vmLeaving.Swap(vm.Leaving) != vm.Leaving {
+				a.gate.reset()
+			}
 		}
 	}
 }
 
 // followLimits applies the record's limits whenever the configuration changes.
+// Both the end and the begin of service reset the limit: the backend server may
+// have been restarted in between, and the reset at the begin alone could come
+// after the first new work.
 func (a *Agent) followLimits(ctx context.Context) error {
+	served := false
 	for {
 		changed := a.snapshot.Changed()
-		if server, ok := a.snapshot.View().BackendServers[a.settings.Name]; ok {
+		view := a.snapshot.View()
+		if server, ok := view.BackendServers[a.settings.Name]; ok {
 			a.gate.setLimits(server.ColdLimit, server.WarmLimit)
 		}
+		if serves := checkPlace(view, a.standing()) == nil; serves != served {
+			a.gate.reset()
+			served = serves
+		}
 		a.health.Reconcile()
 		select {
 		case <-ctx.Done():
--- a/agent/gate.go
+++ b/agent/gate.go
@@ -90,6 +90,13 @@
 	})
 }
 
+func (g *gate) reset() {
+	g.change(func(now time.Duration) admission.Changes {
+		g.controller.Reset()
+		return g.controller.Expire(now)
+	})
+}
+
 func (g *gate) expire() { g.change(g.controller.Expire) }
 
 func (g *gate) drain() { g.change(g.controller.Drain) }
--- a/agent/rules.go
+++ b/agent/rules.go
@@ -45,7 +45,7 @@
 // checkRules returns nil when the request may run on this backend server now,
 // judged by view alone.
 func checkRules(view *config.View, s standing, r *link.Request) *link.Refusal {
-	if refusal := checkPlace(view, s, r); refusal != nil {
+	if refusal := checkPlace(view, s); refusal != nil {
 		return refusal
 	}
 	workspace, ok := view.Workspaces[r.Workspace]
@@ -58,7 +58,7 @@
 	return checkModel(view, s, workspace, r)
 }
 
-func checkPlace(view *config.View, s standing, _ *link.Request) *link.Refusal {
+func checkPlace(view *config.View, s standing) *link.Refusal {
 	server, ok := view.BackendServers[s.name]
 	switch {
 	case s.draining:
