--- a/embedded/fleet.go
+++ b/embedded/fleet.go
@@ -14,6 +14,7 @@
 	"io/fs"
 	"net"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/oklog/ulid/v2"
@@ -270,7 +271,7 @@
 	if listen == "" {
 		listen = "127.0.0.1:0"
 	}
-	listener, err := net.Listen("tcp", listen)
+	listener, err := listenAgain(ctx, listen)
 	if err != nil {
 		return err
 	}
@@ -294,6 +295,22 @@
 	return nil
 }
 
+// listenAgain listens on the address that a daemon had before. Meanwhile an
+// outgoing connection of this machine may use its port for a moment.
+func listenAgain(ctx context.Context, addr string) (net.Listener, error) {
+	for {
+		listener, err := net.Listen("tcp", addr)
+		if !errors.Is(err, syscall.EADDRINUSE) {
+			return listener, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, errors.Join(ctx.Err(), err)
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
+
 func (f *Fleet) addEntry(ctx context.Context, spec EntrySpec) error {
 	f.Entries[spec.Name] = &Entry{Spec: spec}
 	f.setVM(platform.VM{Name: "vm-" + spec.Name, DataCentre: spec.DataCentre, Role: "entry"})
@@ -308,7 +325,7 @@
 	if listen == "" {
 		listen = "127.0.0.1:0"
 	}
-	listener, err := net.Listen("tcp", listen)
+	listener, err := listenAgain(ctx, listen)
 	if err != nil {
 		return err
 	}
--- a/invariants/datacentre_bench_test.go
+++ b/invariants/datacentre_bench_test.go
@@ -45,6 +45,7 @@
 type tally struct {
 	mu                         sync.Mutex
 	sent, failed, refused, cut int
+	codes                      map[string]int // of refusals
 }
 
 func (c *tally) add(status int, body string, err error) {
@@ -57,6 +58,10 @@
 		c.cut++
 	case strings.Contains(body, `"not_run"`):
 		c.refused++
+		if c.codes == nil {
+			c.codes = make(map[string]int)
+		}
+		c.codes[response{body: body}.error().Code]++
 	default:
 		c.failed++
 	}
@@ -208,6 +213,9 @@
 		b.Log("seed | out by its record: sent, cut, failed, refused | agents killed: sent, cut, failed, refused")
 		for seed := range uint64(benchSeeds) {
 			drained := maintenance(b, seed+1, leaveAndReturn)
+			if len(drained.codes) > 0 {
+				b.Logf("%d refused by %v", seed+1, drained.codes)
+			}
 			killed := maintenance(b, seed+1, killAndReturn)
 			b.Logf("%d | %d, %d, %d, %d | %d, %d, %d, %d", seed+1, drained.sent, drained.cut, drained.failed, drained.refused,
 				killed.sent, killed.cut, killed.failed, killed.refused)
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -67,7 +67,7 @@
 	Version   string    `json:"version"`
 	Priority  int       `json:"priority"`
 	From      int       `json:"from"`   // first token generated here
-	Tokens    int       `json:"tokens"` // tokens generated here
+	Tokens    int       `json:"tokens"` // tokens generated here so far
 	Start     time.Time `json:"start"`
 	End       time.Time `json:"end"` // zero while it runs
 	Cut       bool      `json:"cut"` // ended before its last token
@@ -236,6 +236,13 @@
 	return e.stop, 0
 }
 
+// progress records the tokens of a run that goes on.
+func (e *Engine) progress(run *EngineRun, tokens int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	run.Tokens = tokens
+}
+
 func (e *Engine) end(run *EngineRun, tokens int, cut bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/standin/engine_http.go
+++ b/standin/engine_http.go
@@ -90,9 +90,9 @@
 		engineError(w, status, http.StatusText(status))
 		return
 	}
-	s := &engineStream{engine: e, w: w, caller: r.Context().Done(), stop: stop, faults: f,
+	s := &engineStream{engine: e, w: w, caller: r.Context().Done(), stop: stop, faults: f, run: run,
 		prompt: int64(len(strings.Fields(c.prompt()))), model: c.Model}
-	complete := s.run(tokens[c.ResumeFrom:])
+	complete := s.send(tokens[c.ResumeFrom:])
 	e.end(run, s.sent, s.sent < len(tokens)-c.ResumeFrom)
 	if !complete {
 		panic(http.ErrAbortHandler) // closes the connection without an end mark
@@ -121,13 +121,14 @@
 	caller <-chan struct{}
 	stop   chan struct{}
 	faults EngineFaults
+	run    *EngineRun
 	prompt int64
 	model  string
 	sent   int
 }
 
-// run sends the tokens and tells whether the answer may get its end mark.
-func (s *engineStream) run(tokens []string) bool {
+// send sends the tokens and tells whether the answer may get its end mark.
+func (s *engineStream) send(tokens []string) bool {
 	s.w.Header().Set("Content-Type", "text/event-stream")
 	for i, t := range tokens {
 		if s.faults.Hang || s.faults.HangAfter > 0 && i == s.faults.HangAfter {
@@ -141,6 +142,7 @@
 			return false
 		}
 		s.sent++
+		s.engine.progress(s.run, s.sent)
 		if s.chunk(t, nil) != nil {
 			return false
 		}
