--- a/agent/agent.go
+++ b/agent/agent.go
@@ -36,9 +36,11 @@
 	statusInterval   = 500 * time.Millisecond // engine load report
 	evidenceInterval = time.Second
 	vmListInterval   = 2 * time.Second
-	ordersInterval   = time.Second
-	expireInterval   = 50 * time.Millisecond
-	heldInterval     = time.Second
+	// vmListRate bounds the calls per second of all agents together.
+	vmListRate     = 100
+	ordersInterval = time.Second
+	expireInterval = 50 * time.Millisecond
+	heldInterval   = time.Second
 	// heldLimit is how long a charge waits for its entry to make it durable. An
 	// entry that lost the end of the answer never does.
 	heldLimit = 10 * time.Second
@@ -114,7 +116,7 @@
 	}), a.clock)
 	a.health = health.New(health.Config{
 		Origin: a.bootID, DataCentre: s.DataCentre, Snapshot: a.snapshot,
-		Broadcast: a.broadcast, Clock: a.clock, Log: deps.Log.Part("health"),
+		Broadcast: a.broadcast, Processes: a.processes, Clock: a.clock, Log: deps.Log.Part("health"),
 	})
 	a.exposure = newExposure(s.Name, a.snapshot, a.health)
 	a.ledger = ledger.NewWriter(deps.Store, a.bootID, func() time.Duration { return ledgerWindow })
@@ -145,7 +147,9 @@
 		a.health.Tick()
 		a.exposure.expire(a.clock())
 	}))
-	tree.Add(supervise.Every("vm list", vmListInterval, a.readVMList))
+	tree.Add(supervise.Spaced("vm list", func() time.Duration {
+		return supervise.Shared(vmListInterval, a.processes(), vmListRate)
+	}, a.readVMList))
 	tree.Add(supervise.Every("queue", expireInterval, func(context.Context) { a.gate.expire() }))
 	tree.Add(supervise.Every("held charges", heldInterval, a.expireHeld))
 	tree.Add(supervise.Func{Name: "limits", Run: a.followLimits})
@@ -193,6 +197,9 @@
 	return a.flushCharges(ctx)
 }
 
+// processes returns the number of agents that the records name.
+func (a *Agent) processes() int { return len(a.snapshot.View().BackendServers) }
+
 // clock is the agent's monotonic clock; deadlines of requests are expressed
 // in it.
 func (a *Agent) clock() time.Duration { return time.Since(a.started) }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -34,6 +34,15 @@
 	quarantineInterval = time.Second
 	vmListInterval     = 2 * time.Second
 	dutyInterval       = 10 * time.Second
+	// vmListRate, dutyRate and quarantineRate bound the calls per second of all
+	// entries together.
+	vmListRate     = 100
+	dutyRate       = 1
+	quarantineRate = 50
+	// watchIdle and watchMargin together stay below the 8 s within which a record
+	// has to be in force: a silent watch is found after their sum.
+	watchIdle   = 5 * time.Second
+	watchMargin = 2 * time.Second
 	// minLedgerWindow is the shortest group commit window.
 	minLedgerWindow = 20 * time.Millisecond
 	// ledgerWritesPerSecond is the part of the store's write rate that the
@@ -67,7 +76,7 @@
 	tree     *suture.Supervisor
 
 	router   *route.Router
-	budget   *retryBudget
+	budgets  *retryBudgets
 	policy   *policy
 	health   *health.Keeper
 	ratings  *ratings
@@ -77,6 +86,8 @@
 	ledger   *ledger.Writer
 	pending  pendingCharges
 
+	answerTime movingAverage
+
 	entries  atomic.Int64 // number of entries in the VM list, at least 1
 	draining atomic.Bool
 	requests supervise.Inflight
@@ -96,7 +107,7 @@
 		started:  time.Now(),
 		snapshot: config.NewSnapshot(),
 		router:   route.NewRouter(route.Config{}),
-		budget:   newRetryBudget(),
+		budgets:  newRetryBudgets(),
 		signer:   session.NewSigner([]byte(s.FleetKey)),
 		sessions: session.NewBinder(deps.Store),
 		once:     once.New(deps.Store),
@@ -107,7 +118,7 @@
 	e.links = newLinks(e)
 	e.health = health.New(health.Config{
 		Origin: e.bootID, DataCentre: s.DataCentre, Snapshot: e.snapshot,
-		Broadcast: e.links.broadcast, Clock: e.clock, Log: deps.Log.Part("health"),
+		Broadcast: e.links.broadcast, Processes: e.processes, Clock: e.clock, Log: deps.Log.Part("health"),
 	})
 	e.policy = newPolicy(cascade.NewPolicy(cascade.Config{}))
 	e.ratings = newRatings(e)
@@ -115,7 +126,10 @@
 	e.ledger.OnDurable = e.links.reportDurable
 	e.watcher = provider.NewWatcher(deps.Store, e.snapshot, provider.Options{
 		Logger:    deps.Log.Base(),
-		Processes: func() int { return int(e.entries.Load()) },
+		Processes: e.processes,
+		// A watch that has gone silent is found before a record may be late.
+		Idle:        watchIdle,
+		CallTimeout: watchMargin,
 	})
 	e.publishMetrics()
 	e.addServices()
@@ -127,9 +141,9 @@
 	e.tree.Add(e.ledger)
 	e.tree.Add(e.links)
 	e.tree.Add(supervise.Every("evidence", evidenceInterval, func(context.Context) { e.health.Tick() }))
-	e.tree.Add(supervise.Every("quarantines", quarantineInterval, e.storeQuarantines))
-	e.tree.Add(supervise.Every("vm list", vmListInterval, e.readVMList))
-	e.tree.Add(supervise.Every("duties", dutyInterval, e.runDuties))
+	e.tree.Add(supervise.Spaced("quarantines", e.shared(quarantineInterval, quarantineRate), e.storeQuarantines))
+	e.tree.Add(supervise.Spaced("vm list", e.shared(vmListInterval, vmListRate), e.readVMList))
+	e.tree.Add(supervise.Spaced("duties", e.shared(dutyInterval, dutyRate), e.runDuties))
 }
 
 // ServeOn answers callers on listener until ctx ends.
@@ -188,6 +202,14 @@
 	e.links.setVMs(vms)
 }
 
+// shared spaces calls by the number of entries.
+func (e *Entry) shared(shortest time.Duration, rate float64) func() time.Duration {
+	return func() time.Duration { return supervise.Shared(shortest, e.processes(), rate) }
+}
+
+// processes returns the number of entries that the VM list names.
+func (e *Entry) processes() int { return int(e.entries.Load()) }
+
 // uniform returns a random number in [0, 1).
 func (e *Entry) uniform() float64 {
 	e.randMu.Lock()
@@ -220,26 +242,6 @@
 	e.metrics.Func("draining", func() any { return e.draining.Load() })
 }
 
-// retryBudget makes route.RetryBudget safe for concurrent use.
-type retryBudget struct {
-	mu     sync.Mutex
-	bucket *route.RetryBudget
-}
-
-func newRetryBudget() *retryBudget { return &retryBudget{bucket: route.NewRetryBudget()} }
-
-func (b *retryBudget) request() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.bucket.Request()
-}
-
-func (b *retryBudget) allow() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.bucket.Retry()
-}
-
 // policy makes cascade.Policy safe for concurrent use.
 type policy struct {
 	mu    sync.Mutex
--- a/entry/service.go
+++ b/entry/service.go
@@ -67,7 +67,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, min(timeout, e.settings.RequestTimeout.Std()))
 	defer cancel()
-	e.budget.request()
+	e.budgets.request(c.workspace.Name)
 	if s.onceKey == "" {
 		return s.repeatable(ctx, w)
 	}
@@ -139,7 +139,7 @@
 			return s.notServed(err)
 		case ctx.Err() != nil:
 			return s.failure("deadline_exceeded", "the service did not answer in time")
-		case s.handed && !s.entry.budget.allow():
+		case s.handed && !s.entry.budgets.allow(s.workspace.Name):
 			return s.failure("attempt_lost", err.Error()+"; the retry budget is used up")
 		}
 	}
@@ -311,12 +311,10 @@
 }
 
 func (s *serviceCall) request(ctx context.Context, p *peer) *link.Request {
-	deadline, _ := ctx.Deadline()
-	now := time.Now()
 	return &link.Request{
 		Kind: link.KindService, RequestID: s.requestID, Attempt: s.attempt,
 		Workspace: s.workspace.Name, Priority: s.workspace.Priority,
-		Deadline: p.client.Status().AgentClock(now) + deadline.Sub(now),
+		Deadline: agentDeadline(ctx, p),
 		Revision: s.entry.snapshot.Revision(),
 		OnceKey:  s.onceKey, OnceNonce: s.nonce,
 		Service: s.service.Name, Method: s.method, Path: s.path, Header: s.header, Body: s.body,
