--- a/rollout/exposure.go
+++ b/rollout/exposure.go
@@ -8,9 +8,12 @@
 // DefaultBudget is the exposure budget of a version whose record sets none.
 const DefaultBudget = 20
 
-// A slot whose rating never comes is freed in two cases only, because a slow
+// A slot whose rating never comes is freed in three cases only, because a slow
 // rater must not hide a bad version:
 //
+//   - overdueAfter has passed since the answer failed. It will not be rated, but
+//     it is counted as an error; a version that always fails is held to its
+//     budget each minute even where its errors are not judged.
 //   - overdueAfter has passed and an answer that was started later has been
 //     rated meanwhile, which shows that the rater works and this rating is lost;
 //   - else the oldest slot of a version, not more often than every dripEvery.
@@ -22,8 +25,9 @@
 )
 
 type slot struct {
-	since time.Duration
-	order uint64
+	since  time.Duration // start, or failure
+	order  uint64
+	failed bool
 }
 
 type exposed struct {
@@ -63,13 +67,25 @@
 }
 
 // Release frees the slot of a request that was refused before it reached the
-// backend server. A failed answer keeps its slot, because it is never rated.
+// backend server.
 func (x *Exposure) Release(key VersionKey, requestID string) {
 	if v := x.versions[key]; v != nil {
 		delete(v.slots, requestID)
 	}
 }
 
+// Failed marks the slot of a request whose answer failed after the start. The
+// slot stays taken for overdueAfter.
+func (x *Exposure) Failed(key VersionKey, requestID string) {
+	v := x.versions[key]
+	if v == nil {
+		return
+	}
+	if s, held := v.slots[requestID]; held {
+		v.slots[requestID] = slot{since: x.now, order: s.order, failed: true}
+	}
+}
+
 // Rated frees the slot of a request whose answer was rated.
 func (x *Exposure) Rated(key VersionKey, requestID string) {
 	v := x.versions[key]
@@ -102,7 +118,7 @@
 func (v *exposed) expire(now time.Duration) {
 	oldest, found := "", false
 	for id, s := range v.slots {
-		if now-s.since >= overdueAfter && s.order < v.lastRated {
+		if now-s.since >= overdueAfter && (s.failed || s.order < v.lastRated) {
 			delete(v.slots, id)
 			continue
 		}
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -108,8 +108,8 @@
 // JudgeVersion tests a version against its baseline, by task class for ratings
 // and by data centre for errors. Errors in a data centre where the baseline
 // answered nothing do not count, because nothing tells them from a failure of
-// the data centre; an answer that failed is never rated, so there the exposure
-// budget stops the version.
+// the data centre; an answer that failed keeps its slot, so there the exposure
+// budget holds the version back.
 func (e *Evidence) JudgeVersion(candidate VersionKey, baseline string, cfg TestConfig) Finding {
 	control := e.totals[ControlKey(candidate, baseline)]
 	ratings := control
--- a/rollout/measure_test.go
+++ b/rollout/measure_test.go
@@ -221,6 +221,8 @@
 		}
 		if q.o.Rated {
 			q.agent.x.Rated(candidate, q.id)
+		} else {
+			q.agent.x.Failed(candidate, q.id)
 		}
 		q.agent.judge(s.rule)
 		return true
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -112,6 +112,16 @@
 	if got := x.Unrated(key); got != 0 {
 		t.Errorf("%d slots held though a later answer was rated a minute ago", got)
 	}
+	x.Acquire(key, "failed", 1)
+	x.Failed(key, "failed")
+	x.Expire(2*overdueAfter - 1)
+	if x.Acquire(key, "next", 1) {
+		t.Error("slot of a failed answer freed at once")
+	}
+	x.Expire(2 * overdueAfter)
+	if !x.Acquire(key, "next", 1) {
+		t.Error("slot of a failed answer not freed after a minute")
+	}
 }
 
 // Guards against a budget that ignores the ratings so far.
