--- a/standin/rater.go
+++ b/standin/rater.go
@@ -48,6 +48,7 @@
 	down    bool
 	hang    chan struct{} // closed when hanging ends; nil when not hanging
 	calls   int
+	open    int // calls without a response yet
 	ratings []RatingRecord
 }
 
@@ -101,6 +102,14 @@
 	return s.calls
 }
 
+// Open counts the calls that wait for a response. A call leaves the count when
+// the stand-in notices that the caller gave up, which is a moment later.
+func (s *Rater) Open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.open
+}
+
 // Ratings returns a copy of the ratings given, oldest first.
 func (s *Rater) Ratings() []RatingRecord {
 	s.mu.Lock()
@@ -118,8 +127,10 @@
 func (s *Rater) rate(w http.ResponseWriter, req *http.Request) {
 	s.mu.Lock()
 	s.calls++
+	s.open++
 	delay, hang := s.options.Delay, s.hang
 	s.mu.Unlock()
+	defer s.closed()
 	var r platform.RateRequest
 	if err := json.NewDecoder(http.MaxBytesReader(w, req.Body, maxRateRequest)).Decode(&r); err != nil || r.RequestID == "" {
 		raterError(w, http.StatusBadRequest, "bad_request", "body is not a rating request")
@@ -143,6 +154,12 @@
 	writeRaterJSON(w, http.StatusOK, rating)
 }
 
+func (s *Rater) closed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open--
+}
+
 // raterDelay waits for d and reports false when the caller gave up.
 func raterDelay(req *http.Request, d time.Duration) bool {
 	if d <= 0 {
--- a/standin/rater_test.go
+++ b/standin/rater_test.go
@@ -11,12 +11,12 @@
 	"hyssoploom/platform"
 )
 
-func raterPair(t *testing.T, o RaterOptions, timeout time.Duration) (*Rater, *platform.HTTPRater) {
+func raterPair(t *testing.T, o RaterOptions) (*Rater, *platform.HTTPRater) {
 	t.Helper()
 	s := NewRater(o)
 	server := httptest.NewServer(s.Handler())
 	t.Cleanup(server.Close)
-	client, err := platform.NewHTTPRater(server.URL, timeout)
+	client, err := platform.NewHTTPRater(server.URL, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -26,7 +26,7 @@
 
 // Guards against a client and stand-in that disagree on the protocol.
 func TestRaterRoundTrip(t *testing.T) {
-	s, client := raterPair(t, RaterOptions{}, time.Second)
+	s, client := raterPair(t, RaterOptions{})
 	for answer, pass := range map[string]bool{"fine": true, "this is BAD": false} {
 		got, err := client.Rate(context.Background(), platform.RateRequest{RequestID: "r1", TaskClass: "c", Answer: answer})
 		if err != nil || got.Pass != pass {
@@ -41,30 +41,39 @@
 // Guards against faults of the rater that reach the caller as ratings or as the
 // wrong type of error.
 func TestRaterFaults(t *testing.T) {
-	s, client := raterPair(t, RaterOptions{}, 50*time.Millisecond)
-	ask := func(id string) error {
-		_, err := client.Rate(context.Background(), platform.RateRequest{RequestID: id})
+	s := NewRater(RaterOptions{})
+	server := httptest.NewServer(s.Handler())
+	t.Cleanup(server.Close)
+	ask := func(id string, timeout time.Duration) error {
+		client, err := platform.NewHTTPRater(server.URL, timeout)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer client.CloseIdle()
+		_, err = client.Rate(context.Background(), platform.RateRequest{RequestID: id})
 		return err
 	}
+	const long, short = 10 * time.Second, 50 * time.Millisecond
 	s.SetDown(true)
-	if err := ask("r"); !errors.Is(err, platform.ErrRaterUnavailable) {
+	if err := ask("r", long); !errors.Is(err, platform.ErrRaterUnavailable) {
 		t.Errorf("down: %v", err)
 	}
 	s.SetDown(false)
 	s.SetHang(true)
-	if err := ask("r"); !errors.Is(err, platform.ErrRaterTimeout) {
+	if err := ask("r", short); !errors.Is(err, platform.ErrRaterTimeout) {
 		t.Errorf("hanging: %v", err)
 	}
+	awaitNoOpen(t, s)
 	s.SetHang(false)
-	s.SetDelay(time.Second)
-	if err := ask("r"); !errors.Is(err, platform.ErrRaterTimeout) {
+	s.SetDelay(long)
+	if err := ask("r", short); !errors.Is(err, platform.ErrRaterTimeout) {
 		t.Errorf("slow: %v", err)
 	}
 	s.SetDelay(0)
-	if err := ask(""); !errors.Is(err, platform.ErrRaterRejected) {
+	if err := ask("", long); !errors.Is(err, platform.ErrRaterRejected) {
 		t.Errorf("without request id: %v", err)
 	}
-	if err := ask("r"); err != nil {
+	if err := ask("r", long); err != nil {
 		t.Errorf("after the faults: %v", err)
 	}
 	if got := len(s.Ratings()); got != 1 {
@@ -72,11 +81,22 @@
 	}
 }
 
+// awaitNoOpen waits until the stand-in has noticed that its callers gave up.
+// Otherwise a call that timed out may still be rated when hanging ends.
+func awaitNoOpen(t *testing.T, s *Rater) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); s.Open() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d calls open though their callers gave up", s.Open())
+		}
+	}
+}
+
 // Guards against a judge whose result depends on the order of calls.
 func TestRaterSeed(t *testing.T) {
 	var runs [2][]bool
 	for run := range runs {
-		_, client := raterPair(t, RaterOptions{Seed: 7, Judge: func(_ platform.RateRequest, u float64) bool { return u < 0.5 }}, time.Second)
+		_, client := raterPair(t, RaterOptions{Seed: 7, Judge: func(_ platform.RateRequest, u float64) bool { return u < 0.5 }})
 		ids := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
 		for i := range ids {
 			if run == 1 {
@@ -103,7 +123,7 @@
 			w.WriteHeader(status)
 			_, _ = w.Write([]byte(body))
 		}))
-		client, err := platform.NewHTTPRater(server.URL, time.Second)
+		client, err := platform.NewHTTPRater(server.URL, 0)
 		if err != nil {
 			t.Fatal(err)
 		}
