--- a/cascade/policy.go
+++ b/cascade/policy.go
@@ -147,8 +147,10 @@
 	return plan
 }
 
-// audit samples plans for a rating after the release. It uses the part of u
-// above exploreRate, so that it does not depend on exploring.
+// auditDraw numbers the draw for audits, apart from those for the stages.
+const auditDraw = 1 << 32
+
+// audit samples plans for a rating after the release.
 func (p *Policy) audit(views []view, plan Plan, u float64) bool {
 	for _, h := range plan.Hops {
 		for _, v := range views {
@@ -162,7 +164,7 @@
 			}
 		}
 	}
-	return plan.Explore || (u-exploreRate)/(1-exploreRate) < p.cfg.AuditRate && u >= exploreRate
+	return plan.Explore || mix(u, auditDraw) < p.cfg.AuditRate
 }
 
 // chargeWait moves the price of waiting so that the share of plans that wait
