--- a/link/client.go
+++ b/link/client.go
@@ -212,15 +212,17 @@
 	for _, s := range c.streams {
 		s.attach(conn)
 	}
-	conn.enqueue(resumedMarker{})
+	conn.enqueue(resumedMarker(len(c.streams)))
 	close(c.up)
 }
 
-// resumedMarker tells the agent that every open stream was opened again.
-type resumedMarker struct{}
+// resumedMarker tells the agent how many streams were opened again before it,
+// and that there are no others.
+type resumedMarker int
 
-func (resumedMarker) fill(_ *conn, w *frameWriter) bool {
-	w.begin(kindResumed, 0)
+func (n resumedMarker) fill(_ *conn, w *frameWriter) bool {
+	w.begin(kindResumed, 1)
+	w.uint(uint64(n))
 	w.finish()
 	return false
 }
--- a/link/flow_test.go
+++ b/link/flow_test.go
@@ -115,7 +115,7 @@
 func TestProbeAnswered(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t, answer(1, 2*time.Second))
-		time.Sleep(7 * time.Second)
+		time.Sleep(9 * time.Second) // last heard 4 s ago, longer than three active heartbeats
 		r.net.last().delay[toServer].Store(int64(200 * time.Millisecond))
 		r.net.last().delay[toClient].Store(int64(200 * time.Millisecond))
 		wantAnswer(t, r.open("r"), "r", 1)
--- a/link/frame.go
+++ b/link/frame.go
@@ -43,7 +43,7 @@
 	kindReject                         // code, message
 	kindOpen                           // stream, next, window, body length, Request or nil, body
 	kindPart                           // stream, offset, body
-	kindResumed                        // all open streams were opened again
+	kindResumed                        // number of streams opened again
 	kindPayload                        // stream, sequence number, payload
 	kindEnd                            // stream, sequence number, End
 	kindRefusal                        // stream, sequence number, Refusal
@@ -147,7 +147,7 @@
 	kind    frameKind
 	id      []byte // request id
 	attempt uint32
-	// seq is the sequence number, offset, dial number or ping number.
+	// seq is the sequence number, offset, dial number, ping number or count.
 	seq      uint64
 	data     []byte // payload, part of a request body, HMAC or nonce
 	window   uint64 // bytes
@@ -235,7 +235,7 @@
 		return 4
 	case kindAck:
 		return 3
-	case kindProof, kindControl, kindHeartbeat, kindPing, kindPong:
+	case kindProof, kindControl, kindHeartbeat, kindPing, kindPong, kindResumed:
 		return 1
 	}
 	return 0
@@ -273,7 +273,7 @@
 	case kindRefusal:
 		f.seq = r.uint(err)
 		r.value(&f.refusal, err)
-	case kindAck, kindPing, kindPong:
+	case kindAck, kindPing, kindPong, kindResumed:
 		f.seq = r.uint(err)
 	case kindControl:
 		r.value(&f.control, err)
--- a/link/incoming.go
+++ b/link/incoming.go
@@ -199,8 +199,6 @@
 	switch {
 	case in.aborted || in.acked:
 		return false
-	case in.conn == c:
-		return true // a duplicated open frame
 	case next < in.base || next > in.next:
 		return false
 	}
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -141,6 +141,11 @@
 		if !r.client.Status().Draining {
 			t.Error("drain notice has not arrived")
 		}
+		r.net.last().close()
+		time.Sleep(time.Minute)
+		if st := r.client.Status(); !st.Alive || !st.Draining {
+			t.Errorf("status after a new link and heartbeats %+v", st)
+		}
 		wantAnswer(t, r.open("late"), "late", 1)
 		if err := r.server.SendTo("other", Control{}); err != ErrUnknownPeer {
 			t.Errorf("SendTo of an unknown peer: %v", err)
--- a/link/peer.go
+++ b/link/peer.go
@@ -26,6 +26,7 @@
 	streams map[streamKey]*Incoming
 	active  int                     // streams that the entry has open
 	partial map[streamKey]*assembly // of the current connection
+	opens   uint64                  // streams opened on the current connection
 	recent  recentKeys
 	gone    *time.Timer
 	expiry  *time.Timer
@@ -89,7 +90,7 @@
 		p.conn.close(ErrSuperseded)
 	}
 	p.stopTimers()
-	p.conn, p.dial, p.partial = c, dial, map[streamKey]*assembly{}
+	p.conn, p.dial, p.opens, p.partial = c, dial, 0, map[streamKey]*assembly{}
 	return nil
 }
 
@@ -196,33 +197,40 @@
 			p.cancel(in, ErrCanceled)
 		}
 	case kindResumed:
-		p.cancelAbsent(c)
+		return p.cancelAbsent(c, f.seq)
 	}
 	return nil
 }
 
-// cancelAbsent cancels the streams that the entry did not open again.
-func (p *peer) cancelAbsent(c *conn) {
+// cancelAbsent cancels the streams that the entry did not open again. It
+// cancels none when open frames are missing.
+func (p *peer) cancelAbsent(c *conn, count uint64) error {
+	if p.opens < count {
+		return &ProtocolError{Reason: "open frames of resumed streams are missing"}
+	}
 	for _, in := range p.streams {
 		if !in.attachedTo(c) {
 			p.cancel(in, ErrCanceled)
 		}
 	}
+	return nil
 }
 
 // open starts a stream, attaches a running one to c, or reports that the
 // stream is over.
 func (p *peer) open(c *conn, f *frame) error {
 	key := f.key()
-	if in := p.streams[key]; in != nil {
+	in := p.streams[key]
+	if in != nil && in.attachedTo(c) || p.partial[key] != nil {
+		return nil // a duplicate
+	}
+	p.opens++
+	if in != nil {
 		if !in.resume(c, f.seq) {
 			c.sendStream(kindGone, key)
 		}
 		return nil
 	}
-	if p.partial[key] != nil {
-		return nil
-	}
 	if f.request == nil || f.seq > 0 || p.recent.has(key) {
 		c.sendStream(kindGone, key)
 		return nil
--- a/link/resume_test.go
+++ b/link/resume_test.go
@@ -12,8 +12,8 @@
 )
 
 // once applies act to frame n of one direction of the first connection. An end
-// is not dropped: TCP does not lose a frame on a connection that goes on, and a
-// missing frame is noticed by the next one of its stream.
+// is not dropped: a missing frame is noticed by the next one of its stream, and
+// TCP does not lose a frame on a connection that goes on.
 func once(act action, dir direction, n int) frameRule {
 	return func(dial int, d direction, i int, body []byte) action {
 		if dial != 0 || d != dir || i != n || act == drop && frameKind(body[1]) == kindEnd {
