--- a/agent/agent.go
+++ b/agent/agent.go
@@ -269,7 +269,7 @@
 		if err := control.Decode(c, &m); err != nil {
 			return err
 		}
-		a.held.Release(m.Keys)
+		a.held.Release(peer.BootID, m.Rows)
 	case control.KindRating:
 		var m control.Rating
 		if err := control.Decode(c, &m); err != nil {
--- a/control/control.go
+++ b/control/control.go
@@ -48,9 +48,9 @@
 	Key       rollout.VersionKey `msgpack:"k"`
 }
 
-// Durable lists ledger rows that are in the store.
+// Durable lists ledger rows that are in the store, or larger forms of them.
 type Durable struct {
-	Keys []ledger.RowKey `msgpack:"k"`
+	Rows []ledger.RowRef `msgpack:"r"`
 }
 
 // Encode returns the control message of a kind. It panics when v cannot be
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -31,12 +31,11 @@
 // stageRun is one stage of a request: the attempts that produce one answer.
 type stageRun struct {
 	*chat
-	index   int
-	stage   *stage
-	out     *output
-	gated   bool
-	tried   map[string]bool
-	attempt uint32
+	index int
+	stage *stage
+	out   *output
+	gated bool
+	tried map[string]bool
 	// text and tokens are what earlier attempts have produced and the caller may
 	// have seen.
 	text    strings.Builder
@@ -105,11 +104,10 @@
 
 // try runs one attempt on one backend server.
 func (run *stageRun) try(ctx context.Context, p *peer) (*answer, follow) {
-	run.attempt++
 	run.tried[p.name] = true
 	ctx, span := run.entry.deps.Tracing.Tracer.Start(ctx, "link")
 	defer span.End()
-	span.SetAttributes(attribute.String("backend_server", p.name), attribute.Int("attempt", int(run.attempt)))
+	span.SetAttributes(attribute.String("backend_server", p.name), attribute.Int("tried", len(run.tried)))
 
 	p.sent.Add(1)
 	defer p.sent.Add(-1)
@@ -160,7 +158,7 @@
 
 func (run *stageRun) request(ctx context.Context, p *peer) *link.Request {
 	return &link.Request{
-		Kind: link.KindChat, RequestID: run.requestID, Attempt: run.attempt + uint32(run.index)<<16,
+		Kind: link.KindChat, RequestID: run.requestID, Attempt: run.entry.attempts.Add(1),
 		Workspace: run.workspace.Name, Model: run.stage.model, Version: run.stage.version,
 		Pinned: run.stage.pinned, Session: run.sessionID, TaskClass: run.taskClass, Stage: run.index,
 		Priority: run.workspace.Priority,
@@ -194,20 +192,20 @@
 	case errors.As(err, &notSent):
 		return follow{}
 	case errors.Is(err, errCallerGone):
-		run.chargeCut(p)
+		run.chargeCut()
 		return follow{err: callerGone()}
 	case ctx.Err() != nil:
 		run.handed = true
-		run.chargeCut(p)
+		run.chargeCut()
 		return follow{err: run.timedOut()}
 	case errors.As(err, &broken):
 		run.handed = run.handed || broken.Handed
 		if broken.Handed {
-			run.chargeCut(p)
+			run.chargeCut()
 		}
 	default:
 		run.handed = true
-		run.chargeCut(p)
+		run.chargeCut()
 	}
 	run.entry.log.Warn("Attempt was lost.", "request", run.requestID, "backend_server", p.name, "error", err.Error())
 	return run.retry("attempt_lost", err.Error())
@@ -252,9 +250,9 @@
 // chargeCut charges what this entry has received of an attempt whose end it
 // will not see. The agent may write a larger row for the same stage; readers
 // keep the larger one.
-func (run *stageRun) chargeCut(p *peer) {
+func (run *stageRun) chargeCut() {
 	run.entry.chargeCut(cutCharge{
-		call: run.call, body: run.body, stage: run.index, attempt: run.attempt, peer: p,
+		call: run.call, body: run.body, stage: run.index,
 		model: run.stage.model, version: run.stage.version, tokensOut: run.tokens,
 	})
 }
--- a/entry/charges.go
+++ b/entry/charges.go
@@ -53,8 +53,16 @@
 }
 
 func (e *Entry) addRow(p *peer, row ledger.Row) {
-	e.links.holds(p, row.Key())
-	e.pending.add(row.RequestID, e.ledger.Add(row))
+	// The row is added before it is listed as held, so that the report of an
+	// earlier row of the same charge cannot cover it.
+	durable := e.ledger.Add(row)
+	e.links.holds(p, row)
+	select {
+	case <-durable: // the report may have come before the row was listed
+		e.links.reportDurable([]ledger.RowKey{row.Key()})
+	default:
+	}
+	e.pending.add(row.RequestID, durable)
 }
 
 // cutCharge describes an attempt whose end the entry does not see.
@@ -62,8 +70,6 @@
 	call      *call
 	body      []byte
 	stage     int
-	attempt   uint32
-	peer      *peer
 	model     string
 	version   string
 	service   string
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -77,7 +77,11 @@
 	ledger   *ledger.Writer
 	pending  pendingCharges
 
-	entries  atomic.Int64 // number of entries in the VM list, at least 1
+	entries atomic.Int64 // number of entries in the VM list, at least 1
+	// attempts numbers the attempts of this process. A number per request would
+	// repeat when a caller sends its request id again, and an agent takes an
+	// attempt that it knows for a delayed copy.
+	attempts atomic.Uint32
 	draining atomic.Bool
 	requests supervise.Inflight
 
--- a/entry/links.go
+++ b/entry/links.go
@@ -31,6 +31,12 @@
 	sent atomic.Int64
 }
 
+// heldRow is a row that an agent holds until this entry reports it durable.
+type heldRow struct {
+	agent string // backend server
+	ref   ledger.RowRef
+}
+
 // links keeps a link to every agent that this entry uses.
 type links struct {
 	entry *Entry
@@ -39,8 +45,8 @@
 	mu    sync.Mutex
 	peers map[string]*peer
 	vms   []platform.VM
-	// held maps ledger rows to the agent that holds them too.
-	held map[ledger.RowKey]string
+	// held lists the agents that hold a row of a charge too.
+	held map[ledger.RowKey][]heldRow
 }
 
 func newLinks(e *Entry) *links {
@@ -48,7 +54,7 @@
 		entry: e,
 		tree:  supervise.New("links", e.log),
 		peers: make(map[string]*peer),
-		held:  make(map[ledger.RowKey]string),
+		held:  make(map[ledger.RowKey][]heldRow),
 	}
 }
 
@@ -252,25 +258,27 @@
 }
 
 // holds remembers which agent holds a row until it is durable.
-func (l *links) holds(p *peer, key ledger.RowKey) {
+func (l *links) holds(p *peer, row ledger.Row) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.held[key] = p.name
+	key := row.Key()
+	l.held[key] = append(l.held[key], heldRow{p.name, row.Ref()})
 }
 
-// reportDurable tells the agents which rows they no longer need to hold.
+// reportDurable tells the agents which rows they no longer need to hold. Of all
+// rows of a charge that this entry got, the largest is in the store.
 func (l *links) reportDurable(keys []ledger.RowKey) {
-	byAgent := make(map[string][]ledger.RowKey)
+	byAgent := make(map[string][]ledger.RowRef)
 	l.mu.Lock()
 	for _, key := range keys {
-		if name, ok := l.held[key]; ok {
-			byAgent[name] = append(byAgent[name], key)
-			delete(l.held, key)
+		for _, held := range l.held[key] {
+			byAgent[held.agent] = append(byAgent[held.agent], held.ref)
 		}
+		delete(l.held, key)
 	}
 	l.mu.Unlock()
-	for name, keys := range byAgent {
-		l.send(name, control.Encode(control.KindDurable, control.Durable{Keys: keys}))
+	for name, refs := range byAgent {
+		l.send(name, control.Encode(control.KindDurable, control.Durable{Rows: refs}))
 	}
 }
 
--- a/entry/service.go
+++ b/entry/service.go
@@ -45,7 +45,6 @@
 	onceKey string
 	nonce   string
 	tried   map[string]bool
-	attempt uint32
 	refused *link.Refusal
 	handed  bool
 }
@@ -231,6 +230,8 @@
 		case err != nil:
 			continue
 		case result.Outcome == once.AlreadyFinished:
+			s.chargeCut()
+			s.entry.waitDurable(ctx, s.requestID)
 			return s.writeAnswer(w, storedAnswer(result.Answer))
 		case result.Outcome == once.Cancelled:
 			return refusal(http.StatusServiceUnavailable, "attempt_lost", "the call did not start: %v", lost)
@@ -238,6 +239,7 @@
 			return s.failure("reservation_superseded", "another request with this key took over")
 		}
 	}
+	s.chargeCut()
 	return s.failure("outcome_unknown", "the call was started and its answer did not arrive: "+lost.Error())
 }
 
@@ -253,7 +255,6 @@
 		return nil, errors.Join(errNoPeer, err)
 	}
 	s.tried[p.name] = true
-	s.attempt++
 	p.sent.Add(1)
 	defer p.sent.Add(-1)
 	e.metrics.Add("attempts", 1)
@@ -261,7 +262,7 @@
 	defer span.End()
 	stream, err := p.client.Open(ctx, s.request(ctx, p))
 	if err != nil {
-		return nil, s.note(p, err)
+		return nil, s.note(err)
 	}
 	var body []byte
 	for {
@@ -271,7 +272,7 @@
 		}
 		if err != nil {
 			stream.Cancel()
-			return nil, s.note(p, err)
+			return nil, s.note(err)
 		}
 		body = append(body, payload...)
 	}
@@ -292,7 +293,7 @@
 func (e *incompleteError) Error() string { return e.end.Code + ": " + e.end.Message }
 
 // note remembers what an error says about whether the call ran.
-func (s *serviceCall) note(p *peer, err error) error {
+func (s *serviceCall) note(err error) error {
 	var refused *link.RefusedError
 	var notSent *link.NotSentError
 	var broken *link.BrokenError
@@ -304,15 +305,21 @@
 	default:
 		s.handed = true
 		if s.onceKey == "" {
-			s.entry.chargeCut(cutCharge{call: s.call, body: s.body, attempt: s.attempt, peer: p, service: s.service.Name})
+			s.chargeCut()
 		}
 	}
 	return err
 }
 
+// chargeCut charges a call whose end this entry does not see. The agent may have
+// died with its own row, which has the same key and amount.
+func (s *serviceCall) chargeCut() {
+	s.entry.chargeCut(cutCharge{call: s.call, body: s.body, service: s.service.Name})
+}
+
 func (s *serviceCall) request(ctx context.Context, p *peer) *link.Request {
 	return &link.Request{
-		Kind: link.KindService, RequestID: s.requestID, Attempt: s.attempt,
+		Kind: link.KindService, RequestID: s.requestID, Attempt: s.entry.attempts.Add(1),
 		Workspace: s.workspace.Name, Priority: s.workspace.Priority,
 		Deadline: agentDeadline(ctx, p),
 		Revision: s.entry.snapshot.Revision(),
--- a/ledger/holder.go
+++ b/ledger/holder.go
@@ -3,18 +3,20 @@
 import "sync"
 
 // Holder keeps the agent's copies of rows until the entry that got them reports
-// them durable.
+// them durable. It keeps the rows of each attempt apart: an entry that reports a
+// small charge durable, for example that of an answer that was cut, must not make
+// the agent forget a larger charge of the same request that is not in the store.
 type Holder struct {
 	writer *Writer
 
 	mu   sync.Mutex
-	rows map[string]map[RowKey]Row // by entry boot id
+	rows map[string]map[RowRef]Row // by entry boot id
 	n    int
 }
 
 // NewHolder returns a Holder that hands orphaned rows to the agent's own Writer.
 func NewHolder(w *Writer) *Holder {
-	return &Holder{writer: w, rows: make(map[string]map[RowKey]Row)}
+	return &Holder{writer: w, rows: make(map[string]map[RowRef]Row)}
 }
 
 // Hold keeps a row until the entry reports it durable.
@@ -23,32 +25,31 @@
 	defer h.mu.Unlock()
 	rows := h.rows[entryBootID]
 	if rows == nil {
-		rows = make(map[RowKey]Row)
+		rows = make(map[RowRef]Row)
 		h.rows[entryBootID] = rows
 	}
-	if old, ok := rows[r.Key()]; ok {
+	if old, ok := rows[r.Ref()]; ok {
 		r = Merge(old, r)
 	} else {
 		h.n++
 	}
-	rows[r.Key()] = r.normal()
+	rows[r.Ref()] = r.normal()
 }
 
-// Release forgets rows that are in the store.
-func (h *Holder) Release(keys []RowKey) {
+// Release forgets rows that the entry got and that are in the store.
+func (h *Holder) Release(entryBootID string, refs []RowRef) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for entry, rows := range h.rows {
-		for _, k := range keys {
-			if _, ok := rows[k]; ok {
-				delete(rows, k)
-				h.n--
-			}
-		}
-		if len(rows) == 0 {
-			delete(h.rows, entry)
+	rows := h.rows[entryBootID]
+	for _, ref := range refs {
+		if _, ok := rows[ref]; ok {
+			delete(rows, ref)
+			h.n--
 		}
 	}
+	if len(rows) == 0 {
+		delete(h.rows, entryBootID)
+	}
 }
 
 // Orphans moves the rows of an entry whose link is gone to the agent's own
--- a/ledger/row.go
+++ b/ledger/row.go
@@ -47,6 +47,15 @@
 	return RowKey{Workspace: r.Workspace, RequestID: r.RequestID, BodyHash: r.BodyHash, Stage: r.Stage}
 }
 
+// RowRef identifies one form of a charge: the row that one attempt made.
+type RowRef struct {
+	Key     RowKey `msgpack:"k" json:"key"`
+	Attempt string `msgpack:"a" json:"attempt"`
+}
+
+// Ref identifies this form of the charge.
+func (r Row) Ref() RowRef { return RowRef{Key: r.Key(), Attempt: r.Attempt} }
+
 // normal returns the row with its time in UTC and without a monotonic reading,
 // so that equal rows compare equal after decoding.
 func (r Row) normal() Row {
