--- /dev/null
+++ b/invariants/billing_test.go
@@ -0,0 +1,356 @@
+package invariants
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"hyssoploom/ledger"
+	"hyssoploom/once"
+	"hyssoploom/platform"
+	"hyssoploom/standin"
+)
+
+// chargeWait bounds the wait for charges that an agent writes in place of an
+// entry, which it does after 10 s.
+const chargeWait = 40 * time.Second
+
+var prices = map[string]int64{"small": 1, "medium": 4, "large": 10}
+
+// served is what the engines generated for one stage of a request.
+type served struct {
+	complete bool
+	tokens   int64 // most that one run got to
+}
+
+func (f *fleet) served() map[[2]string]served {
+	out := make(map[[2]string]served)
+	for id, runs := range f.runs() {
+		for _, run := range runs {
+			key := [2]string{id, run.Model}
+			s := out[key]
+			s.complete = s.complete || !run.Cut && !run.End.IsZero()
+			s.tokens = max(s.tokens, int64(run.From+run.Tokens))
+			out[key] = s
+		}
+	}
+	return out
+}
+
+// ledgerProblems compares the ledger with what the stand-ins served. Requests
+// whose callers were told "unknown" may have a charge without a run.
+func (f *fleet) ledgerProblems(unknown map[string]bool) []string {
+	var problems []string
+	add := func(format string, args ...any) { problems = append(problems, fmt.Sprintf(format, args...)) }
+	want := f.served()
+	booked := make(map[string]bool)
+	for _, b := range f.bookings() {
+		booked[b.RequestID] = true
+	}
+	seen := make(map[[2]string]int)
+	for _, row := range f.book().Rows() {
+		key := [2]string{row.RequestID, row.Model}
+		seen[key]++
+		s, ran := want[key]
+		switch {
+		case row.Service != "" && row.Amount != 500:
+			add("%s: booking charged %d", row.RequestID, row.Amount)
+		case !ran && !booked[row.RequestID] && !unknown[row.RequestID]:
+			add("%s: %s%s charged and not run", row.RequestID, row.Model, row.Service)
+		case row.Service != "" || !ran:
+		case row.Amount != (row.TokensIn+row.TokensOut)*prices[row.Model]:
+			add("%s: %s: amount %d for %d + %d tokens", row.RequestID, row.Model, row.Amount, row.TokensIn, row.TokensOut)
+		case row.TokensOut > s.tokens || s.complete && (row.TokensOut < s.tokens || row.TokensIn == 0):
+			add("%s: %s: %d + %d tokens charged, %d served (complete: %t)", row.RequestID, row.Model, row.TokensIn, row.TokensOut, s.tokens, s.complete)
+		}
+	}
+	for key := range want {
+		if seen[key] != 1 {
+			add("%s: %d charges for %s", key[0], seen[key], key[1])
+		}
+	}
+	for id := range booked {
+		if seen[[2]string{id, ""}] != 1 {
+			add("%s: %d charges for the booking", id, seen[[2]string{id, ""}])
+		}
+	}
+	slices.Sort(problems)
+	return problems
+}
+
+// checkLedger waits until the ledger equals what was served.
+func (f *fleet) checkLedger(responses ...response) {
+	f.t.Helper()
+	unknown := make(map[string]bool)
+	for _, r := range responses {
+		unknown[r.id] = unknown[r.id] || r.err != nil || r.error().Run == "unknown"
+	}
+	var problems []string
+	for deadline := time.Now().Add(chargeWait); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		if problems = f.ledgerProblems(unknown); len(problems) == 0 {
+			return
+		}
+	}
+	f.t.Errorf("the ledger differs from what was served:\n%s", strings.Join(problems, "\n"))
+}
+
+func (f *fleet) wantStatus(status int, responses ...response) {
+	f.t.Helper()
+	for _, r := range responses {
+		if r.status != status {
+			f.t.Errorf("%s got %d %s %v, want %d", r.id, r.status, r.body, r.err, status)
+		}
+	}
+}
+
+// sendAll sends the requests at the same time.
+func (f *fleet) sendAll(requests ...request) []response {
+	out := make([]response, len(requests))
+	var running sync.WaitGroup
+	for i, r := range requests {
+		running.Go(func() { out[i] = f.send(r) })
+	}
+	running.Wait()
+	return out
+}
+
+// Guards against charges that only the entry holds.
+func TestEntryDiesBeforeCommit(t *testing.T) {
+	t.Parallel()
+	f, s := startTapped(t, oneCentre(engine("small-1", "small", 4, 0)))
+	commit := s.of("entry-1").inject(toPrefix(ledger.Prefix), pauseBefore)
+	responses := []response{f.send(chat("plain", "entry-1", "small", "x", false))}
+	<-commit.reached
+	responses = append(responses, f.send(booking("booking", "entry-1", "k")))
+	f.Store.SetDown(true)
+	responses = append(responses, f.send(chat("stream", "entry-1", "small", "x", true)))
+	f.crashEntry(s, "entry-1")
+	f.Store.SetDown(false)
+	f.wantStatus(http.StatusOK, responses[0], responses[2])
+	f.wantStatus(http.StatusCreated, responses[1])
+	f.checkLedger(responses...)
+}
+
+// Guards against charges that only the agent holds.
+func TestAgentDiesAfterAnswer(t *testing.T) {
+	t.Parallel()
+	f, s := startTapped(t, oneCentre(engine("small-1", "small", 4, 0)))
+	f.Store.SetDown(true)
+	responses := f.sendAll(chat("plain", "entry-1", "small", "x", false), chat("stream", "entry-2", "small", "x", true))
+	f.crashAgent(s, "small-1")
+	f.Store.SetDown(false)
+	f.wantStatus(http.StatusOK, responses...)
+	f.checkLedger(responses...)
+}
+
+// Guards against a booking that is not charged because its agent died between
+// the call and the end of the answer.
+func TestAgentDiesBeforeEndOfBooking(t *testing.T) {
+	for _, at := range []struct {
+		name  string
+		pause func(*writeFault) swapFunc
+	}{{"before Finish", pauseBefore}, {"after Finish", pauseAfter}} {
+		t.Run(at.name, func(t *testing.T) {
+			t.Parallel()
+			f, s := bookingFleet(t)
+			hit := f.injectAgents(s, once.StateFinished, at.pause)
+			first := f.sendAsync(booking("first", "entry-1", "k"))
+			name, fault := hit()
+			<-fault.reached
+			f.crashAgent(s, name)
+			f.checkLedger(<-first)
+		})
+	}
+}
+
+// Guards against charges that are lost or doubled when entry and agent both
+// keep them through an outage that is longer than the agent waits.
+func TestChargesOutliveOutage(t *testing.T) {
+	t.Parallel()
+	spec := oneCentre(engine("small-1", "small", 4, 0))
+	logs := &syncBuffer{}
+	spec.Logs = logs
+	f, _ := startTapped(t, spec)
+	f.Store.SetDown(true)
+	var requests []request
+	for i := range 20 {
+		requests = append(requests, chat(fmt.Sprintf("r-%d", i), fmt.Sprintf("entry-%d", 1+i%2), "small", "x", i%3 == 0))
+	}
+	responses := f.sendAll(requests...)
+	eventually(t, "the agent takes over the charges", func() bool {
+		return strings.Contains(logs.String(), "Writing charges that no entry reported durable.")
+	})
+	f.Store.SetDown(false)
+	f.wantStatus(http.StatusOK, responses...)
+	f.checkLedger(responses...)
+}
+
+// Guards against charges that are lost or doubled when the responses to ledger
+// writes are lost or the writes are, while a compactor merges the batches.
+func TestLostLedgerWritesAndCompaction(t *testing.T) {
+	t.Parallel()
+	f, s := startTapped(t, oneCentre(engine("small-1", "small", 4, 0), engine("small-2", "small", 4, 0)))
+	for _, entry := range []string{"entry-1", "entry-2"} {
+		for range 5 {
+			s.of(entry).inject(toPrefix(ledger.Prefix), loseResponse)
+			s.of(entry).inject(toPrefix(ledger.Prefix), dropRequest)
+		}
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	var compactors sync.WaitGroup
+	for range 2 {
+		compactors.Go(func() {
+			for ctx.Err() == nil {
+				_ = ledger.Compact(ctx, platform.Store(f.Store))
+			}
+		})
+	}
+	var responses []response
+	for round := range 12 {
+		var requests []request
+		for i := range 6 {
+			requests = append(requests, chat(fmt.Sprintf("r-%d-%d", round, i), fmt.Sprintf("entry-%d", 1+i%2), "small", "x", i%3 == 0))
+		}
+		responses = append(responses, f.sendAll(requests...)...)
+	}
+	f.checkLedger(responses...)
+	stop()
+	compactors.Wait()
+	f.wantStatus(http.StatusOK, responses...)
+	f.checkLedger(responses...)
+}
+
+// Guards against a second charge for a request that its caller sends again, at
+// the same time or later, through the same or another entry.
+func TestRepeatedRequestIsChargedOnce(t *testing.T) {
+	t.Parallel()
+	f, _ := startTapped(t, oneCentre(engine("small-1", "small", 4, 0)))
+	responses := f.sendAll(chat("r", "entry-1", "small", "x", false), chat("r", "entry-2", "small", "x", false))
+	for _, entry := range []string{"entry-1", "entry-2", "entry-1"} {
+		responses = append(responses, f.send(chat("r", entry, "small", "x", false)))
+	}
+	f.wantStatus(http.StatusOK, responses...)
+	f.checkLedger(responses...)
+	if rows := f.book().Rows(); len(rows) != 1 {
+		t.Errorf("%d charges for one request: %+v", len(rows), rows)
+	}
+	if other := f.send(chat("r", "entry-1", "small", "y", false)); other.status != http.StatusOK {
+		t.Errorf("other body: %d %s", other.status, other.body)
+	}
+	eventually(t, "another request with the same id is charged too", func() bool { return f.book().Len() == 2 })
+}
+
+// Guards against an agent that drops the charge of a complete answer when
+// another entry reports a smaller charge of the same request durable.
+func TestSmallerChargeDoesNotReplaceLarger(t *testing.T) {
+	t.Parallel()
+	f, s := startTapped(t, oneCentre(engine("small-1", "small", 6, 0)))
+	commit := s.of("entry-1").inject(toPrefix(ledger.Prefix), pauseBefore)
+	first := f.send(chat("r", "entry-1", "small", "x", false))
+	<-commit.reached
+	f.Backends["small-1"].Engine.SetFaults(standin.EngineFaults{TruncateAfter: 2})
+	second := f.send(chat("r", "entry-2", "small", "x", false))
+	eventually(t, "the smaller charge is in the store", func() bool { return f.book().Len() == 1 })
+	// Links deliver in order: an answer that was requested after the report of the
+	// smaller charge ends after the agent has handled the report.
+	f.send(chat("later", "entry-2", "small", "x", false))
+	f.crashEntry(s, "entry-1")
+	f.wantStatus(http.StatusOK, first)
+	f.checkLedger(first, second)
+}
+
+// failBelow is a judgement that passes only the answers of the large model.
+func failBelow(r platform.RateRequest, _ float64) bool { return r.Model == "large" }
+
+// Guards against a cascade that is charged for a stage twice, or not for every
+// stage, also when its entry dies in the third stage and the caller sends it
+// again.
+func TestCascadeIsChargedPerStage(t *testing.T) {
+	t.Parallel()
+	spec := oneCentre(engine("small-1", "small", 4, 0), engine("medium-1", "medium", 4, 0), engine("large-1", "large", 4, 0))
+	spec.Judge = failBelow
+	f, s := startTapped(t, spec)
+	whole := f.send(chat("whole", "entry-1", "auto", "x", false))
+	f.wantStatus(http.StatusOK, whole)
+
+	large := f.Backends["large-1"].Engine
+	large.SetFaults(standin.EngineFaults{Hang: true})
+	cut := f.sendAsync(chat("cut", "entry-1", "auto", "x", false))
+	eventually(t, "the third stage runs", func() bool { return hasRun(large, "cut") })
+	f.crashEntry(s, "entry-1")
+	large.SetFaults(standin.EngineFaults{})
+	again := f.send(chat("cut", "entry-2", "auto", "x", false))
+	f.wantStatus(http.StatusOK, again)
+	f.checkLedger(whole, <-cut, again)
+	for _, id := range []string{"whole", "cut"} {
+		want, stages := int64(0), 0
+		for key, s := range f.served() {
+			if key[0] == id {
+				want += prices[key[1]] * (1 + s.tokens) // the prompt is one token
+				stages++
+			}
+		}
+		if cost := f.book().Total("brydemaatte", id); cost != want || stages < 2 {
+			t.Errorf("%s ran %d stages and cost %d, want %d: %+v", id, stages, cost, want, f.book().Rows())
+		}
+	}
+}
+
+func hasRun(e *standin.Engine, id string) bool {
+	return slices.ContainsFunc(e.Record().Runs, func(r standin.EngineRun) bool { return r.RequestID == id })
+}
+
+// Guards against an answer that is not charged, or charged beyond what was
+// generated, because its caller hung up.
+func TestCallerHangsUp(t *testing.T) {
+	t.Parallel()
+	f, _ := startTapped(t, oneCentre(engine("small-1", "small", 500, 2*time.Millisecond)))
+	r := chat("r", "entry-1", "small", "x", true)
+	ctx, hangUp := context.WithCancel(t.Context())
+	defer hangUp()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, f.Entries[r.entry].URL+r.path, strings.NewReader(r.body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+r.key)
+	req.Header.Set("X-Request-Id", r.id)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	events := bufio.NewScanner(resp.Body)
+	for seen := 0; seen < 20 && events.Scan(); {
+		if strings.HasPrefix(events.Text(), "data: ") {
+			seen++
+		}
+	}
+	hangUp()
+	eventually(t, "the engine stops", func() bool { return !f.runs()["r"][0].End.IsZero() })
+	f.checkLedger()
+	if rows := f.book().Rows(); len(rows) != 1 || rows[0].TokensOut < 20 || !f.runs()["r"][0].Cut {
+		t.Errorf("charges after 20 tokens: %+v; runs %+v", rows, f.runs()["r"])
+	}
+}
+
+// Guards against two charges for an answer that two engines produced.
+func TestResumedStreamIsChargedOnce(t *testing.T) {
+	t.Parallel()
+	f, _ := startTapped(t, oneCentre(engine("small-1", "small", 12, 0), engine("small-2", "small", 12, 0)))
+	f.Backends["small-1"].Engine.SetFaults(standin.EngineFaults{TruncateAfter: 5})
+	var responses []response
+	resumed := 0
+	for i := 0; resumed == 0; i++ {
+		id := fmt.Sprintf("r-%d", i)
+		responses = append(responses, f.send(chat(id, "entry-1", "small", "x", true)))
+		resumed = len(f.runs()[id]) - 1
+	}
+	f.wantStatus(http.StatusOK, responses...)
+	f.checkLedger(responses...)
+}
