--- a/agent/chat.go
+++ b/agent/chat.go
@@ -59,6 +59,7 @@
 	engineFault := err != nil && ctx.Err() == nil && runCtx.Err() == nil && !rejected(err)
 	result := admission.Result{ID: ticket, OK: err == nil}
 	if engineFault {
+		a.exposure.failed(r)
 		// The engine may have restarted cold. The next load report would come
 		// too late: the slot that becomes free here is refilled at once.
 		result.RefusedConnection = !a.readStatus(context.WithoutCancel(ctx))
--- a/agent/exposure.go
+++ b/agent/exposure.go
@@ -48,6 +48,13 @@
 	e.budgets.Release(versionKey(r.Model, r.Version), r.RequestID)
 }
 
+// failed marks the slot of an answer that the engine failed: it is never rated.
+func (e *exposure) failed(r *link.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.budgets.Failed(versionKey(r.Model, r.Version), r.RequestID)
+}
+
 // onRating frees the slot of an answer that was rated.
 func (e *exposure) onRating(m control.Rating) {
 	e.mu.Lock()
--- a/entry/service.go
+++ b/entry/service.go
@@ -48,7 +48,6 @@
 	// ownKey is set when no earlier request can have used the key.
 	ownKey  bool
 	tried   map[string]bool
-	attempt uint32 // unique in this entry, because callers choose request ids
 	refused *link.Refusal
 	handed  bool
 }
@@ -235,6 +234,8 @@
 		case err != nil:
 			continue
 		case result.Outcome == once.AlreadyFinished:
+			s.chargeCut()
+			s.entry.waitDurable(ctx, s.requestID)
 			return s.replay(w, result.Answer)
 		case result.Outcome == once.Cancelled:
 			return refusal(http.StatusServiceUnavailable, "attempt_lost", "the call did not start: %v", lost)
@@ -242,6 +243,7 @@
 			return s.failure("reservation_superseded", "another request with this key took over")
 		}
 	}
+	s.chargeCut()
 	return s.failure("outcome_unknown", "the call was started and its answer did not arrive: "+lost.Error())
 }
 
@@ -257,7 +259,6 @@
 		return nil, errors.Join(errNoPeer, err)
 	}
 	s.tried[p.name] = true
-	s.attempt = e.attempts.Add(1)
 	p.sent.Add(1)
 	defer p.sent.Add(-1)
 	e.metrics.Add("attempts", 1)
@@ -265,7 +266,7 @@
 	defer span.End()
 	stream, err := p.client.Open(ctx, s.request(ctx, p))
 	if err != nil {
-		return nil, s.note(p, err)
+		return nil, s.note(err)
 	}
 	var body []byte
 	for {
@@ -275,7 +276,7 @@
 		}
 		if err != nil {
 			stream.Cancel()
-			return nil, s.note(p, err)
+			return nil, s.note(err)
 		}
 		body = append(body, payload...)
 	}
@@ -296,7 +297,7 @@
 func (e *incompleteError) Error() string { return e.end.Code + ": " + e.end.Message }
 
 // note remembers what an error says about whether the call ran.
-func (s *serviceCall) note(p *peer, err error) error {
+func (s *serviceCall) note(err error) error {
 	var refused *link.RefusedError
 	var notSent *link.NotSentError
 	var broken *link.BrokenError
@@ -308,15 +309,21 @@
 	default:
 		s.handed = true
 		if s.onceKey == "" {
-			s.entry.chargeCut(cutCharge{call: s.call, bodyHash: s.hash(), service: s.service.Name})
+			s.chargeCut()
 		}
 	}
 	return err
 }
 
+// chargeCut charges a call whose end this entry does not see. The agent may have
+// died with its own row, which has the same key and amount.
+func (s *serviceCall) chargeCut() {
+	s.entry.chargeCut(cutCharge{call: s.call, bodyHash: s.hash(), service: s.service.Name})
+}
+
 func (s *serviceCall) request(ctx context.Context, p *peer) *link.Request {
 	return &link.Request{
-		Kind: link.KindService, RequestID: s.requestID, Attempt: s.attempt,
+		Kind: link.KindService, RequestID: s.requestID, Attempt: s.entry.attempts.Add(1),
 		Workspace: s.workspace.Name, Priority: s.workspace.Priority,
 		Deadline: agentDeadline(ctx, p),
 		Revision: s.entry.snapshot.Revision(),
--- a/ledger/writer_test.go
+++ b/ledger/writer_test.go
@@ -272,9 +272,10 @@
 	h.Hold("entry-1", row(1, 20)) // the same amount by attempt 1: attempt 2 counts
 	h.Hold("entry-2", row(2, 5))
 	h.Hold("entry-2", row(3, 5))
-	h.Release([]RowKey{row(3, 5).Key(), row(4, 5).Key()})
-	if n := h.Orphans("entry-1"); n != 1 || h.Len() != 1 || len(h.Entries()) != 1 || h.Full() {
-		t.Errorf("%d orphans, %d rows held; want 1, 1", n, h.Len())
+	h.Release("entry-2", []RowRef{row(3, 5).Ref(), row(4, 5).Ref()})
+	h.Release("entry-2", []RowRef{row(1, 20).Ref()}) // not a row of entry-2
+	if n := h.Orphans("entry-1"); n != 2 || h.Len() != 1 || len(h.Entries()) != 1 || h.Full() {
+		t.Errorf("%d orphans, %d rows held; want 2, 1", n, h.Len())
 	}
 	if err := h.writer.Flush(t.Context()); err != nil {
 		t.Fatal(err)
