--- a/link/bench_test.go
+++ b/link/bench_test.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"io"
 	"net"
+	"runtime"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -189,3 +191,90 @@
 	b.ReportMetric(float64(read.Load())/float64(b.N), "wire-in-B/op")
 	b.ReportMetric(float64(written.Load())/float64(b.N), "wire-out-B/op")
 }
+
+// BenchmarkStreamPaced measures processor time when each token is a write of
+// its own: 200 streams over one link, one token per stream each 4 ms. Both ends
+// run in this process and are counted together.
+func BenchmarkStreamPaced(b *testing.B) {
+	const streams, tokens, interval = 200, 256, 4 * time.Millisecond
+	c, _, _ := benchLink(b, func(ctx context.Context, in *Incoming) {
+		tick := time.NewTicker(interval)
+		defer tick.Stop()
+		payload := bytes.Repeat([]byte{'x'}, 200)
+		for range tokens {
+			<-tick.C
+			if in.Send(ctx, payload) != nil {
+				return
+			}
+		}
+		_ = in.Finish(End{Complete: true})
+	})
+	before, rounds := processorTime(b), 0
+	for b.Loop() {
+		rounds++
+		errs := make(chan error, streams)
+		for i := range streams {
+			go func() { errs <- benchRequest(b.Context(), c, fmt.Sprintf("01K0ZV5T8E9M3Q%05d%05d", rounds, i), tokens) }()
+		}
+		for range streams {
+			if err := <-errs; err != nil {
+				b.Fatal(err)
+			}
+		}
+	}
+	used := processorTime(b) - before
+	b.ReportMetric(float64(used.Nanoseconds())/float64(rounds*streams*tokens), "cpu-ns/frame")
+	b.ReportMetric(float64(used.Microseconds())/float64(rounds*streams), "cpu-us/stream")
+}
+
+func processorTime(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkStreamMemory measures the heap of both ends per open stream, with no
+// answer yet and with a full window that the caller does not read.
+func BenchmarkStreamMemory(b *testing.B) {
+	const streams = 500
+	for name, payloads := range map[string]int{"idle": 0, "unread": 400} {
+		b.Run(name, func(b *testing.B) {
+			c, _, _ := benchLink(b, func(ctx context.Context, in *Incoming) {
+				for range payloads {
+					if in.Send(ctx, make([]byte, 200)) != nil {
+						return
+					}
+				}
+				<-ctx.Done()
+			})
+			if err := benchOpen(b, c, "warm-up"); err != nil {
+				b.Fatal(err)
+			}
+			before, opened := heap(), 0
+			for b.Loop() { // the streams stay open
+				for range streams {
+					opened++
+					if err := benchOpen(b, c, fmt.Sprint("r", opened)); err != nil {
+						b.Fatal(err)
+					}
+				}
+				time.Sleep(200 * time.Millisecond)
+			}
+			b.ReportMetric(float64(heap()-before)/float64(opened), "heap-B/stream")
+		})
+	}
+}
+
+func benchOpen(b *testing.B, c *Client, id string) error {
+	_, err := c.Open(b.Context(), &Request{Kind: KindChat, RequestID: id, Body: make([]byte, 1<<10)})
+	return err
+}
+
+func heap() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/link/conn.go
+++ b/link/conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"runtime"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -194,6 +195,9 @@
 			return
 		case <-c.wakeWriter:
 		}
+		// Lets streams that are about to send join this write. With 100
+		// one-token streams at a time it raised 30,000 requests/s to 58,000.
+		runtime.Gosched()
 		for c.collect(&w, &turn) {
 			err := c.nc.SetWriteDeadline(time.Now().Add(c.timing.WriteTimeout))
 			if err == nil {
