--- a/link/bench_test.go
+++ b/link/bench_test.go
@@ -54,26 +54,20 @@
 	}
 }
 
-func BenchmarkFramePayload(b *testing.B) {
+func BenchmarkFrame(b *testing.B) {
 	for _, size := range []int{8, 200, 64 << 10} {
 		payload := bytes.Repeat([]byte{'x'}, size)
-		b.Run(fmt.Sprint(size), func(b *testing.B) {
-			benchFrame(b, func(w *frameWriter) {
-				w.beginStream(kindPayload, benchKey, 2)
-				w.uint(200)
-				w.bin(payload)
-			})
+		b.Run(fmt.Sprint("payload=", size), func(b *testing.B) {
+			benchFrame(b, func(w *frameWriter) { w.beginStream(kindPayload, benchKey, 2); w.uint(200); w.bin(payload) })
 		})
 	}
-}
-
-func BenchmarkFrameAck(b *testing.B) {
-	benchFrame(b, func(w *frameWriter) { w.beginStream(kindAck, benchKey, 1); w.uint(200) })
-}
-
-func BenchmarkFrameEnd(b *testing.B) {
+	b.Run("ack", func(b *testing.B) {
+		benchFrame(b, func(w *frameWriter) { w.beginStream(kindAck, benchKey, 1); w.uint(200) })
+	})
 	end := End{Complete: true, TokensIn: 800, TokensOut: 256, FinishReason: "stop", Charge: make([]byte, 150), Frames: 256, Checksum: 1 << 63}
-	benchFrame(b, func(w *frameWriter) { w.beginStream(kindEnd, benchKey, 2); w.uint(256); w.value(&end) })
+	b.Run("end", func(b *testing.B) {
+		benchFrame(b, func(w *frameWriter) { w.beginStream(kindEnd, benchKey, 2); w.uint(256); w.value(&end) })
+	})
 }
 
 // countingConn counts the bytes that it reads and writes.
--- a/link/conn.go
+++ b/link/conn.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"runtime"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -195,9 +194,6 @@
 			return
 		case <-c.wakeWriter:
 		}
-		// Lets streams that are about to send join this write. With 100
-		// one-token streams at a time it raised 30,000 requests/s to 58,000.
-		runtime.Gosched()
 		for c.collect(&w, &turn) {
 			err := c.nc.SetWriteDeadline(time.Now().Add(c.timing.WriteTimeout))
 			if err == nil {
