--- a/link/client.go
+++ b/link/client.go
@@ -31,7 +31,7 @@
 	Window        int            // bytes of an answer that wait for Recv; 64 KiB
 	Logger        *log.Logger
 
-	// Heartbeat returns what is sent to the agent.
+	// Heartbeat returns what is sent to the agent. It must not block.
 	Heartbeat func() Heartbeat
 	// The callbacks are optional. They are called one at a time and must not
 	// block for long, because a full queue of them stops reading.
@@ -80,6 +80,7 @@
 	streams map[streamKey]*Stream
 	session string
 	dials   uint64
+	logged  string // last reason in the log since the link was up
 	status  Status
 	expiry  *time.Timer // ends the streams of a lost link
 }
@@ -132,18 +133,22 @@
 	return c.status.Since.After(start) && time.Since(c.status.Since) >= stableAfter
 }
 
+// logDown logs why a connection or dial ended, once per reason until the link
+// is up again.
 func (c *Client) logDown(err error) {
 	c.mu.Lock()
-	repeated := c.status.Err != nil && c.status.Err.Error() == err.Error()
-	c.status.Err = err
+	repeated := c.logged == err.Error()
+	c.logged, c.status.Err = err.Error(), err
 	c.mu.Unlock()
+	if repeated {
+		return
+	}
+	event, message := c.cfg.Logger.Warn(), "link: connection to agent ended"
 	var he *HandshakeError
-	switch {
-	case errors.As(err, &he):
-		c.cfg.Logger.Error().Str("addr", c.cfg.Addr).Str("peer", c.cfg.Expect).Err(err).Msg("link: agent not accepted")
-	case !repeated:
-		c.cfg.Logger.Warn().Str("addr", c.cfg.Addr).Str("peer", c.cfg.Expect).Err(err).Msg("link: connection to agent ended")
+	if errors.As(err, &he) {
+		event, message = c.cfg.Logger.Error(), "link: agent not accepted"
 	}
+	event.Str("addr", c.cfg.Addr).Str("peer", c.cfg.Expect).Err(err).Msg(message)
 }
 
 func (c *Client) connectAndRun(ctx context.Context) error {
@@ -207,22 +212,23 @@
 		c.breakAll(reason)
 		c.session = accept.code
 	}
-	c.conn = conn
+	c.conn, c.logged = conn, ""
+	c.cfg.Logger.Info().Str("addr", c.cfg.Addr).Str("peer", peer.Name).Str("boot", peer.BootID).Msg("link: connected to agent")
 	c.status.connected(peer, accept.heartbeat)
 	for _, s := range c.streams {
 		s.attach(conn)
 	}
-	conn.enqueue(resumedMarker(len(c.streams)))
+	conn.enqueue(resumedMarker{})
 	close(c.up)
 }
 
 // resumedMarker tells the agent how many streams were opened again before it,
 // and that there are no others.
-type resumedMarker int
+type resumedMarker struct{}
 
-func (n resumedMarker) fill(_ *conn, w *frameWriter) bool {
+func (resumedMarker) fill(c *conn, w *frameWriter) bool {
 	w.begin(kindResumed, 1)
-	w.uint(uint64(n))
+	w.uint(c.opens)
 	w.finish()
 	return false
 }
--- a/link/conn.go
+++ b/link/conn.go
@@ -39,6 +39,8 @@
 	probing time.Duration // since start; 0 when no probe is under way
 	err     error
 
+	opens uint64 // open frames sent; used by the writer only
+
 	wakeWriter chan struct{}
 	wakeKeeper chan struct{}
 	done       chan struct{}
--- a/link/resume_test.go
+++ b/link/resume_test.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -184,3 +185,32 @@
 		wantAnswer(t, s, "r2", 100)
 	})
 }
+
+// Guards against a new link that the agent closes again because a stream was
+// canceled before it could be resumed.
+func TestCancelBeforeResume(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := NewClient(ClientConfig{Logger: quiet})
+		for _, id := range []string{"a", "b"} {
+			s, err := newStream(c, &Request{RequestID: id})
+			if err != nil {
+				t.Fatal(err)
+			}
+			c.streams[s.key] = s
+		}
+		conn := newConn(nil, Timing{}, nil, nil)
+		c.attach(conn, Hello{}, &frame{})
+		c.streams[streamKey{"a", 0}].Cancel()
+		w, turn, f := newFrameWriter(), []source(nil), frame{}
+		conn.collect(&w, &turn)
+		r := newFrameReader(bytes.NewReader(w.buf))
+		for f.kind != kindResumed {
+			if err := r.next(&f); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if f.seq != 1 {
+			t.Errorf("%d streams announced, want 1", f.seq)
+		}
+	})
+}
--- a/link/server.go
+++ b/link/server.go
@@ -22,7 +22,7 @@
 	MaxUnacked    int           // payload bytes per stream that wait for an ack, after which Send blocks; 256 KiB
 	Logger        *log.Logger
 
-	// Heartbeat returns what is sent to the entries.
+	// Heartbeat returns what is sent to the entries. It must not block.
 	Heartbeat func() Heartbeat
 	// Handler answers a request. Its ctx is canceled when the entry cancels
 	// the request or does not come back, and when the server stops.
@@ -150,6 +150,7 @@
 	if err != nil {
 		return err
 	}
+	s.cfg.Logger.Info().Str("peer", hello.Name).Str("boot", hello.BootID).Msg("link: entry connected")
 	c.post(p.announce)
 	return c.run(ctx, r, func(f *frame) error { return p.handle(c, f) })
 }
--- a/link/stream.go
+++ b/link/stream.go
@@ -110,6 +110,7 @@
 	}
 	if !s.opened {
 		s.opened = true
+		c.opens++
 		s.addOpen(w)
 	}
 	for s.sent < len(s.body) {
