--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -49,8 +49,8 @@
 	except := ""
 	var waited time.Duration
 	for {
-		if err := run.renew(ctx, run.stage, except); err != nil {
-			return nil, run.refusedError(err)
+		if err := run.renewVersion(ctx, except); err != nil {
+			return nil, err
 		}
 		peer, err := run.pick()
 		if err != nil {
@@ -69,8 +69,9 @@
 			return result, nil
 		case next.err != nil:
 			return nil, next.err
-		case next.avoidVersion && !run.idOnly && run.tokens == 0:
+		case next.avoidVersion && !run.idOnly && !run.stage.pinned && run.tokens == 0:
 			except = run.stage.version
+			clear(run.tried)
 			delete(run.pins, run.stage.model)
 			run.stage.bound = false
 		case next.avoidVersion:
@@ -83,6 +84,19 @@
 	}
 }
 
+// renewVersion checks the version against the newest records. An answer of which
+// the caller has seen a part cannot go on on another version.
+func (run *stageRun) renewVersion(ctx context.Context, except string) *apiError {
+	before := run.stage.version
+	if err := run.renew(ctx, run.stage, except); err != nil {
+		return run.refusedError(err)
+	}
+	if run.tokens > 0 && run.stage.version != before {
+		return run.failed("version_withdrawn", run.stage.model+"@"+before+" was withdrawn while it answered")
+	}
+	return nil
+}
+
 // allRefused reports whether every candidate refused; waiting would not help.
 func (run *stageRun) allRefused() bool { return run.refused != nil && len(run.tried) > 0 }
 
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -162,14 +162,14 @@
 			}
 		}
 		if len(ch.stages) == 0 {
-			return busy("no_version", "no model of cascade %q has a version for this workspace", name)
+			return busy(codeNoVersion, "no model of cascade %q has a version for this workspace", name)
 		}
 		return nil
 	}
 	if _, ok := ch.view.Models[name]; !ok || !ch.workspace.AllowsModel(name) {
 		return refusal(http.StatusNotFound, "model_unknown", "model %q does not exist or is not allowed", name)
 	}
-	st, err := ch.assign(ch.view, name, "")
+	st, err := ch.assignOrLookUp(ch.view, name, "")
 	if err != nil {
 		return err
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -73,9 +73,11 @@
 	ratings  *ratings
 	signer   *session.Signer
 	sessions *session.Binder
-	once     *once.Log
-	ledger   *ledger.Writer
-	pending  pendingCharges
+
+	departures departures
+	once       *once.Log
+	ledger     *ledger.Writer
+	pending    pendingCharges
 
 	entries atomic.Int64 // number of entries in the VM list, at least 1
 	// attempts numbers the attempts of this process. A number per request would
--- a/entry/links.go
+++ b/entry/links.go
@@ -71,6 +71,9 @@
 		l.reconcile()
 		l.pushRecords()
 		l.entry.health.Reconcile()
+		for _, model := range l.entry.snapshot.View().Models {
+			l.entry.forgetDeparted(model)
+		}
 		select {
 		case <-ctx.Done():
 			<-treeDone
--- a/entry/version.go
+++ b/entry/version.go
@@ -10,6 +10,9 @@
 	"hyssoploom/rollout"
 )
 
+// codeNoVersion refuses a session for which no version may be chosen.
+const codeNoVersion = "no_version"
+
 // assign chooses the version of a model: the session's own while it may be
 // kept, else one by weight. Except, when set, is a version that cannot take
 // this request now.
@@ -19,6 +22,7 @@
 	if !ok || !known || !workspace.AllowsModel(name) {
 		return stage{}, refusal(http.StatusNotFound, "model_unknown", "model %q does not exist or is not allowed", name)
 	}
+	ch.entry.forgetDeparted(model)
 	quarantined := func(v string) bool { return ch.entry.health.Quarantined(name, v) }
 	allowed := func(v string) bool { return workspace.Allows(name, v) && v != except }
 
@@ -34,11 +38,22 @@
 	}
 	version, err := rollout.Assign(model, quarantined, allowed, ch.entry.uniform())
 	if err != nil {
-		return stage{}, busy("no_version", "%v", err)
+		return stage{}, busy(codeNoVersion, "%v", err)
 	}
 	return stage{model: name, version: version}, nil
 }
 
+// assignOrLookUp is assign for a session whose version may be in the store: such
+// a session goes on when no version takes new sessions. The stage then has no
+// version until it is bound.
+func (ch *chat) assignOrLookUp(view *config.View, name, except string) (stage, *apiError) {
+	st, err := ch.assign(view, name, except)
+	if _, pinned := ch.pins[name]; err != nil && err.Code == codeNoVersion && ch.idOnly && !pinned {
+		return stage{model: name}, nil
+	}
+	return st, err
+}
+
 // bind fixes the version for the session before the first attempt. A caller
 // that sends only an id gets the version that the store has, or creates it.
 func (ch *chat) bind(ctx context.Context, st *stage) *apiError {
@@ -62,7 +77,12 @@
 	ctx, span := ch.entry.deps.Tracing.Tracer.Start(ctx, "store")
 	defer span.End()
 	binder := ch.entry.sessions
-	choose := func() (string, error) { return st.version, nil }
+	choose := func() (string, error) {
+		if st.version == "" {
+			return "", busy(codeNoVersion, "no version of model %q takes new sessions", st.model)
+		}
+		return st.version, nil
+	}
 	version, err := binder.Bind(ctx, ch.workspace.Name, ch.sessionID, st.model, choose)
 	if err != nil {
 		return "", sessionError(err)
@@ -84,6 +104,10 @@
 }
 
 func sessionError(err error) *apiError {
+	var refused *apiError
+	if errors.As(err, &refused) {
+		return refused
+	}
 	if errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrUnknownOutcome) {
 		return busy("session_unavailable", "the store is down; send %s to go on with a known session", headerSessionToken)
 	}
@@ -94,7 +118,7 @@
 // attempt, so that neither a retry nor a later stage uses a version that was
 // withdrawn meanwhile.
 func (ch *chat) renew(ctx context.Context, st *stage, except string) *apiError {
-	fresh, err := ch.assign(ch.entry.snapshot.View(), st.model, except)
+	fresh, err := ch.assignOrLookUp(ch.entry.snapshot.View(), st.model, except)
 	if err != nil {
 		return err
 	}
