--- a/entry/api.go
+++ b/entry/api.go
@@ -123,6 +123,9 @@
 // call is what all requests of callers have in common.
 type call struct {
 	requestID string
+	// ownID is set when this entry made the request id, so that no earlier
+	// request can have used it.
+	ownID     bool
 	view      *config.View
 	workspace *config.Workspace
 }
@@ -137,8 +140,11 @@
 		if c.requestID != "" {
 			w.Header().Set(headerRequestID, c.requestID)
 		}
-		if apiErr == nil {
+		switch {
+		case apiErr == nil:
 			apiErr = serve(w, r, c)
+		case apiErr.Status == http.StatusServiceUnavailable && mayHaveRun(r):
+			apiErr.Run = Unknown
 		}
 		if apiErr != nil {
 			e.metrics.Add("refused_"+apiErr.Code, 1)
@@ -147,10 +153,18 @@
 	}
 }
 
+// mayHaveRun reports whether an earlier request may have run the call that this
+// one names by a key or id. An entry that cannot look at the call's record must
+// not answer "not run" to such a request.
+func mayHaveRun(r *http.Request) bool {
+	return strings.HasPrefix(r.URL.Path, "/services/") && r.Method != http.MethodGet && r.Method != http.MethodHead &&
+		(r.Header.Get(headerIdempotencyKey) != "" || r.Header.Get(headerRequestID) != "")
+}
+
 func (e *Entry) identify(r *http.Request) (*call, *apiError) {
 	c := &call{requestID: r.Header.Get(headerRequestID), view: e.snapshot.View()}
 	if c.requestID == "" {
-		c.requestID = ulid.Make().String()
+		c.requestID, c.ownID = ulid.Make().String(), true
 	}
 	if !idPattern.MatchString(c.requestID) {
 		c.requestID = ""
--- a/entry/service.go
+++ b/entry/service.go
@@ -379,11 +379,11 @@
 }
 
 // refusedByStore is the refusal of a call that could not be reserved. No agent
-// was given this call, but an earlier request may have run under a key that the
-// caller chose.
+// was given this call, but an earlier request may have run under a key or request
+// id that the caller chose.
 func (s *serviceCall) refusedByStore() *apiError {
 	err := busy("store_unavailable", "a call that may not be repeated needs the store, which does not answer; this request was not run")
-	if s.onceKey != s.requestID {
+	if !s.ownID || s.onceKey != s.requestID {
 		err.Message += ", an earlier one with the same key may have been"
 		err.Run = Unknown
 	}
