--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -50,8 +50,8 @@
 	except := ""
 	var waited time.Duration
 	for {
-		if err := run.renew(ctx, run.stage, except); err != nil {
-			return nil, run.refusedError(err)
+		if err := run.renewVersion(ctx, except); err != nil {
+			return nil, err
 		}
 		peer, err := run.pick()
 		if err != nil {
@@ -87,6 +87,19 @@
 	}
 }
 
+// renewVersion checks the version against the newest records. An answer of which
+// the caller has seen a part cannot go on on another version.
+func (run *stageRun) renewVersion(ctx context.Context, except string) *apiError {
+	before := run.stage.version
+	if err := run.renew(ctx, run.stage, except); err != nil {
+		return run.refusedError(err)
+	}
+	if run.tokens > 0 && run.stage.version != before {
+		return run.failed("version_withdrawn", run.stage.model+"@"+before+" was withdrawn while it answered")
+	}
+	return nil
+}
+
 // allRefused reports whether every candidate refused; waiting would not help.
 func (run *stageRun) allRefused() bool { return run.refused != nil && len(run.tried) > 0 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -82,9 +82,11 @@
 	ratings  *ratings
 	signer   *session.Signer
 	sessions *session.Binder
-	once     *once.Log
-	ledger   *ledger.Writer
-	pending  pendingCharges
+
+	departures departures
+	once       *once.Log
+	ledger     *ledger.Writer
+	pending    pendingCharges
 
 	answerTime movingAverage
 
--- a/entry/service.go
+++ b/entry/service.go
@@ -45,8 +45,6 @@
 	// onceKey and nonce are set for calls that may not be repeated.
 	onceKey string
 	nonce   string
-	// ownKey is set when no earlier request can have used the key.
-	ownKey  bool
 	tried   map[string]bool
 	refused *link.Refusal
 	handed  bool
@@ -102,7 +100,7 @@
 	}
 	s.onceKey = r.Header.Get(headerIdempotencyKey)
 	if s.onceKey == "" {
-		s.onceKey, s.ownKey = c.requestID, c.ownID
+		s.onceKey = c.requestID
 	}
 	if !idPattern.MatchString(s.onceKey) {
 		return nil, refusal(http.StatusBadRequest, "idempotency_key_invalid",
@@ -390,11 +388,11 @@
 }
 
 // refusedByStore is the refusal of a call that could not be reserved. No agent
-// was given this call, but an earlier request may have run under a key that the
-// caller chose.
+// was given this call, but an earlier request may have run under a key or request
+// id that the caller chose.
 func (s *serviceCall) refusedByStore() *apiError {
 	err := busy("store_unavailable", "a call that may not be repeated needs the store, which does not answer; this request was not run")
-	if !s.ownKey {
+	if !s.ownID || s.onceKey != s.requestID {
 		err.Message += ", an earlier one with the same key may have been"
 		err.Run = Unknown
 	}
--- a/invariants/exposure_test.go
+++ b/invariants/exposure_test.go
@@ -20,8 +20,8 @@
 	}}
 }
 
-// twoVersions is a fleet that serves both versions of model small.
-func twoVersions(t *testing.T) *fleet {
+// versionTestFleet is a fleet that serves both versions of model small.
+func versionTestFleet(t *testing.T) *fleet {
 	t.Helper()
 	second := embedded.EngineSpec("small-2", "jylland", "small", "2")
 	spec := oneCentre(engine("small-1", "small", 4, 0), second)
@@ -32,7 +32,7 @@
 // Guards against a session that changes its version because the exposure budget
 // of that version is used up: it has to wait for ratings instead.
 func TestSessionKeepsVersionWhenBudgetIsUsedUp(t *testing.T) {
-	f := twoVersions(t)
+	f := versionTestFleet(t)
 	f.putInForce(config.KindModel, "small", testedModel(5)) // two fifths are open at first
 	token := ""
 	for i := 0; token == ""; i++ {
@@ -71,7 +71,7 @@
 // Guards against a bad version that is only found in cascades: callers name the
 // model itself, so the entry has to have its baseline rated too.
 func TestBadVersionOfPlainModelIsStopped(t *testing.T) {
-	f := twoVersions(t)
+	f := versionTestFleet(t)
 	faults := f.Backends["small-2"].Engine.Faults()
 	faults.Bad = []string{"small@2"}
 	f.Backends["small-2"].Engine.SetFaults(faults)
