--- a/agent/agent.go
+++ b/agent/agent.go
@@ -406,3 +406,6 @@
 
 // Load returns the load report of the backend server.
 func (a *Agent) Load() admission.Report { return a.gate.report() }
+
+// Quarantined reports whether a version is in quarantine here.
+func (a *Agent) Quarantined(model, version string) bool { return a.health.Quarantined(model, version) }
--- a/entry/endpoints.go
+++ b/entry/endpoints.go
@@ -142,3 +142,6 @@
 
 // Revision returns the revision of the records in force here.
 func (e *Entry) Revision() uint64 { return e.snapshot.Revision() }
+
+// Quarantined reports whether a version is in quarantine here.
+func (e *Entry) Quarantined(model, version string) bool { return e.health.Quarantined(model, version) }
--- a/entry/run.go
+++ b/entry/run.go
@@ -80,9 +80,9 @@
 }
 
 // rateLater has the released answer rated in the background when the plan asks
-// for an audit or the version is under test.
+// for an audit or the test of a version needs it.
 func (ch *chat) rateLater(ctx context.Context, plan cascade.Plan, a *answer, audit bool) {
-	if audit || ch.entry.health.UnderTest(versionKey(a.model, a.version)) {
+	if audit || ch.entry.health.NeedsRating(versionKey(a.model, a.version)) {
 		ch.entry.ratings.later(ctx, ch.ratingJob(plan, a))
 	}
 }
--- a/health/keeper.go
+++ b/health/keeper.go
@@ -227,6 +227,39 @@
 	return k.verdicts[key] != rollout.Good
 }
 
+// controlRatings is how many answers of a baseline are rated during the test of
+// a version against it. More would hardly add evidence.
+const controlRatings = 100
+
+// NeedsRating reports whether an answer of the version is to be rated although
+// nothing waits for the rating: it is under test, or it is the baseline of such
+// a version. Without ratings of the baseline the test never ends.
+func (k *Keeper) NeedsRating(key rollout.VersionKey) bool {
+	if k.UnderTest(key) {
+		return true
+	}
+	model, ok := k.snapshot.View().Models[key.Model]
+	if !ok {
+		return false
+	}
+	for _, v := range model.Versions {
+		candidate := rollout.VersionKey{Model: key.Model, Version: v.Version}
+		if v.Baseline != key.Version || v.State != config.VersionActive || !k.UnderTest(candidate) {
+			continue
+		}
+		if k.totals(rollout.ControlKey(candidate, key.Version)).Rated < controlRatings {
+			return true
+		}
+	}
+	return false
+}
+
+func (k *Keeper) totals(key rollout.VersionKey) rollout.Counts {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.evidence.Totals(key)
+}
+
 // Budget is the part of a version's exposure budget that is open to it now.
 func (k *Keeper) Budget(key rollout.VersionKey, budget int) int {
 	var baseline rollout.VersionKey
--- /dev/null
+++ b/invariants/quarantine_test.go
@@ -0,0 +1,182 @@
+package invariants
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"hyssoploom/config"
+	"hyssoploom/embedded"
+	"hyssoploom/link"
+	"hyssoploom/platform"
+	"hyssoploom/standin"
+)
+
+// badAnswers is the most that the whole fleet may serve of a bad version. The
+// record's exposure budget is 20.
+const badAnswers = 30
+
+// release is a model whose version 2 is under test against version 1.
+func release() *config.Model {
+	model := modelOf("1", "2")
+	model.Versions[1].Baseline, model.Versions[1].ExposureBudget = "1", 20
+	return model
+}
+
+// badRelease is a fleet with two entries and two engines that serve both
+// versions; version 2 is bad, and each rating takes a second.
+func badRelease(t *testing.T) *fleet {
+	t.Helper()
+	one, two := engine("small-1", "small", 4, 0), engine("small-2", "small", 4, 0)
+	both := []embedded.BackendSpec{one, two}
+	for i := range both {
+		both[i].Serves = append(both[i].Serves, config.Placement{Model: "small", Version: "2"})
+		both[i].Engine.Loaded = append(both[i].Engine.Loaded, second)
+	}
+	spec := oneCentre(both...)
+	spec.RequestTimeout = 5 * time.Second
+	f := startFleet(t, spec)
+	for _, b := range both {
+		f.Backends[b.Name].Engine.SetFaults(standin.EngineFaults{Bad: []string{"small@2"}})
+	}
+	f.Rater.SetDelay(time.Second)
+	return f
+}
+
+// badRuns counts the answers of version 2.
+func (f *fleet) badRuns() int {
+	n := 0
+	for _, runs := range f.runs() {
+		for _, run := range runs {
+			if run.Version == "2" {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// stopped reports whether every process has version 2 in quarantine.
+func (f *fleet) stopped() bool {
+	for _, e := range f.Entries {
+		if !e.Entry.Quarantined("small", "2") {
+			return false
+		}
+	}
+	for _, b := range f.Backends {
+		if !b.Agent.Quarantined("small", "2") {
+			return false
+		}
+	}
+	return true
+}
+
+// sendThrough sends n requests through all entries in turn.
+func (f *fleet) sendThrough(n int) (served int) {
+	for i := range n {
+		if f.send(chat("", fmt.Sprintf("entry-%d", i%2+1), "small", "x", false)).status == 200 {
+			served++
+		}
+	}
+	return served
+}
+
+// Guards against a bad version that goes on: because ratings are slow, because
+// several entries and agents each wait for their own evidence, because the
+// store is down, because the model record is applied again, and because the
+// entries that know of it are gone. An operator's word ends the quarantine.
+func TestBadVersionIsStopped(t *testing.T) {
+	f := badRelease(t)
+	f.putInForce(config.KindModel, "small", release())
+	f.Store.SetDown(true)
+	load := f.press("small")
+	begun := time.Now()
+	eventually(t, "every process has the quarantine", f.stopped)
+	t.Logf("%d answers of the bad version in %v", f.badRuns(), time.Since(begun))
+	at := f.badRuns()
+	ok := load.ok.Load()
+	eventually(t, "more requests were served", func() bool { return load.ok.Load() > ok+100 })
+	load.release()
+	if n := f.badRuns(); n > badAnswers {
+		t.Errorf("%d answers of the bad version, want at most %d", n, badAnswers)
+	}
+	// A request that was admitted in the moment of the quarantine may still run.
+	if n := f.badRuns() - at; n > 2 {
+		t.Errorf("%d answers of the bad version after the whole fleet knew", n)
+	}
+	f.checkStrayEntriesAreStopped()
+	f.Store.SetDown(false)
+	f.checkQuarantineStays()
+	f.checkLift()
+}
+
+// checkStrayEntriesAreStopped sends requests as entries that do not know of the
+// quarantine.
+func (f *fleet) checkStrayEntriesAreStopped() {
+	f.t.Helper()
+	for _, backend := range []string{"small-1", "small-2"} {
+		_, _, err := f.strayEntry(backend).run(f.t.Context(), link.Request{
+			RequestID: "stray-" + backend, Attempt: 1, Workspace: "brydemaatte", Model: "small", Version: "2", Pinned: true,
+		})
+		var refused *link.RefusedError
+		if !errors.As(err, &refused) || refused.Refusal.Code != "version_quarantined" {
+			f.t.Errorf("%s: %v, want a refusal", backend, err)
+		}
+	}
+}
+
+func (f *fleet) checkQuarantineStays() {
+	f.t.Helper()
+	key := config.QuarantineKey("small", "2")
+	eventually(f.t, "the store has the quarantine", func() bool {
+		_, err := f.Store.Get(f.t.Context(), key)
+		return err == nil
+	})
+	eventually(f.t, "every process has the record", f.InForce)
+	before := f.badRuns()
+	f.putInForce(config.KindModel, "small", release())
+	if served := f.sendThrough(40); served != 40 {
+		f.t.Errorf("%d of 40 requests served by the good version", served)
+	}
+	for name := range f.Entries {
+		if err := f.KillEntry(name); err != nil {
+			f.t.Fatal(err)
+		}
+	}
+	for name := range f.Entries {
+		if err := f.StartEntry(f.t.Context(), name); err != nil {
+			f.t.Fatal(err)
+		}
+	}
+	eventually(f.t, "the new entries serve", func() bool { return f.sendThrough(2) == 2 })
+	f.sendThrough(40)
+	if n := f.badRuns() - before; n > 0 {
+		f.t.Errorf("%d answers of a quarantined version", n)
+	}
+}
+
+// checkLift lifts the quarantine as an operator does. The evidence against the
+// version is as it was.
+func (f *fleet) checkLift() {
+	f.t.Helper()
+	key := config.QuarantineKey("small", "2")
+	current, err := f.Store.Get(f.t.Context(), key)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	raw := `{"schema_version":1,"kind":"quarantine","name":"small/2","writer":"operator","change_id":"lift","deleted":true}`
+	if _, err := f.Store.Swap(f.t.Context(), platform.Write{Key: key, Value: []byte(raw), Expect: current.Revision}); err != nil {
+		f.t.Fatal(err)
+	}
+	eventually(f.t, "the lift is in force", f.InForce)
+	before := f.badRuns()
+	f.Rater.SetDelay(0)
+	f.sendThrough(100)
+	if n := f.badRuns() - before; n < 20 {
+		f.t.Errorf("%d of 100 requests on a version whose quarantine was lifted", n)
+	}
+	if kv, err := f.Store.Get(f.t.Context(), key); err != nil || string(kv.Value) != raw {
+		f.t.Errorf("the operator's record was replaced: %s, %v", kv.Value, err)
+	}
+}
