--- a/agent/orders.go
+++ b/agent/orders.go
@@ -64,12 +64,7 @@
 		return nil
 	}
 	order.Fencing = a.snapshot.View().RecordRevision(config.KindBackendServer, a.settings.Name)
-	if !server.ChecksFencing {
-		if err := o.confirm(ctx, order); err != nil {
-			return err
-		}
-	}
-	return o.give(ctx, order)
+	return o.give(ctx, order, server.ChecksFencing)
 }
 
 // nextOrder returns the first difference between the record and what is loaded.
@@ -114,7 +109,9 @@
 	return nil
 }
 
-func (o *orders) give(ctx context.Context, order platform.Order) error {
+// give sends the order. The record is confirmed last, because the agent may
+// have waited long for its load permit.
+func (o *orders) give(ctx context.Context, order platform.Order, checksFencing bool) error {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	if order.Action == "load" {
@@ -124,6 +121,11 @@
 		}
 		defer o.returnPermit(permit)
 	}
+	if !checksFencing {
+		if err := o.confirm(ctx, order); err != nil {
+			return err
+		}
+	}
 	if err := o.agent.deps.Engine.Order(ctx, order); err != nil {
 		return fmt.Errorf("%s %s@%s: %w", order.Action, order.Target.Model, order.Target.Version, err)
 	}
--- a/embedded/fleet.go
+++ b/embedded/fleet.go
@@ -71,6 +71,9 @@
 	// Store returns the store as one process sees it; the stand-in over HTTP
 	// when nil.
 	Store func(process string, store platform.Store) platform.Store
+	// Engine returns the engine as its agent sees it; the stand-in over HTTP
+	// when nil.
+	Engine func(backend string, engine platform.Engine) platform.Engine
 	// RequestTimeout bounds one request; 20 s when 0.
 	RequestTimeout time.Duration
 	// Judge replaces the rater's judgement.
@@ -290,6 +293,9 @@
 	}
 	if b.Engine != nil {
 		deps.Engine = platform.NewHTTPEngine(b.Server.URL(), nil)
+		if f.spec.Engine != nil {
+			deps.Engine = f.spec.Engine(name, deps.Engine)
+		}
 	} else {
 		deps.Service = platform.NewHTTPService(b.Server.URL(), nil)
 	}
