--- a/agent/agent.go
+++ b/agent/agent.go
@@ -310,45 +310,6 @@
 	}
 }
 
-// readStatus asks the backend server for its state and reports whether it
-// answered.
-func (a *Agent) readStatus(ctx context.Context) bool {
-	if a.deps.Engine == nil {
-		return true
-	}
-	ctx, cancel := context.WithTimeout(ctx, 2*statusInterval)
-	defer cancel()
-	status, err := a.deps.Engine.Status(ctx)
-	if err != nil {
-		a.metrics.Add("engine_status_errors", 1)
-		last := *a.loaded.Load()
-		last.ok = false
-		a.loaded.Store(&last)
-		return false
-	}
-	a.loaded.Store(&engineView{status: status, ok: true})
-	a.gate.engineStatus(status.BootID, status.Uptime)
-	return true
-}
-
-// readVMList learns whether the platform is about to stop this VM. The list
-// lags, so it only adds to what the record says.
-func (a *Agent) readVMList(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, vmListInterval)
-	defer cancel()
-	vms, err := a.deps.VMs.VMs(ctx)
-	if err != nil {
-		return
-	}
-	for _, vm := range vms {
-		if vm.Name == a.settings.VM {
-			if a.vmLeaving.Swap(vm.Leaving) != vm.Leaving {
-				a.gate.reset()
-			}
-		}
-	}
-}
-
 // followLimits applies the record's limits whenever the configuration changes.
 // Both the end and the begin of service reset the limit: the backend server may
 // have been restarted in between, and the reset at the begin alone could come
