--- a/agent/agent.go
+++ b/agent/agent.go
@@ -121,7 +121,7 @@
 	a.exposure = newExposure(s.Name, a.snapshot, a.health)
 	a.ledger = ledger.NewWriter(deps.Store, a.bootID, func() time.Duration { return ledgerWindow })
 	a.held = ledger.NewHolder(a.ledger)
-	a.poller = provider.NewPoller(deps.Store, a.snapshot, provider.Options{Logger: deps.Log.Base()})
+	a.poller = provider.NewPoller(deps.Store, a.snapshot, provider.Options{Logger: deps.Log.Base(), OnAdopt: a.forwardRecords})
 	a.server = link.NewServer(link.ServerConfig{
 		Hello:       link.Hello{Name: s.Name, BootID: a.bootID, DataCentre: s.DataCentre},
 		FleetKey:    []byte(s.FleetKey),
@@ -293,6 +293,15 @@
 	return nil
 }
 
+// forwardRecords sends the entries what the store told this agent first. While
+// the watches of the entries work, that is nothing; an entry whose watch hangs
+// would otherwise have to wait for the next heartbeat.
+func (a *Agent) forwardRecords(records []config.Record) {
+	for _, m := range control.SplitRecords(records) {
+		a.server.Broadcast(m)
+	}
+}
+
 func (a *Agent) broadcast(c link.Control) { a.server.Broadcast(c) }
 
 func (a *Agent) flushCharges(ctx context.Context) error {
