--- a/agent/agent.go
+++ b/agent/agent.go
@@ -41,6 +41,9 @@
 	ordersInterval = time.Second
 	expireInterval = 50 * time.Millisecond
 	heldInterval   = time.Second
+	// streamRetention is how long the streams of a lost link go on. Entries give
+	// up such a stream sooner and continue it elsewhere.
+	streamRetention = 5 * time.Second
 	// heldLimit is how long a charge waits for its entry to make it durable. An
 	// entry that lost the end of the answer never does.
 	heldLimit = 10 * time.Second
@@ -132,6 +135,7 @@
 		OnControl:   a.onControl,
 		OnPeerGone:  a.onPeerGone,
 		Logger:      deps.Log.Base(),
+		Retention:   streamRetention,
 	})
 	a.publishMetrics()
 	a.tree = a.buildTree()
@@ -276,7 +280,7 @@
 		if err := control.Decode(c, &m); err != nil {
 			return err
 		}
-		a.held.Release(m.Keys)
+		a.held.Release(peer.BootID, m.Rows)
 	case control.KindRating:
 		var m control.Rating
 		if err := control.Decode(c, &m); err != nil {
@@ -336,6 +340,7 @@
 			served = serves
 		}
 		a.health.Reconcile()
+		a.exposure.reconcile()
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -351,6 +356,7 @@
 	a.metrics.Func("load", func() any { return a.gate.report() })
 	a.metrics.Func("draining", func() any { return a.draining.Load() })
 	a.metrics.Func("held_charges", func() any { return a.held.Len() })
+	a.metrics.Func("version_tests", func() any { return a.health.Tests() })
 	a.metrics.Func("ledger", func() any { return a.ledger.Stats() })
 }
 
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -10,6 +10,7 @@
 
 	"go.opentelemetry.io/otel/attribute"
 
+	"hyssoploom/ledger"
 	"hyssoploom/link"
 	"hyssoploom/rollout"
 	"hyssoploom/route"
@@ -31,12 +32,11 @@
 // stageRun is one stage of a request: the attempts that produce one answer.
 type stageRun struct {
 	*chat
-	index   int
-	stage   *stage
-	out     *output
-	gated   bool
-	tried   map[string]bool
-	attempt uint32
+	index int
+	stage *stage
+	out   *output
+	gated bool
+	tried map[string]bool
 	// text and tokens are what earlier attempts have produced and the caller may
 	// have seen.
 	text    strings.Builder
@@ -50,8 +50,8 @@
 	except := ""
 	var waited time.Duration
 	for {
-		if err := run.renew(ctx, run.stage, except); err != nil {
-			return nil, run.refusedError(err)
+		if err := run.renewVersion(ctx, except); err != nil {
+			return nil, err
 		}
 		peer, err := run.pick()
 		if err != nil {
@@ -70,12 +70,15 @@
 			return result, nil
 		case next.err != nil:
 			return nil, next.err
-		case next.avoidVersion && !run.idOnly && run.tokens == 0:
+		case next.avoidVersion && run.stage.chosenHere && except == "":
 			except = run.stage.version
 			delete(run.pins, run.stage.model)
 			run.stage.bound = false
+			run.refused = nil
+			clear(run.tried)
 		case next.avoidVersion:
 			// The session already uses the version: wait for ratings.
+			run.refused = nil
 			clear(run.tried)
 			if !sleep(ctx, pollInterval) {
 				return nil, run.timedOut()
@@ -84,6 +87,19 @@
 	}
 }
 
+// renewVersion checks the version against the newest records. An answer of which
+// the caller has seen a part cannot go on on another version.
+func (run *stageRun) renewVersion(ctx context.Context, except string) *apiError {
+	before := run.stage.version
+	if err := run.renew(ctx, run.stage, except); err != nil {
+		return run.refusedError(err)
+	}
+	if run.tokens > 0 && run.stage.version != before {
+		return run.failed("version_withdrawn", run.stage.model+"@"+before+" was withdrawn while it answered")
+	}
+	return nil
+}
+
 // allRefused reports whether every candidate refused; waiting would not help.
 func (run *stageRun) allRefused() bool { return run.refused != nil && len(run.tried) > 0 }
 
@@ -106,11 +122,10 @@
 
 // try runs one attempt on one backend server.
 func (run *stageRun) try(ctx context.Context, p *peer) (*answer, follow) {
-	run.attempt++
 	run.tried[p.name] = true
 	ctx, span := run.entry.deps.Tracing.Tracer.Start(ctx, "link")
 	defer span.End()
-	span.SetAttributes(attribute.String("backend_server", p.name), attribute.Int("attempt", int(run.attempt)))
+	span.SetAttributes(attribute.String("backend_server", p.name), attribute.Int("tried", len(run.tried)))
 
 	p.sent.Add(1)
 	defer p.sent.Add(-1)
@@ -163,7 +178,7 @@
 
 func (run *stageRun) request(ctx context.Context, p *peer) *link.Request {
 	return &link.Request{
-		Kind: link.KindChat, RequestID: run.requestID, Attempt: run.attempt + uint32(run.index)<<16,
+		Kind: link.KindChat, RequestID: run.requestID, Attempt: run.entry.attempts.Add(1),
 		Workspace: run.workspace.Name, Model: run.stage.model, Version: run.stage.version,
 		Pinned: run.stage.pinned, Session: run.sessionID, TaskClass: run.taskClass, Stage: run.index,
 		Priority: run.workspace.Priority,
@@ -197,20 +212,20 @@
 	case errors.As(err, &notSent):
 		return follow{}
 	case errors.Is(err, errCallerGone):
-		run.chargeCut(p)
+		run.chargeCut()
 		return follow{err: callerGone()}
 	case ctx.Err() != nil:
 		run.handed = true
-		run.chargeCut(p)
+		run.chargeCut()
 		return follow{err: run.timedOut()}
 	case errors.As(err, &broken):
 		run.handed = run.handed || broken.Handed
 		if broken.Handed {
-			run.chargeCut(p)
+			run.chargeCut()
 		}
 	default:
 		run.handed = true
-		run.chargeCut(p)
+		run.chargeCut()
 	}
 	run.entry.log.Warn("Attempt was lost.", "request", run.requestID, "backend_server", p.name, "error", err.Error())
 	return run.retry("attempt_lost", err.Error())
@@ -224,6 +239,10 @@
 		return run.resume(end.Code, end.Message)
 	case end.Code == link.CodeDeadline:
 		return follow{err: run.timedOut()}
+	case end.Code == link.CodeRejected:
+		err := run.failed(end.Code, end.Message)
+		err.Status = http.StatusBadRequest
+		return follow{err: err}
 	}
 	return run.retry(end.Code, end.Message)
 }
@@ -255,9 +274,9 @@
 // chargeCut charges what this entry has received of an attempt whose end it
 // will not see. The agent may write a larger row for the same stage; readers
 // keep the larger one.
-func (run *stageRun) chargeCut(p *peer) {
+func (run *stageRun) chargeCut() {
 	run.entry.chargeCut(cutCharge{
-		call: run.call, body: run.body, stage: run.index, attempt: run.attempt, peer: p,
+		call: run.call, bodyHash: ledger.HashBody(run.body), stage: run.index,
 		model: run.stage.model, version: run.stage.version, tokensOut: run.tokens,
 	})
 }
--- a/entry/charges.go
+++ b/entry/charges.go
@@ -53,17 +53,23 @@
 }
 
 func (e *Entry) addRow(p *peer, row ledger.Row) {
-	e.links.holds(p, row.Key())
-	e.pending.add(row.RequestID, e.ledger.Add(row))
+	// The row is added before it is listed as held, so that the report of an
+	// earlier row of the same charge cannot cover it.
+	durable := e.ledger.Add(row)
+	e.links.holds(p, row)
+	select {
+	case <-durable: // the report may have come before the row was listed
+		e.links.reportDurable([]ledger.RowKey{row.Key()})
+	default:
+	}
+	e.pending.add(row.RequestID, durable)
 }
 
 // cutCharge describes an attempt whose end the entry does not see.
 type cutCharge struct {
 	call      *call
-	body      []byte
+	bodyHash  string
 	stage     int
-	attempt   uint32
-	peer      *peer
 	model     string
 	version   string
 	service   string
@@ -73,11 +79,11 @@
 // chargeCut writes a row for what is known of a lost attempt.
 func (e *Entry) chargeCut(c cutCharge) {
 	row := ledger.Row{
-		Workspace: c.call.workspace.Name, RequestID: c.call.requestID, BodyHash: ledger.HashBody(c.body),
+		Workspace: c.call.workspace.Name, RequestID: c.call.requestID, BodyHash: c.bodyHash,
 		Stage: c.stage, Attempt: e.bootID + "/cut", Model: c.model, Version: c.version, Service: c.service,
 		TokensOut: c.tokensOut, Outcome: "cut", At: time.Now().UTC(),
 	}
-	view := e.snapshot.View()
+	view := c.call.view // with the prices of the request's start
 	if model, ok := view.Models[c.model]; ok {
 		if version, ok := model.Version(c.version); ok {
 			row.Amount = c.tokensOut * version.PriceOut
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -59,6 +59,9 @@
 	pinned  bool
 	// bound is set once the session's version is fixed for the caller.
 	bound bool
+	// chosenHere is set when this request has chosen the version, so that it may
+	// still choose another one as long as the caller has seen nothing.
+	chosenHere bool
 }
 
 const maxTaskClassBytes = 64
@@ -162,14 +165,14 @@
 			}
 		}
 		if len(ch.stages) == 0 {
-			return busy("no_version", "no model of cascade %q has a version for this workspace", name)
+			return busy(codeNoVersion, "no model of cascade %q has a version for this workspace", name)
 		}
 		return nil
 	}
 	if _, ok := ch.view.Models[name]; !ok || !ch.workspace.AllowsModel(name) {
 		return refusal(http.StatusNotFound, "model_unknown", "model %q does not exist or is not allowed", name)
 	}
-	st, err := ch.assign(ch.view, name, "")
+	st, err := ch.assignOrLookUp(ch.view, name, "")
 	if err != nil {
 		return err
 	}
--- a/entry/run.go
+++ b/entry/run.go
@@ -80,7 +80,7 @@
 }
 
 // rateLater has the released answer rated in the background when the plan asks
-// for an audit or the test of a version needs it.
+// for an audit or a version test needs it.
 func (ch *chat) rateLater(ctx context.Context, plan cascade.Plan, a *answer, audit bool) {
 	if audit || ch.entry.health.NeedsRating(versionKey(a.model, a.version)) {
 		ch.entry.ratings.later(ctx, ch.ratingJob(plan, a))
--- a/entry/service.go
+++ b/entry/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -45,7 +46,6 @@
 	onceKey string
 	nonce   string
 	tried   map[string]bool
-	attempt uint32
 	refused *link.Refusal
 	handed  bool
 }
@@ -138,7 +138,9 @@
 		case errors.Is(err, errNoPeer):
 			return s.notServed(err)
 		case ctx.Err() != nil:
-			return s.failure("deadline_exceeded", "the service did not answer in time")
+			err := s.failure("deadline_exceeded", "the service did not answer in time")
+			err.Status = http.StatusGatewayTimeout
+			return err
 		case s.handed && !s.entry.budgets.allow(s.workspace.Name):
 			return s.failure("attempt_lost", err.Error()+"; the retry budget is used up")
 		}
@@ -154,7 +156,7 @@
 	switch reserved.Outcome {
 	case once.Finished:
 		s.entry.metrics.Add("duplicates_answered", 1)
-		return s.writeAnswer(w, storedAnswer(reserved.Answer))
+		return s.replay(w, reserved.Answer)
 	case once.InProgress:
 		return &apiError{Status: http.StatusConflict, Code: "in_progress", Message: "a request with this key is being worked on", Run: Unknown, RetryAfter: 1}
 	case once.Unknown:
@@ -180,8 +182,7 @@
 // hash identifies the call: the same key with another method, path or body is
 // another call.
 func (s *serviceCall) hash() string {
-	text := s.method + "\n" + s.service.Name + "\n" + s.path + "\n"
-	return ledger.HashBody(append([]byte(text), s.body...))
+	return ledger.HashCall(s.method, s.service.Name, s.path, s.body)
 }
 
 // runReserved offers the reserved call to agents until one takes it. Only the
@@ -215,7 +216,7 @@
 		reason.Run = NotRun
 		return reason
 	case err == nil && result.Outcome == once.AlreadyFinished:
-		return s.writeAnswer(w, storedAnswer(result.Answer))
+		return s.replay(w, result.Answer)
 	}
 	reason.Run = Unknown
 	return reason
@@ -231,13 +232,16 @@
 		case err != nil:
 			continue
 		case result.Outcome == once.AlreadyFinished:
-			return s.writeAnswer(w, storedAnswer(result.Answer))
+			s.chargeCut()
+			s.entry.waitDurable(ctx, s.requestID)
+			return s.replay(w, result.Answer)
 		case result.Outcome == once.Cancelled:
 			return refusal(http.StatusServiceUnavailable, "attempt_lost", "the call did not start: %v", lost)
 		case result.Outcome == once.CancelSuperseded:
 			return s.failure("reservation_superseded", "another request with this key took over")
 		}
 	}
+	s.chargeCut()
 	return s.failure("outcome_unknown", "the call was started and its answer did not arrive: "+lost.Error())
 }
 
@@ -253,7 +257,6 @@
 		return nil, errors.Join(errNoPeer, err)
 	}
 	s.tried[p.name] = true
-	s.attempt++
 	p.sent.Add(1)
 	defer p.sent.Add(-1)
 	e.metrics.Add("attempts", 1)
@@ -261,7 +264,7 @@
 	defer span.End()
 	stream, err := p.client.Open(ctx, s.request(ctx, p))
 	if err != nil {
-		return nil, s.note(p, err)
+		return nil, s.note(err)
 	}
 	var body []byte
 	for {
@@ -271,7 +274,7 @@
 		}
 		if err != nil {
 			stream.Cancel()
-			return nil, s.note(p, err)
+			return nil, s.note(err)
 		}
 		body = append(body, payload...)
 	}
@@ -292,7 +295,7 @@
 func (e *incompleteError) Error() string { return e.end.Code + ": " + e.end.Message }
 
 // note remembers what an error says about whether the call ran.
-func (s *serviceCall) note(p *peer, err error) error {
+func (s *serviceCall) note(err error) error {
 	var refused *link.RefusedError
 	var notSent *link.NotSentError
 	var broken *link.BrokenError
@@ -304,15 +307,21 @@
 	default:
 		s.handed = true
 		if s.onceKey == "" {
-			s.entry.chargeCut(cutCharge{call: s.call, body: s.body, attempt: s.attempt, peer: p, service: s.service.Name})
+			s.chargeCut()
 		}
 	}
 	return err
 }
 
+// chargeCut charges a call whose end this entry does not see. The agent may have
+// died with its own row, which has the same key and amount.
+func (s *serviceCall) chargeCut() {
+	s.entry.chargeCut(cutCharge{call: s.call, bodyHash: s.hash(), service: s.service.Name})
+}
+
 func (s *serviceCall) request(ctx context.Context, p *peer) *link.Request {
 	return &link.Request{
-		Kind: link.KindService, RequestID: s.requestID, Attempt: s.attempt,
+		Kind: link.KindService, RequestID: s.requestID, Attempt: s.entry.attempts.Add(1),
 		Workspace: s.workspace.Name, Priority: s.workspace.Priority,
 		Deadline: agentDeadline(ctx, p),
 		Revision: s.entry.snapshot.Revision(),
@@ -338,8 +347,15 @@
 	return nil
 }
 
-func storedAnswer(a *once.Answer) *serviceAnswer {
-	return &serviceAnswer{status: a.Status, header: answerHeaders(a.Header), body: a.Body}
+// replay writes the stored answer of a call that has run.
+func (s *serviceCall) replay(w http.ResponseWriter, a *once.Answer) *apiError {
+	if a.TooLarge {
+		return &apiError{
+			Status: http.StatusConflict, Code: "answer_not_stored", Run: Unknown,
+			Message: fmt.Sprintf("the call has run and was answered with status %d; its answer was too large to be stored", a.Status),
+		}
+	}
+	return s.writeAnswer(w, &serviceAnswer{status: a.Status, header: answerHeaders(a.Header), body: a.Body})
 }
 
 // answerHeaders marks an answer that comes from the record of an earlier call.
@@ -372,11 +388,11 @@
 }
 
 // refusedByStore is the refusal of a call that could not be reserved. No agent
-// was given this call, but an earlier request may have run under a key that the
-// caller chose.
+// was given this call, but an earlier request may have run under a key or request
+// id that the caller chose.
 func (s *serviceCall) refusedByStore() *apiError {
 	err := busy("store_unavailable", "a call that may not be repeated needs the store, which does not answer; this request was not run")
-	if s.onceKey != s.requestID {
+	if !s.ownID || s.onceKey != s.requestID {
 		err.Message += ", an earlier one with the same key may have been"
 		err.Run = Unknown
 	}
--- a/health/keeper.go
+++ b/health/keeper.go
@@ -3,7 +3,9 @@
 package health
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -247,17 +249,19 @@
 		if v.Baseline != key.Version || v.State != config.VersionActive || !k.UnderTest(candidate) {
 			continue
 		}
-		if k.totals(rollout.ControlKey(candidate, key.Version)).Rated < controlRatings {
+		if k.recordsControl(rollout.ControlKey(candidate, key.Version)) {
 			return true
 		}
 	}
 	return false
 }
 
-func (k *Keeper) totals(key rollout.VersionKey) rollout.Counts {
+// recordsControl reports whether this process records the control group and it
+// needs more ratings.
+func (k *Keeper) recordsControl(key rollout.VersionKey) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.evidence.Totals(key)
+	return k.records(key) && k.evidence.Totals(key).Rated < controlRatings
 }
 
 // Budget is the part of a version's exposure budget that is open to it now.
@@ -324,3 +328,36 @@
 	}
 	return model.Version(key.Version)
 }
+
+// Test is the state of a version under test, for operators.
+type Test struct {
+	Model    string         `json:"model"`
+	Version  string         `json:"version"`
+	Baseline string         `json:"baseline"`
+	Verdict  string         `json:"verdict"`
+	Counts   rollout.Counts `json:"counts"`
+	Control  rollout.Counts `json:"control"`
+}
+
+// Tests returns the state of all versions with a baseline.
+func (k *Keeper) Tests() []Test {
+	out := []Test{}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for name, model := range k.snapshot.View().Models {
+		for _, v := range model.Versions {
+			if v.Baseline == "" {
+				continue
+			}
+			key := rollout.VersionKey{Model: name, Version: v.Version}
+			out = append(out, Test{
+				Model: name, Version: v.Version, Baseline: v.Baseline,
+				Verdict: k.verdicts[key].String(),
+				Counts:  k.evidence.Totals(key),
+				Control: k.evidence.Totals(rollout.ControlKey(key, v.Baseline)),
+			})
+		}
+	}
+	slices.SortFunc(out, func(a, b Test) int { return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Version, b.Version)) })
+	return out
+}
--- a/invariants/answer_test.go
+++ b/invariants/answer_test.go
@@ -27,9 +27,9 @@
 	return startFleet(t, spec)
 }
 
-// sendAll sends n streams at once through both entries, each with its id as
+// sendStreams sends n streams at once through both entries, each with its id as
 // prompt.
-func (f *fleet) sendAll(n int) <-chan response {
+func (f *fleet) sendStreams(n int) <-chan response {
 	out := make(chan response, n)
 	var running sync.WaitGroup
 	for i := range n {
@@ -78,7 +78,7 @@
 			f := oneEngine(t, tokens, 20*time.Millisecond)
 			r := f.relayTo("small-1")
 			dialled := r.accepted()
-			answers := f.sendAll(streams)
+			answers := f.sendStreams(streams)
 			eventually(t, "all streams run", func() bool { return f.runningOn("small-1") == streams })
 			test.fault(t, r)
 			for answer := range answers {
@@ -160,7 +160,7 @@
 		return last > 0 && time.Since(since) > 300*time.Millisecond
 	})
 	t.Logf("held up after %d tokens and %v", last, time.Since(deaf().Start))
-	for answer := range f.sendAll(streams) {
+	for answer := range f.sendStreams(streams) {
 		if answer.content() != answerOf(answer.id, tokens) {
 			t.Errorf("%s: status %d %+v", answer.id, answer.status, answer.error())
 		}
--- a/ledger/property_test.go
+++ b/ledger/property_test.go
@@ -30,8 +30,8 @@
 
 	mu      sync.Mutex
 	rng     *rand.Rand
-	held    map[RowKey]int // the agent that the entry got a row from last
-	reports [2][]RowKey    // on their way to the agents
+	held    map[RowKey][]sentRow // the rows that the entry got of a charge
+	reports [2][]RowRef          // on their way to the agents
 }
 
 type chargingAgent struct {
@@ -52,7 +52,7 @@
 
 func newCharging(t *testing.T, seed uint64) *charging {
 	c := &charging{
-		t: t, store: new(faketest.Store), rng: rand.New(rand.NewPCG(seed, 1)), gone: nobody, held: make(map[RowKey]int),
+		t: t, store: new(faketest.Store), rng: rand.New(rand.NewPCG(seed, 1)), gone: nobody, held: make(map[RowKey][]sentRow),
 	}
 	c.entry = NewWriter(c.store, "entry", nil)
 	c.entry.OnDurable = c.report
@@ -76,10 +76,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, k := range keys {
-		if i, ok := c.held[k]; ok {
-			c.reports[i] = append(c.reports[i], k)
-			delete(c.held, k)
+		for _, r := range c.held[k] {
+			c.reports[r.agent] = append(c.reports[r.agent], r.Ref())
 		}
+		delete(c.held, k)
 	}
 }
 
@@ -109,7 +109,7 @@
 	}
 	c.received = append(c.received, r)
 	c.mu.Lock()
-	c.held[r.Key()] = r.agent
+	c.held[r.Key()] = append(c.held[r.Key()], r)
 	c.mu.Unlock()
 	c.entry.Add(r.Row)
 }
@@ -128,11 +128,11 @@
 		c.inTransit = nil
 	case 8, 9: // the reports to one agent arrive or are lost
 		c.mu.Lock()
-		keys := c.reports[i]
+		refs := c.reports[i]
 		c.reports[i] = nil
 		c.mu.Unlock()
 		if arg < 12 {
-			a.holder.Release(keys)
+			a.holder.Release("entry", refs)
 		}
 	case 10, 11:
 		time.Sleep(time.Duration(arg) * 100 * time.Millisecond)
--- a/ledger/writer_test.go
+++ b/ledger/writer_test.go
@@ -170,13 +170,13 @@
 }
 
 // Guards against rows that are lost, or reported durable when they are not, when
-// half of all calls to the store fail in one of the four ways.
+// half of all calls to the store fail in one of the five ways.
 func TestWriterLostResponses(t *testing.T) {
 	for seed := range uint64(20) {
 		bubble(t, func(t *testing.T, store *faketest.Store, w *Writer) {
 			rng := rand.New(rand.NewPCG(seed, 0))
 			store.OnCall(func(faketest.Call) faketest.Fault {
-				return faketest.Fault(max(0, rng.IntN(2*int(faketest.Late))-int(faketest.Late)+1))
+				return faketest.Fault(max(0, rng.IntN(2*int(faketest.Hang))-int(faketest.Hang)+1))
 			})
 			want, stored := new(Book), 0
 			w.OnDurable = func(keys []RowKey) {
@@ -272,9 +272,10 @@
 	h.Hold("entry-1", row(1, 20)) // the same amount by attempt 1: attempt 2 counts
 	h.Hold("entry-2", row(2, 5))
 	h.Hold("entry-2", row(3, 5))
-	h.Release([]RowKey{row(3, 5).Key(), row(4, 5).Key()})
-	if n := h.Orphans("entry-1"); n != 1 || h.Len() != 1 || len(h.Entries()) != 1 || h.Full() {
-		t.Errorf("%d orphans, %d rows held; want 1, 1", n, h.Len())
+	h.Release("entry-2", []RowRef{row(3, 5).Ref(), row(4, 5).Ref()})
+	h.Release("entry-2", []RowRef{row(1, 20).Ref()}) // not a row of entry-2
+	if n := h.Orphans("entry-1"); n != 2 || h.Len() != 1 || len(h.Entries()) != 1 || h.Full() {
+		t.Errorf("%d orphans, %d rows held; want 2, 1", n, h.Len())
 	}
 	if err := h.writer.Flush(t.Context()); err != nil {
 		t.Fatal(err)
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -23,7 +23,9 @@
 
 // TestConfig tunes the test of a version. Zero fields take the defaults.
 type TestConfig struct {
-	// Alpha bounds the probability that a good version is ever judged bad; 0.0005.
+	// Alpha bounds the probability that a good version is ever judged bad; 0.005.
+	// The bound is loose: of 6,000 good releases in TestMeasureFalseQuarantines
+	// none was judged bad.
 	Alpha float64
 	// Margin is the fall in the pass rate that still counts as good; 0.02.
 	Margin float64
@@ -108,8 +110,8 @@
 // JudgeVersion tests a version against its baseline, by task class for ratings
 // and by data centre for errors. Errors in a data centre where the baseline
 // answered nothing do not count, because nothing tells them from a failure of
-// the data centre; an answer that failed is never rated, so there the exposure
-// budget stops the version.
+// the data centre; an answer that failed keeps its slot, so there the exposure
+// budget holds the version back.
 func (e *Evidence) JudgeVersion(candidate VersionKey, baseline string, cfg TestConfig) Finding {
 	control := e.totals[ControlKey(candidate, baseline)]
 	ratings := control
