--- a/ledger/holder.go
+++ b/ledger/holder.go
@@ -77,6 +77,10 @@
 	return ids
 }
 
+// Full tells that the agent should refuse new work that will be charged. The
+// bound is the one of the agent's Writer.
+func (h *Holder) Full() bool { return h.Len() >= h.writer.maxRows || h.writer.Full() }
+
 // Len returns the number of rows held.
 func (h *Holder) Len() int {
 	h.mu.Lock()
--- a/link/client.go
+++ b/link/client.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -19,15 +21,18 @@
 	FleetKey []byte
 	Timing   Timing
 
-	Dial          func(ctx context.Context, addr string) (net.Conn, error) // TCP when nil
-	MinBackoff    time.Duration                                            // first wait before a new dial; 50 ms
-	MaxBackoff    time.Duration                                            // 5 s
-	OpenWait      time.Duration                                            // wait of Open for a link that is down; 250 ms
-	ResumeTimeout time.Duration                                            // open streams end when the link is down for longer; 30 s
-	Window        int                                                      // bytes of an answer that wait for Recv; 64 KiB
+	Dial       func(ctx context.Context, addr string) (net.Conn, error) // TCP when nil
+	MinBackoff time.Duration                                            // first wait before a new dial; 50 ms
+	// MaxBackoff is 2 s by default, well below the 10 s after which an agent
+	// reports an entry as gone.
+	MaxBackoff    time.Duration
+	Random        func() float64 // for the jitter, in [0, 1); math/rand/v2 when nil
+	OpenWait      time.Duration  // wait of Open for a link that is down; 250 ms
+	ResumeTimeout time.Duration  // open streams end when the link is down for longer; 30 s
+	Window        int            // bytes of an answer that wait for Recv; 64 KiB
 	Logger        *log.Logger
 
-	// Heartbeat returns what is sent to the agent.
+	// Heartbeat returns what is sent to the agent. It must not block.
 	Heartbeat func() Heartbeat
 	// The callbacks are optional. They are called one at a time and must not
 	// block for long, because a full queue of them stops reading.
@@ -41,7 +46,7 @@
 func (cfg *ClientConfig) setDefaults() {
 	cfg.Timing = cfg.Timing.withDefaults()
 	setDefault(&cfg.MinBackoff, 50*time.Millisecond)
-	setDefault(&cfg.MaxBackoff, 5*time.Second)
+	setDefault(&cfg.MaxBackoff, 2*time.Second)
 	setDefault(&cfg.OpenWait, 250*time.Millisecond)
 	setDefault(&cfg.ResumeTimeout, defaultRetention)
 	setDefault(&cfg.Window, 64<<10)
@@ -51,6 +56,9 @@
 		var d net.Dialer
 		cfg.Dial = func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) }
 	}
+	if cfg.Random == nil {
+		cfg.Random = rand.Float64
+	}
 	if cfg.Heartbeat == nil {
 		cfg.Heartbeat = monotonicHeartbeat()
 	}
@@ -72,7 +80,7 @@
 	stopped bool
 	streams map[streamKey]*Stream
 	session string
-	dials   uint64
+	logged  string // last reason in the log since the link was up
 	status  Status
 	expiry  *time.Timer // ends the streams of a lost link
 }
@@ -90,7 +98,7 @@
 	c.mu.Unlock()
 	defer c.stop()
 	b := &backoff.ExponentialBackOff{InitialInterval: c.cfg.MinBackoff, MaxInterval: c.cfg.MaxBackoff,
-		Multiplier: 2, RandomizationFactor: 0.5}
+		Multiplier: 2}
 	for {
 		start := time.Now()
 		err := c.connectAndRun(ctx)
@@ -103,13 +111,19 @@
 			continue
 		}
 		select {
-		case <-time.After(b.NextBackOff()):
+		case <-time.After(c.jittered(b.NextBackOff())):
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
 }
 
+// jittered spreads the dials of many entries over half to one and a half times
+// the interval.
+func (c *Client) jittered(d time.Duration) time.Duration {
+	return time.Duration((0.5 + c.cfg.Random()) * float64(d))
+}
+
 // stableAfter is how long a link must have been up to be dialled again at once.
 const stableAfter = time.Second
 
@@ -119,18 +133,23 @@
 	return c.status.Since.After(start) && time.Since(c.status.Since) >= stableAfter
 }
 
+// logDown logs why a connection or dial ended, once per reason until the link
+// is up again.
 func (c *Client) logDown(err error) {
 	c.mu.Lock()
-	repeated := c.status.Err != nil && c.status.Err.Error() == err.Error()
-	c.status.Err = err
+	repeated := c.logged == err.Error()
+	c.logged, c.status.Err = err.Error(), err
+	expect := c.cfg.Expect
 	c.mu.Unlock()
+	if repeated {
+		return
+	}
+	event, message := c.cfg.Logger.Warn(), "link: connection to agent ended"
 	var he *HandshakeError
-	switch {
-	case errors.As(err, &he):
-		c.cfg.Logger.Error().Str("addr", c.cfg.Addr).Str("peer", c.cfg.Expect).Err(err).Msg("link: agent not accepted")
-	case !repeated:
-		c.cfg.Logger.Warn().Str("addr", c.cfg.Addr).Str("peer", c.cfg.Expect).Err(err).Msg("link: connection to agent ended")
+	if errors.As(err, &he) {
+		event, message = c.cfg.Logger.Error(), "link: agent not accepted"
 	}
+	event.Str("addr", c.cfg.Addr).Str("peer", expect).Err(err).Msg(message)
 }
 
 func (c *Client) connectAndRun(ctx context.Context) error {
@@ -162,16 +181,31 @@
 	return err
 }
 
-func (c *Client) handshake(nc net.Conn) (Hello, *frame, *frameReader, error) {
+// lastDial numbers the connections of this process. The clients share it,
+// because an agent refuses a connection that was dialled before the current one
+// of the same process, and another client may have dialled that one.
+var lastDial atomic.Uint64
+
+// SetExpect changes the name that later connections expect of the peer.
+func (c *Client) SetExpect(name string) {
 	c.mu.Lock()
-	c.dials++
-	dial := c.dials
-	c.mu.Unlock()
+	defer c.mu.Unlock()
+	c.cfg.Expect = name
+}
+
+func (c *Client) expected() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cfg.Expect
+}
+
+func (c *Client) handshake(nc net.Conn) (Hello, *frame, *frameReader, error) {
+	dial := lastDial.Add(1)
 	h, err := newHandshake(nc, c.cfg.FleetKey, c.cfg.Timing.HandshakeTimeout)
 	if err != nil {
 		return Hello{}, nil, nil, err
 	}
-	peer, accept, err := h.connect(c.cfg.Hello, dial, c.cfg.Expect)
+	peer, accept, err := h.connect(c.cfg.Hello, dial, c.expected())
 	if err != nil {
 		return peer, nil, nil, err
 	}
@@ -194,7 +228,8 @@
 		c.breakAll(reason)
 		c.session = accept.code
 	}
-	c.conn = conn
+	c.conn, c.logged = conn, ""
+	c.cfg.Logger.Info().Str("addr", c.cfg.Addr).Str("peer", peer.Name).Str("boot", peer.BootID).Msg("link: connected to agent")
 	c.status.connected(peer, accept.heartbeat)
 	for _, s := range c.streams {
 		s.attach(conn)
@@ -203,11 +238,13 @@
 	close(c.up)
 }
 
-// resumedMarker tells the agent that every open stream was opened again.
+// resumedMarker tells the agent how many streams were opened again before it,
+// and that there are no others.
 type resumedMarker struct{}
 
-func (resumedMarker) fill(_ *conn, w *frameWriter) bool {
-	w.begin(kindResumed, 0)
+func (resumedMarker) fill(c *conn, w *frameWriter) bool {
+	w.begin(kindResumed, 1)
+	w.uint(c.opens)
 	w.finish()
 	return false
 }
--- a/link/peer.go
+++ b/link/peer.go
@@ -16,6 +16,9 @@
 	hello   Hello
 	session string
 
+	// callbacks keeps a late OnPeerGone from following the OnPeer of a new link.
+	callbacks sync.Mutex
+
 	mu      sync.Mutex
 	dropped bool
 	conn    *conn // nil while the link is down
@@ -23,6 +26,7 @@
 	streams map[streamKey]*Incoming
 	active  int                     // streams that the entry has open
 	partial map[streamKey]*assembly // of the current connection
+	opens   uint64                  // streams opened on the current connection
 	recent  recentKeys
 	gone    *time.Timer
 	expiry  *time.Timer
@@ -86,7 +90,7 @@
 		p.conn.close(ErrSuperseded)
 	}
 	p.stopTimers()
-	p.conn, p.dial, p.partial = c, dial, map[streamKey]*assembly{}
+	p.conn, p.dial, p.opens, p.partial = c, dial, 0, map[streamKey]*assembly{}
 	return nil
 }
 
@@ -112,8 +116,17 @@
 	p.expiry = time.AfterFunc(p.server.cfg.Retention, func() { p.expire(dial) })
 }
 
+// announce reports that a link to the peer came up.
+func (p *peer) announce() {
+	p.callbacks.Lock()
+	defer p.callbacks.Unlock()
+	call(p.server.cfg.OnPeer, p.hello)
+}
+
 // lost reports a peer that did not come back.
 func (p *peer) lost(dial uint64) {
+	p.callbacks.Lock()
+	defer p.callbacks.Unlock()
 	if p.isBack(dial) {
 		return
 	}
@@ -184,33 +197,40 @@
 			p.cancel(in, ErrCanceled)
 		}
 	case kindResumed:
-		p.cancelAbsent(c)
+		return p.cancelAbsent(c, f.seq)
 	}
 	return nil
 }
 
-// cancelAbsent cancels the streams that the entry did not open again.
-func (p *peer) cancelAbsent(c *conn) {
+// cancelAbsent cancels the streams that the entry did not open again. It
+// cancels none when open frames are missing.
+func (p *peer) cancelAbsent(c *conn, count uint64) error {
+	if p.opens < count {
+		return &ProtocolError{Reason: "open frames of resumed streams are missing"}
+	}
 	for _, in := range p.streams {
 		if !in.attachedTo(c) {
 			p.cancel(in, ErrCanceled)
 		}
 	}
+	return nil
 }
 
 // open starts a stream, attaches a running one to c, or reports that the
 // stream is over.
 func (p *peer) open(c *conn, f *frame) error {
 	key := f.key()
-	if in := p.streams[key]; in != nil {
+	in := p.streams[key]
+	if in != nil && in.attachedTo(c) || p.partial[key] != nil {
+		return nil // a duplicate
+	}
+	p.opens++
+	if in != nil {
 		if !in.resume(c, f.seq) {
 			c.sendStream(kindGone, key)
 		}
 		return nil
 	}
-	if p.partial[key] != nil {
-		return nil
-	}
 	if f.request == nil || f.seq > 0 || p.recent.has(key) {
 		c.sendStream(kindGone, key)
 		return nil
--- a/link/resume_test.go
+++ b/link/resume_test.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -12,8 +13,8 @@
 )
 
 // once applies act to frame n of one direction of the first connection. An end
-// is not dropped: TCP does not lose a frame on a connection that goes on, and a
-// missing frame is noticed by the next one of its stream.
+// is not dropped: a missing frame is noticed by the next one of its stream, and
+// TCP does not lose a frame on a connection that goes on.
 func once(act action, dir direction, n int) frameRule {
 	return func(dial int, d direction, i int, body []byte) action {
 		if dial != 0 || d != dir || i != n || act == drop && frameKind(body[1]) == kindEnd {
@@ -184,3 +185,32 @@
 		wantAnswer(t, s, "r2", 100)
 	})
 }
+
+// Guards against a new link that the agent closes again because a stream was
+// canceled before it could be resumed.
+func TestCancelBeforeResume(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := NewClient(ClientConfig{Logger: quiet})
+		for _, id := range []string{"a", "b"} {
+			s, err := newStream(c, &Request{RequestID: id})
+			if err != nil {
+				t.Fatal(err)
+			}
+			c.streams[s.key] = s
+		}
+		conn := newConn(nil, Timing{}, nil, nil)
+		c.attach(conn, Hello{}, &frame{})
+		c.streams[streamKey{"a", 0}].Cancel()
+		w, turn, f := newFrameWriter(), []source(nil), frame{}
+		conn.collect(&w, &turn)
+		r := newFrameReader(bytes.NewReader(w.buf))
+		for f.kind != kindResumed {
+			if err := r.next(&f); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if f.seq != 1 {
+			t.Errorf("%d streams announced, want 1", f.seq)
+		}
+	})
+}
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -67,18 +67,21 @@
 // TestScorers guards against a change of the relations between the scores that
 // the other rules rest on.
 func TestScorers(t *testing.T) {
-	c, half := DefaultConfig(), fleet{mean: 0.5, decay: 1}
+	c, half := DefaultConfig(), fleet{region: "r1", own: 0.5, elsewhere: 0.2, decay: 1}
+	score := func(e Endpoint) float64 { return c.loadScore(&e, c.utilization(&e, &half)) }
 	cases := []struct {
 		name      string
 		got, want float64
 	}{
-		{"idle", c.loadScore(new(ep("a")), half), 0.1},
-		{"sent since the report counts", c.loadScore(&Endpoint{Running: 1, Queued: 2, Sent: 3, Limit: 10}, half), 0.7},
-		{"full", c.loadScore(new(ep("a", running(9))), half), 1},
-		{"queue", c.loadScore(new(ep("a", running(11))), half), 1.2 + 4*0.2},
-		{"report of zero", c.loadScore(&Endpoint{}, half), 0.5},
-		{"stale report", c.loadScore(&Endpoint{Limit: 10, ReportAge: time.Hour}, half), 0.6 + 0.5},
-		{"report loses weight", c.loadScore(&Endpoint{Limit: 10, ReportAge: time.Second}, half), 0.1 + 0.5*(1-1/math.E)},
+		{"idle", score(ep("a")), 0.1},
+		{"sent since the report counts", score(Endpoint{Running: 1, Queued: 2, Sent: 3, Limit: 10}), 0.7},
+		{"full", score(ep("a", running(9))), 1},
+		{"queue", score(ep("a", running(11))), 1.2 + 4*0.2},
+		{"long queue", score(ep("a", running(30))), 1.5 + 4*0.5},
+		{"report of zero", score(Endpoint{}), 0.5},
+		{"stale report", score(Endpoint{Limit: 10, Region: "r1", ReportAge: time.Hour}), 0.6 + 0.5},
+		{"report loses weight", score(Endpoint{Limit: 10, Region: "r1", ReportAge: time.Second}), 0.1 + 0.5*(1-1/math.E)},
+		{"mean of other regions", score(Endpoint{Limit: 10, Region: "r2", ReportAge: time.Second}), 0.1 + 0.2*(1-1/math.E)},
 		{"own data centre", c.localityScore(new(ep("a")), &testRequest), 0},
 		{"own region", c.localityScore(new(ep("a", in("d2", "r1"))), &testRequest), 0.05},
 		{"other region", c.localityScore(new(ep("a", in("d2", "r2"))), &testRequest), 1},
@@ -114,6 +117,8 @@
 			map[string][2]float64{"b": {1, 1}}},
 		{"cold one gets its share at low load", []Endpoint{ep("a"), ep("b"), ep("c", cold(2))}, testRequest,
 			map[string][2]float64{"a": {.4, .5}, "b": {.4, .5}, "c": {.07, .11}}},
+		{"report of zero gets a share", []Endpoint{ep("a"), ep("b"), ep("c", func(e *Endpoint) { e.Limit = 0 })}, testRequest,
+			map[string][2]float64{"a": {.4, .5}, "b": {.4, .5}, "c": {.07, .11}}},
 		{"cold and full", []Endpoint{ep("a", running(9)), ep("c", cold(2), running(2))}, testRequest, map[string][2]float64{"a": {1, 1}}},
 		{"cold takes over when warm ones are full", []Endpoint{ep("a", running(12)), ep("c", cold(2))}, testRequest,
 			map[string][2]float64{"c": {1, 1}}},
@@ -193,3 +198,32 @@
 		t.Errorf("%d retries for 1000 requests", retries)
 	}
 }
+
+// TestPickIsAllowed guards against a choice that a filter forbids, and against a
+// refusal while an endpoint is left, for any state of the fleet.
+func TestPickIsAllowed(t *testing.T) {
+	for seed := range uint64(3000) {
+		r := rng(seed)
+		eps, req, left := make([]Endpoint, 1+r.IntN(12)), testRequest, 0
+		req.Tried = map[string]bool{"1": true}
+		if r.IntN(2) == 0 {
+			req.Session = fmt.Sprint(seed)
+		}
+		for i := range eps {
+			eps[i] = Endpoint{Name: fmt.Sprint(i), Region: fmt.Sprint("r", r.IntN(3)), Alive: r.IntN(4) > 0, Draining: r.IntN(8) == 0,
+				Out: r.IntN(8) == 0, Leaving: r.IntN(8) == 0, Loaded: []string{fmt.Sprint("m@", r.IntN(2))}, Running: r.IntN(20),
+				Queued: r.IntN(4), Sent: r.IntN(4), Limit: r.IntN(10), Cold: r.IntN(3) == 0, ReportAge: time.Duration(r.IntN(5)) * time.Second}
+			if allowed(eps[i], req) {
+				left++
+			}
+		}
+		d, err := NewRouter(Config{}).Pick(eps, req, r)
+		if (err == nil) != (left > 0) || err == nil && (d.Candidates != left || !allowed(eps[d.Index], req) || eps[d.Index].Name != d.Endpoint) {
+			t.Fatalf("seed %d: %d endpoints left, got %+v, %v", seed, left, d, err)
+		}
+	}
+}
+
+func allowed(e Endpoint, r Request) bool {
+	return e.Alive && !e.Draining && !e.Out && !e.Leaving && e.Loaded[0] == "m@1" && !r.Tried[e.Name]
+}
