--- /dev/null
+++ b/measure/cascading/result.go
@@ -0,0 +1,106 @@
+package cascading
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Outcome is the result of a strategy for one seed.
+type Outcome struct {
+	// CostToCostliest, CostToFixed and CostToOracle are the cost relative to that
+	// of the costliest stage, of fixed escalation and of the oracle.
+	CostToCostliest, CostToFixed, CostToOracle float64
+	// Quality is the share of answers that pass, WorstClass the same in the task
+	// class where it is lowest.
+	Quality, WorstClass float64
+	// Waits is the share of requests whose first token waits for a rating.
+	Waits float64
+}
+
+// RunSeed runs the strategy and the baselines on the requests of one seed.
+func (s Strategy) RunSeed(seed uint64) Outcome {
+	list := tasks(seed)
+	o := s.run(list, seed)
+	return Outcome{
+		CostToCostliest: o.cost / costliest(list).cost,
+		CostToFixed:     o.cost / fixedEscalation(list).cost,
+		CostToOracle:    o.cost / oracle(list).cost,
+		Quality:         o.quality(),
+		WorstClass:      o.worstClass(),
+		Waits:           o.wait(),
+	}
+}
+
+// Result holds the outcomes of a strategy over all seeds.
+type Result struct {
+	Strategy
+	CostToCostliest, CostToFixed, CostToOracle, Quality, WorstClass, Waits Spread
+}
+
+// Run runs the strategy on every seed.
+func (s Strategy) Run() Result {
+	r := Result{Strategy: s}
+	for seed := range uint64(Seeds) {
+		o := s.RunSeed(seed)
+		r.CostToCostliest.add(o.CostToCostliest)
+		r.CostToFixed.add(o.CostToFixed)
+		r.CostToOracle.add(o.CostToOracle)
+		r.Quality.add(o.Quality)
+		r.WorstClass.add(o.WorstClass)
+		r.Waits.add(o.Waits)
+	}
+	return r
+}
+
+// RunAll runs several strategies, four at a time, and keeps their order.
+func RunAll(strategies []Strategy) []Result {
+	var group errgroup.Group
+	group.SetLimit(4)
+	results := make([]Result, len(strategies))
+	for i, s := range strategies {
+		group.Go(func() error {
+			results[i] = s.Run()
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return results
+}
+
+// Table formats results as a Markdown table.
+func Table(results []Result) string {
+	var table strings.Builder
+	table.WriteString("| strategy | target | cost / costliest | cost / fixed escalation | cost / oracle | quality | worst class | waits |\n" +
+		"| --- | --- | --- | --- | --- | --- | --- | --- |\n")
+	for _, r := range results {
+		fmt.Fprintf(&table, "| %s | %v | %v | %v | %v | %v | %v | %v |\n", r.Name, r.Target,
+			r.CostToCostliest, r.CostToFixed, r.CostToOracle, r.Quality, r.WorstClass, r.Waits)
+	}
+	return table.String()
+}
+
+// Spread holds one value per seed.
+type Spread struct{ values []float64 }
+
+func (s *Spread) add(v float64) { s.values = append(s.values, v) }
+
+// Min returns the lowest value.
+func (s Spread) Min() float64 { return slices.Min(s.values) }
+
+// Max returns the highest value.
+func (s Spread) Max() float64 { return slices.Max(s.values) }
+
+func (s Spread) mean() float64 {
+	sum := 0.0
+	for _, v := range s.values {
+		sum += v
+	}
+	return sum / float64(len(s.values))
+}
+
+func (s Spread) String() string {
+	return fmt.Sprintf("%.3f (%.3f to %.3f)", s.mean(), s.Min(), s.Max())
+}
