--- /dev/null
+++ b/invariants/storm_test.go
@@ -0,0 +1,312 @@
+package invariants
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"hyssoploom/config"
+	"hyssoploom/embedded"
+	"hyssoploom/platform"
+	"hyssoploom/standin"
+)
+
+// storm sends requests while it injects faults that a seed chooses.
+type storm struct {
+	*fleet
+	rand    *rand.Rand
+	running sync.WaitGroup
+	mu      sync.Mutex
+	sent    map[string]sentRequest // by request id
+}
+
+type sentRequest struct {
+	request
+	key    string // idempotency key of a booking
+	prompt string // of a chat
+	at     time.Time
+	response
+}
+
+// stormFleet has two data centres; every model runs in both.
+func stormFleet(t *testing.T) *storm {
+	t.Helper()
+	spec := embedded.DefaultSpec()
+	spec.RequestTimeout = 1200 * time.Millisecond
+	for i := range spec.Backends {
+		b := &spec.Backends[i]
+		if strings.HasPrefix(b.Name, "small") {
+			b.Serves = append(b.Serves, config.Placement{Model: "small", Version: "2"})
+			b.Engine.Loaded = append(b.Engine.Loaded, platform.ModelRef{Model: "small", Version: "2"})
+		}
+	}
+	s := &storm{fleet: startFleet(t, spec), rand: rand.New(rand.NewPCG(7, 0)), sent: make(map[string]sentRequest)}
+	s.putInForce(config.KindService, "booking", &config.Service{Price: 500, Timeout: config.Duration(1200 * time.Millisecond)})
+	return s
+}
+
+// write repeats a write until the store has confirmed one.
+func (s *storm) write(kind config.Kind, name string, spec any) {
+	s.t.Helper()
+	eventually(s.t, "the store takes the record", func() bool { return s.Put(s.t.Context(), kind, name, spec) == nil })
+}
+
+func (s *storm) pick(kind func(*embedded.Backend) bool) *embedded.Backend {
+	var names []string
+	for name, b := range s.Backends {
+		if kind(b) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return s.Backends[names[s.rand.IntN(len(names))]]
+}
+
+// engineFault disturbs one engine or booking runner and returns how to undo it.
+func (s *storm) engineFault() func() {
+	if s.rand.IntN(4) == 0 {
+		runner := s.pick(func(b *embedded.Backend) bool { return b.Booking != nil }).Booking
+		faults := []standin.BookingFaults{{CloseAfterRun: true}, {Refuse: true}, {Delay: 400 * time.Millisecond}}
+		runner.SetFaults(faults[s.rand.IntN(len(faults))])
+		return func() { runner.SetFaults(standin.BookingFaults{}) }
+	}
+	b := s.pick(func(b *embedded.Backend) bool { return b.Engine != nil })
+	faults := []standin.EngineFaults{{Refuse: true}, {Hang: true}, {HangAfter: 4}, {TruncateAfter: 1}, {TruncateAfter: 6}}
+	switch n := s.rand.IntN(len(faults) + 2); n {
+	case len(faults):
+		b.Engine.Restart()
+		return func() {}
+	case len(faults) + 1:
+		s.refuse(b, true)
+		return func() { s.refuse(b, false) }
+	default:
+		b.Engine.SetFaults(faults[n])
+		return func() { b.Engine.SetFaults(standin.EngineFaults{}) }
+	}
+}
+
+// refuse closes or opens the address of a backend server.
+func (s *storm) refuse(b *embedded.Backend, refuse bool) {
+	s.t.Helper()
+	if err := b.Server.Refuse(refuse); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// agentFault kills an agent.
+func (s *storm) agentFault() func() {
+	name := s.pick(func(*embedded.Backend) bool { return true }).Spec.Name
+	if err := s.KillAgent(name); err != nil {
+		s.t.Fatal(err)
+	}
+	return func() {
+		if err := s.StartAgent(s.t.Context(), name); err != nil {
+			s.t.Fatal(err)
+		}
+	}
+}
+
+// storeFault disturbs the store.
+func (s *storm) storeFault() func() {
+	switch s.rand.IntN(3) {
+	case 0:
+		s.Store.SetDown(true)
+		return func() { s.Store.SetDown(false) }
+	case 1:
+		s.Store.LoseResponses(1 + s.rand.IntN(4))
+	default:
+		s.Store.DropRequests(1 + s.rand.IntN(4))
+	}
+	return func() {}
+}
+
+// recordFault changes the records as operators and quarantines do.
+func (s *storm) recordFault() func() {
+	versions := func(old, next config.VersionState) {
+		s.write(config.KindModel, "small", &config.Model{Versions: []config.ModelVersion{version("1", old, 1), version("2", next, 1)}})
+	}
+	switch s.rand.IntN(4) {
+	case 0:
+		versions(config.VersionWithdrawn, config.VersionActive)
+		return func() { versions(config.VersionActive, config.VersionWithdrawn) }
+	case 1:
+		s.setQuarantine("medium", "1", false)
+		return func() { s.setQuarantine("medium", "1", true) }
+	case 2:
+		centre := []string{"jylland", "sjaelland"}[s.rand.IntN(2)]
+		region := map[string]string{"jylland": "west", "sjaelland": "east"}[centre]
+		record := config.DataCentre{Region: region, State: config.DataCentreIn, Grace: config.Duration(time.Second)}
+		out := record
+		out.State = config.DataCentreOut
+		s.write(config.KindDataCentre, centre, &out)
+		return func() { s.write(config.KindDataCentre, centre, &record) }
+	default: // a queue of one and a server that runs one at a time
+		b := s.pick(func(b *embedded.Backend) bool { return b.Engine != nil })
+		narrow := *b.Record(config.BackendServerIn)
+		narrow.ColdLimit, narrow.WarmLimit = 1, 1
+		s.write(config.KindBackendServer, b.Spec.Name, &narrow)
+		return func() { s.write(config.KindBackendServer, b.Spec.Name, b.Record(config.BackendServerIn)) }
+	}
+}
+
+func (s *storm) setQuarantine(model, version string, lifted bool) {
+	eventually(s.t, "the store takes the quarantine", func() bool { return s.writeQuarantine(model, version, lifted) == nil })
+}
+
+// next chooses the next request.
+func (s *storm) next(i int) sentRequest {
+	id := fmt.Sprintf("r-%d", i)
+	entry := []string{"entry-jylland", "entry-sjaelland"}[s.rand.IntN(2)]
+	r := sentRequest{prompt: "prompt-" + id}
+	switch s.rand.IntN(6) {
+	case 0:
+		r.request, r.key = booking(id, entry, "own-"+id), "own-"+id
+	case 1:
+		r.request, r.key = booking(id, entry, ""), id
+	case 2:
+		r.key = fmt.Sprintf("shared-%d", i/24)
+		r.request = booking(id, entry, r.key)
+	case 3:
+		r.request = chat(id, entry, "auto", r.prompt, s.rand.IntN(2) == 0)
+	default:
+		r.request = chat(id, entry, "small", r.prompt, s.rand.IntN(2) == 0)
+	}
+	if r.key != "" {
+		r.request.body = fmt.Sprintf(`{"for":%q}`, r.key)
+	}
+	return r
+}
+
+func (s *storm) sendOne(r sentRequest, round *sync.WaitGroup) {
+	r.at = time.Now()
+	round.Add(1)
+	s.running.Go(func() {
+		defer round.Done()
+		r.response = s.send(r.request)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.sent[r.request.id] = r
+	})
+}
+
+const perRound = 8
+
+// randomRound sends requests under faults that the seed chooses.
+func (s *storm) randomRound(first int) {
+	var undo []func()
+	if s.rand.IntN(3) > 0 {
+		undo = append(undo, s.engineFault())
+	}
+	if s.rand.IntN(6) == 0 {
+		undo = append(undo, s.agentFault())
+	}
+	switch s.rand.IntN(3) {
+	case 0:
+		undo = append(undo, s.recordFault())
+	case 1:
+		undo = append(undo, s.storeFault())
+	}
+	var round sync.WaitGroup
+	for i := range perRound {
+		s.sendOne(s.next(first+i), &round)
+		time.Sleep(time.Duration(s.rand.IntN(20)) * time.Millisecond)
+	}
+	slices.Reverse(undo) // the store works again before records are written
+	for _, f := range undo {
+		f()
+	}
+}
+
+// refuseAll closes or opens the addresses of all backend servers.
+func (s *storm) refuseAll(refuse bool) {
+	s.t.Helper()
+	for _, b := range s.Backends {
+		s.refuse(b, refuse)
+	}
+}
+
+// blackoutRound sends requests while no backend server can be reached: all of
+// them are refused and none runs.
+func (s *storm) blackoutRound(first int) {
+	s.refuseAll(true)
+	var round sync.WaitGroup
+	for i := range perRound {
+		s.sendOne(s.next(first+i), &round)
+	}
+	round.Wait()
+	s.refuseAll(false)
+}
+
+// cutRound ends chats that run and have no token yet, and lets every further
+// attempt be refused: their callers must not be told "not run". The engines cut
+// them, or their agents die.
+func (s *storm) cutRound(first int, agentsDie bool) {
+	var engines []*embedded.Backend
+	for _, b := range s.Backends {
+		if b.Engine != nil {
+			b.Engine.SetFaults(standin.EngineFaults{Hang: true})
+			engines = append(engines, b)
+		}
+	}
+	var round sync.WaitGroup
+	for i := range perRound {
+		id := fmt.Sprintf("r-%d", first+i)
+		r := sentRequest{prompt: "prompt-" + id}
+		r.request = chat(id, []string{"entry-jylland", "entry-sjaelland"}[i%2], "small", r.prompt, i%4 < 2)
+		s.sendOne(r, &round)
+	}
+	running := func() (n int) {
+		for _, b := range engines {
+			n += b.Engine.Status().Running
+		}
+		return n
+	}
+	// The limits may let fewer run before the first of them times out.
+	for until := time.Now().Add(time.Second / 2); running() < perRound && time.Now().Before(until); {
+		time.Sleep(time.Millisecond)
+	}
+	for _, b := range engines {
+		if agentsDie {
+			if err := s.KillAgent(b.Spec.Name); err != nil {
+				s.t.Fatal(err)
+			}
+		}
+	}
+	s.refuseAll(true)
+	for _, b := range engines {
+		if agentsDie {
+			if err := s.StartAgent(s.t.Context(), b.Spec.Name); err != nil {
+				s.t.Fatal(err)
+			}
+		}
+	}
+	round.Wait()
+	s.refuseAll(false)
+	for _, b := range engines {
+		b.Engine.SetFaults(standin.EngineFaults{})
+	}
+	if err := s.WaitReady(s.t.Context()); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// blow sends requests in rounds, most of which have random faults.
+func (s *storm) blow(rounds int) {
+	for i := range rounds {
+		switch first := i * perRound; i % 10 {
+		case 3:
+			s.blackoutRound(first)
+		case 6:
+			s.cutRound(first, false)
+		case 9:
+			s.cutRound(first, true)
+		default:
+			s.randomRound(first)
+		}
+	}
+	s.running.Wait()
+}
