--- a/agent/agent.go
+++ b/agent/agent.go
@@ -36,9 +36,14 @@
 	statusInterval   = 500 * time.Millisecond // engine load report
 	evidenceInterval = time.Second
 	vmListInterval   = 2 * time.Second
-	ordersInterval   = time.Second
-	expireInterval   = 50 * time.Millisecond
-	heldInterval     = time.Second
+	// vmListRate bounds the calls per second of all agents together.
+	vmListRate     = 100
+	ordersInterval = time.Second
+	expireInterval = 50 * time.Millisecond
+	heldInterval   = time.Second
+	// streamRetention is how long the streams of a lost link go on. Entries give
+	// up such a stream sooner and continue it elsewhere.
+	streamRetention = 5 * time.Second
 	// heldLimit is how long a charge waits for its entry to make it durable. An
 	// entry that lost the end of the answer never does.
 	heldLimit = 10 * time.Second
@@ -114,12 +119,12 @@
 	}), a.clock)
 	a.health = health.New(health.Config{
 		Origin: a.bootID, DataCentre: s.DataCentre, Snapshot: a.snapshot,
-		Broadcast: a.broadcast, Clock: a.clock, Log: deps.Log.Part("health"),
+		Broadcast: a.broadcast, Processes: a.processes, Clock: a.clock, Log: deps.Log.Part("health"),
 	})
 	a.exposure = newExposure(s.Name, a.snapshot, a.health)
 	a.ledger = ledger.NewWriter(deps.Store, a.bootID, func() time.Duration { return ledgerWindow })
 	a.held = ledger.NewHolder(a.ledger)
-	a.poller = provider.NewPoller(deps.Store, a.snapshot, provider.Options{Logger: deps.Log.Base()})
+	a.poller = provider.NewPoller(deps.Store, a.snapshot, provider.Options{Logger: deps.Log.Base(), OnAdopt: a.forwardRecords})
 	a.server = link.NewServer(link.ServerConfig{
 		Hello:       link.Hello{Name: s.Name, BootID: a.bootID, DataCentre: s.DataCentre},
 		FleetKey:    []byte(s.FleetKey),
@@ -130,6 +135,7 @@
 		OnControl:   a.onControl,
 		OnPeerGone:  a.onPeerGone,
 		Logger:      deps.Log.Base(),
+		Retention:   streamRetention,
 	})
 	a.publishMetrics()
 	a.tree = a.buildTree()
@@ -140,12 +146,14 @@
 	tree := supervise.New("agent", a.log)
 	tree.Add(a.poller)
 	tree.Add(a.ledger)
-	tree.Add(supervise.Every("status", statusInterval, a.readStatus))
+	tree.Add(supervise.Every("status", statusInterval, func(ctx context.Context) { a.readStatus(ctx) }))
 	tree.Add(supervise.Every("evidence", evidenceInterval, func(context.Context) {
 		a.health.Tick()
 		a.exposure.expire(a.clock())
 	}))
-	tree.Add(supervise.Every("vm list", vmListInterval, a.readVMList))
+	tree.Add(supervise.Spaced("vm list", func() time.Duration {
+		return supervise.Shared(vmListInterval, a.processes(), vmListRate)
+	}, a.readVMList))
 	tree.Add(supervise.Every("queue", expireInterval, func(context.Context) { a.gate.expire() }))
 	tree.Add(supervise.Every("held charges", heldInterval, a.expireHeld))
 	tree.Add(supervise.Func{Name: "limits", Run: a.followLimits})
@@ -193,6 +201,9 @@
 	return a.flushCharges(ctx)
 }
 
+// processes returns the number of agents that the records name.
+func (a *Agent) processes() int { return len(a.snapshot.View().BackendServers) }
+
 // clock is the agent's monotonic clock; deadlines of requests are expressed
 // in it.
 func (a *Agent) clock() time.Duration { return time.Since(a.started) }
@@ -286,6 +297,15 @@
 	return nil
 }
 
+// forwardRecords sends the entries what the store told this agent first. While
+// the watches of the entries work, that is nothing; an entry whose watch hangs
+// would otherwise have to wait for the next heartbeat.
+func (a *Agent) forwardRecords(records []config.Record) {
+	for _, m := range control.SplitRecords(records) {
+		a.server.Broadcast(m)
+	}
+}
+
 func (a *Agent) broadcast(c link.Control) { a.server.Broadcast(c) }
 
 func (a *Agent) flushCharges(ctx context.Context) error {
@@ -303,49 +323,24 @@
 	}
 }
 
-// readStatus asks the backend server for its state.
-func (a *Agent) readStatus(ctx context.Context) {
-	if a.deps.Engine == nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, 2*statusInterval)
-	defer cancel()
-	status, err := a.deps.Engine.Status(ctx)
-	if err != nil {
-		a.metrics.Add("engine_status_errors", 1)
-		last := *a.loaded.Load()
-		last.ok = false
-		a.loaded.Store(&last)
-		return
-	}
-	a.loaded.Store(&engineView{status: status, ok: true})
-	a.gate.engineStatus(status.BootID, status.Uptime)
-}
-
-// readVMList learns whether the platform is about to stop this VM. The list
-// lags, so it only adds to what the record says.
-func (a *Agent) readVMList(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, vmListInterval)
-	defer cancel()
-	vms, err := a.deps.VMs.VMs(ctx)
-	if err != nil {
-		return
-	}
-	for _, vm := range vms {
-		if vm.Name == a.settings.VM {
-			a.vmLeaving.Store(vm.Leaving)
-		}
-	}
-}
-
 // followLimits applies the record's limits whenever the configuration changes.
+// Both the end and the begin of service reset the limit: the backend server may
+// have been restarted in between, and the reset at the begin alone could come
+// after the first new work.
 func (a *Agent) followLimits(ctx context.Context) error {
+	served := false
 	for {
 		changed := a.snapshot.Changed()
-		if server, ok := a.snapshot.View().BackendServers[a.settings.Name]; ok {
+		view := a.snapshot.View()
+		if server, ok := view.BackendServers[a.settings.Name]; ok {
 			a.gate.setLimits(server.ColdLimit, server.WarmLimit)
 		}
+		if serves := checkPlace(view, a.standing()) == nil; serves != served {
+			a.gate.reset()
+			served = serves
+		}
 		a.health.Reconcile()
+		a.exposure.reconcile()
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -361,6 +356,7 @@
 	a.metrics.Func("load", func() any { return a.gate.report() })
 	a.metrics.Func("draining", func() any { return a.draining.Load() })
 	a.metrics.Func("held_charges", func() any { return a.held.Len() })
+	a.metrics.Func("version_tests", func() any { return a.health.Tests() })
 	a.metrics.Func("ledger", func() any { return a.ledger.Stats() })
 }
 
@@ -386,3 +382,6 @@
 
 // Load returns the load report of the backend server.
 func (a *Agent) Load() admission.Report { return a.gate.report() }
+
+// Quarantined reports whether a version is in quarantine here.
+func (a *Agent) Quarantined(model, version string) bool { return a.health.Quarantined(model, version) }
--- a/embedded/fleet.go
+++ b/embedded/fleet.go
@@ -14,6 +14,7 @@
 	"io/fs"
 	"net"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/oklog/ulid/v2"
@@ -70,6 +71,9 @@
 	// Store returns the store as one process sees it; the stand-in over HTTP
 	// when nil.
 	Store func(process string, store platform.Store) platform.Store
+	// Engine returns the engine as its agent sees it; the stand-in over HTTP
+	// when nil.
+	Engine func(backend string, engine platform.Engine) platform.Engine
 	// RequestTimeout bounds one request; 20 s when 0.
 	RequestTimeout time.Duration
 	// Judge replaces the rater's judgement.
@@ -112,6 +116,12 @@
 	vms      map[string]platform.VM
 }
 
+// URLs are the addresses of the platform's stand-ins.
+type URLs struct{ Store, VMList, Rater string }
+
+// URLs returns the addresses of the platform's stand-ins.
+func (f *Fleet) URLs() URLs { return URLs{Store: f.storeURL, VMList: f.vmURL, Rater: f.raterURL} }
+
 // process is a daemon that runs in this process.
 type process struct {
 	cancel context.CancelFunc
@@ -270,7 +280,7 @@
 	if listen == "" {
 		listen = "127.0.0.1:0"
 	}
-	listener, err := net.Listen("tcp", listen)
+	listener, err := listenAgain(ctx, listen)
 	if err != nil {
 		return err
 	}
@@ -283,6 +293,9 @@
 	}
 	if b.Engine != nil {
 		deps.Engine = platform.NewHTTPEngine(b.Server.URL(), nil)
+		if f.spec.Engine != nil {
+			deps.Engine = f.spec.Engine(name, deps.Engine)
+		}
 	} else {
 		deps.Service = platform.NewHTTPService(b.Server.URL(), nil)
 	}
@@ -294,6 +307,22 @@
 	return nil
 }
 
+// listenAgain listens on the address that a daemon had before. Meanwhile an
+// outgoing connection of this machine may use its port for a moment.
+func listenAgain(ctx context.Context, addr string) (net.Listener, error) {
+	for {
+		listener, err := net.Listen("tcp", addr)
+		if !errors.Is(err, syscall.EADDRINUSE) {
+			return listener, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, errors.Join(ctx.Err(), err)
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
+
 func (f *Fleet) addEntry(ctx context.Context, spec EntrySpec) error {
 	f.Entries[spec.Name] = &Entry{Spec: spec}
 	f.setVM(platform.VM{Name: "vm-" + spec.Name, DataCentre: spec.DataCentre, Role: "entry"})
@@ -308,7 +337,7 @@
 	if listen == "" {
 		listen = "127.0.0.1:0"
 	}
-	listener, err := net.Listen("tcp", listen)
+	listener, err := listenAgain(ctx, listen)
 	if err != nil {
 		return err
 	}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -10,6 +10,7 @@
 
 	"go.opentelemetry.io/otel/attribute"
 
+	"hyssoploom/ledger"
 	"hyssoploom/link"
 	"hyssoploom/rollout"
 	"hyssoploom/route"
@@ -69,13 +70,15 @@
 			return result, nil
 		case next.err != nil:
 			return nil, next.err
-		case next.avoidVersion && !run.idOnly && !run.stage.pinned && run.tokens == 0:
+		case next.avoidVersion && run.stage.chosenHere && except == "":
 			except = run.stage.version
-			clear(run.tried)
 			delete(run.pins, run.stage.model)
 			run.stage.bound = false
+			run.refused = nil
+			clear(run.tried)
 		case next.avoidVersion:
 			// The session already uses the version: wait for ratings.
+			run.refused = nil
 			clear(run.tried)
 			if !sleep(ctx, pollInterval) {
 				return nil, run.timedOut()
@@ -106,6 +109,7 @@
 	request := route.Request{
 		Model: run.stage.model, Version: run.stage.version, Session: run.sessionID,
 		DataCentre: e.settings.DataCentre, Region: e.region(), Tried: run.tried,
+		BodyBytes: len(run.body), AnswerTime: e.answerTime.mean(),
 	}
 	return e.pick(request)
 }
@@ -126,6 +130,7 @@
 	p.sent.Add(1)
 	defer p.sent.Add(-1)
 	run.entry.metrics.Add("attempts", 1)
+	began := time.Now()
 	stream, err := p.client.Open(ctx, run.request(ctx, p))
 	if err != nil {
 		return nil, run.afterBreak(ctx, p, err)
@@ -141,6 +146,7 @@
 	if !end.Complete {
 		return nil, run.afterFailure(p, end)
 	}
+	run.entry.answerTime.add(time.Since(began))
 	return &answer{
 		stage: run.index, model: run.stage.model, version: run.stage.version,
 		text: run.text.String(), tokensIn: end.TokensIn, tokensOut: end.TokensOut,
@@ -233,13 +239,17 @@
 		return run.resume(end.Code, end.Message)
 	case end.Code == link.CodeDeadline:
 		return follow{err: run.timedOut()}
+	case end.Code == link.CodeRejected:
+		err := run.failed(end.Code, end.Message)
+		err.Status = http.StatusBadRequest
+		return follow{err: err}
 	}
 	return run.retry(end.Code, end.Message)
 }
 
 // retry allows another attempt within the retry budget.
 func (run *stageRun) retry(code, message string) follow {
-	if !run.entry.budget.allow() {
+	if !run.entry.budgets.allow(run.workspace.Name) {
 		return follow{err: run.failed(code, message+"; the retry budget is used up")}
 	}
 	return run.resume(code, message)
@@ -266,7 +276,7 @@
 // keep the larger one.
 func (run *stageRun) chargeCut() {
 	run.entry.chargeCut(cutCharge{
-		call: run.call, body: run.body, stage: run.index,
+		call: run.call, bodyHash: ledger.HashBody(run.body), stage: run.index,
 		model: run.stage.model, version: run.stage.version, tokensOut: run.tokens,
 	})
 }
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -59,6 +59,9 @@
 	pinned  bool
 	// bound is set once the session's version is fixed for the caller.
 	bound bool
+	// chosenHere is set when this request has chosen the version, so that it may
+	// still choose another one as long as the caller has seen nothing.
+	chosenHere bool
 }
 
 const maxTaskClassBytes = 64
@@ -76,7 +79,7 @@
 	if err != nil {
 		return err
 	}
-	e.budget.request()
+	e.budgets.request(c.workspace.Name)
 	out := newOutput(w, ch)
 	if err := ch.run(ctx, out); err != nil {
 		return out.fail(err)
--- a/entry/endpoints.go
+++ b/entry/endpoints.go
@@ -62,6 +62,7 @@
 		out.Loaded = load.Loaded
 		out.Running, out.Queued, out.Limit = load.Running, load.Queued, load.Limit
 		out.Cold, out.FirstToken = load.Cold, load.FirstToken
+		out.ReportAge = time.Since(status.LoadAt)
 	}
 	return out, true
 }
@@ -141,3 +142,6 @@
 
 // Revision returns the revision of the records in force here.
 func (e *Entry) Revision() uint64 { return e.snapshot.Revision() }
+
+// Quarantined reports whether a version is in quarantine here.
+func (e *Entry) Quarantined(model, version string) bool { return e.health.Quarantined(model, version) }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -34,6 +34,15 @@
 	quarantineInterval = time.Second
 	vmListInterval     = 2 * time.Second
 	dutyInterval       = 10 * time.Second
+	// vmListRate, dutyRate and quarantineRate bound the calls per second of all
+	// entries together.
+	vmListRate     = 100
+	dutyRate       = 1
+	quarantineRate = 50
+	// watchIdle and watchMargin together stay below the 8 s within which a record
+	// has to be in force: a silent watch is found after their sum.
+	watchIdle   = 5 * time.Second
+	watchMargin = 2 * time.Second
 	// minLedgerWindow is the shortest group commit window.
 	minLedgerWindow = 20 * time.Millisecond
 	// ledgerWritesPerSecond is the part of the store's write rate that the
@@ -67,7 +76,7 @@
 	tree     *suture.Supervisor
 
 	router   *route.Router
-	budget   *retryBudget
+	budgets  *retryBudgets
 	policy   *policy
 	health   *health.Keeper
 	ratings  *ratings
@@ -79,13 +88,17 @@
 	ledger     *ledger.Writer
 	pending    pendingCharges
 
+	answerTime movingAverage
+
 	entries atomic.Int64 // number of entries in the VM list, at least 1
 	// attempts numbers the attempts of this process. A number per request would
 	// repeat when a caller sends its request id again, and an agent takes an
 	// attempt that it knows for a delayed copy.
 	attempts atomic.Uint32
 	draining atomic.Bool
-	requests supervise.Inflight
+	// vmLeaving is set while the VM list says that this VM is leaving.
+	vmLeaving atomic.Bool
+	requests  supervise.Inflight
 
 	randMu sync.Mutex
 	rand   *rand.Rand
@@ -102,8 +115,8 @@
 		started:  time.Now(),
 		snapshot: config.NewSnapshot(),
 		router:   route.NewRouter(route.Config{}),
-		budget:   newRetryBudget(),
-		signer:   session.NewSigner([]byte(s.FleetKey)),
+		budgets:  newRetryBudgets(),
+		signer:   session.NewSigner([]byte(s.FleetKey), previousKeys(s)...),
 		sessions: session.NewBinder(deps.Store),
 		once:     once.New(deps.Store),
 		rand:     newRand(deps.Seed),
@@ -113,7 +126,7 @@
 	e.links = newLinks(e)
 	e.health = health.New(health.Config{
 		Origin: e.bootID, DataCentre: s.DataCentre, Snapshot: e.snapshot,
-		Broadcast: e.links.broadcast, Clock: e.clock, Log: deps.Log.Part("health"),
+		Broadcast: e.links.broadcast, Processes: e.processes, Clock: e.clock, Log: deps.Log.Part("health"),
 	})
 	e.policy = newPolicy(cascade.NewPolicy(cascade.Config{}))
 	e.ratings = newRatings(e)
@@ -121,7 +134,10 @@
 	e.ledger.OnDurable = e.links.reportDurable
 	e.watcher = provider.NewWatcher(deps.Store, e.snapshot, provider.Options{
 		Logger:    deps.Log.Base(),
-		Processes: func() int { return int(e.entries.Load()) },
+		Processes: e.processes,
+		// A watch that has gone silent is found before a record may be late.
+		Idle:        watchIdle,
+		CallTimeout: watchMargin,
 	})
 	e.publishMetrics()
 	e.addServices()
@@ -133,9 +149,9 @@
 	e.tree.Add(e.ledger)
 	e.tree.Add(e.links)
 	e.tree.Add(supervise.Every("evidence", evidenceInterval, func(context.Context) { e.health.Tick() }))
-	e.tree.Add(supervise.Every("quarantines", quarantineInterval, e.storeQuarantines))
-	e.tree.Add(supervise.Every("vm list", vmListInterval, e.readVMList))
-	e.tree.Add(supervise.Every("duties", dutyInterval, e.runDuties))
+	e.tree.Add(supervise.Spaced("quarantines", e.shared(quarantineInterval, quarantineRate), e.storeQuarantines))
+	e.tree.Add(supervise.Spaced("vm list", e.shared(vmListInterval, vmListRate), e.readVMList))
+	e.tree.Add(supervise.Spaced("duties", e.shared(dutyInterval, dutyRate), e.runDuties))
 }
 
 // ServeOn answers callers on listener until ctx ends.
@@ -189,11 +205,31 @@
 		if vm.Role == "entry" {
 			entries++
 		}
+		if vm.Name == e.settings.VM {
+			e.vmLeaving.Store(vm.Leaving)
+		}
 	}
 	e.entries.Store(max(entries, 1))
 	e.links.setVMs(vms)
 }
 
+// shared spaces calls by the number of entries.
+func (e *Entry) shared(shortest time.Duration, rate float64) func() time.Duration {
+	return func() time.Duration { return supervise.Shared(shortest, e.processes(), rate) }
+}
+
+// processes returns the number of entries that the VM list names.
+func (e *Entry) processes() int { return int(e.entries.Load()) }
+
+// previousKeys are the fleet keys under which session tokens are still accepted.
+func previousKeys(s *settings.Entry) [][]byte {
+	keys := make([][]byte, 0, len(s.PreviousFleetKeys))
+	for _, key := range s.PreviousFleetKeys {
+		keys = append(keys, []byte(key))
+	}
+	return keys
+}
+
 // uniform returns a random number in [0, 1).
 func (e *Entry) uniform() float64 {
 	e.randMu.Lock()
@@ -210,7 +246,7 @@
 
 // ready reports whether the balancer should send requests here.
 func (e *Entry) ready() bool {
-	if e.draining.Load() || e.snapshot.Revision() == 0 {
+	if e.draining.Load() || e.vmLeaving.Load() || e.snapshot.Revision() == 0 || e.links.summary().Alive == 0 {
 		return false
 	}
 	centre, ok := e.snapshot.View().DataCentres[e.settings.DataCentre]
@@ -223,29 +259,10 @@
 	e.metrics.Func("config_age_seconds", func() any { return e.watcher.Age().Seconds() })
 	e.metrics.Func("ledger", func() any { return e.ledger.Stats() })
 	e.metrics.Func("links", func() any { return e.links.summary() })
+	e.metrics.Func("version_tests", func() any { return e.health.Tests() })
 	e.metrics.Func("draining", func() any { return e.draining.Load() })
 }
 
-// retryBudget makes route.RetryBudget safe for concurrent use.
-type retryBudget struct {
-	mu     sync.Mutex
-	bucket *route.RetryBudget
-}
-
-func newRetryBudget() *retryBudget { return &retryBudget{bucket: route.NewRetryBudget()} }
-
-func (b *retryBudget) request() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.bucket.Request()
-}
-
-func (b *retryBudget) allow() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.bucket.Retry()
-}
-
 // policy makes cascade.Policy safe for concurrent use.
 type policy struct {
 	mu    sync.Mutex
--- a/entry/service.go
+++ b/entry/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -66,7 +67,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, min(timeout, e.settings.RequestTimeout.Std()))
 	defer cancel()
-	e.budget.request()
+	e.budgets.request(c.workspace.Name)
 	if s.onceKey == "" {
 		return s.repeatable(ctx, w)
 	}
@@ -137,8 +138,10 @@
 		case errors.Is(err, errNoPeer):
 			return s.notServed(err)
 		case ctx.Err() != nil:
-			return s.failure("deadline_exceeded", "the service did not answer in time")
-		case s.handed && !s.entry.budget.allow():
+			err := s.failure("deadline_exceeded", "the service did not answer in time")
+			err.Status = http.StatusGatewayTimeout
+			return err
+		case s.handed && !s.entry.budgets.allow(s.workspace.Name):
 			return s.failure("attempt_lost", err.Error()+"; the retry budget is used up")
 		}
 	}
@@ -153,7 +156,7 @@
 	switch reserved.Outcome {
 	case once.Finished:
 		s.entry.metrics.Add("duplicates_answered", 1)
-		return s.writeAnswer(w, storedAnswer(reserved.Answer))
+		return s.replay(w, reserved.Answer)
 	case once.InProgress:
 		return &apiError{Status: http.StatusConflict, Code: "in_progress", Message: "a request with this key is being worked on", Run: Unknown, RetryAfter: 1}
 	case once.Unknown:
@@ -179,8 +182,7 @@
 // hash identifies the call: the same key with another method, path or body is
 // another call.
 func (s *serviceCall) hash() string {
-	text := s.method + "\n" + s.service.Name + "\n" + s.path + "\n"
-	return ledger.HashBody(append([]byte(text), s.body...))
+	return ledger.HashCall(s.method, s.service.Name, s.path, s.body)
 }
 
 // runReserved offers the reserved call to agents until one takes it. Only the
@@ -214,7 +216,7 @@
 		reason.Run = NotRun
 		return reason
 	case err == nil && result.Outcome == once.AlreadyFinished:
-		return s.writeAnswer(w, storedAnswer(result.Answer))
+		return s.replay(w, result.Answer)
 	}
 	reason.Run = Unknown
 	return reason
@@ -232,7 +234,7 @@
 		case result.Outcome == once.AlreadyFinished:
 			s.chargeCut()
 			s.entry.waitDurable(ctx, s.requestID)
-			return s.writeAnswer(w, storedAnswer(result.Answer))
+			return s.replay(w, result.Answer)
 		case result.Outcome == once.Cancelled:
 			return refusal(http.StatusServiceUnavailable, "attempt_lost", "the call did not start: %v", lost)
 		case result.Outcome == once.CancelSuperseded:
@@ -314,7 +316,7 @@
 // chargeCut charges a call whose end this entry does not see. The agent may have
 // died with its own row, which has the same key and amount.
 func (s *serviceCall) chargeCut() {
-	s.entry.chargeCut(cutCharge{call: s.call, body: s.body, service: s.service.Name})
+	s.entry.chargeCut(cutCharge{call: s.call, bodyHash: s.hash(), service: s.service.Name})
 }
 
 func (s *serviceCall) request(ctx context.Context, p *peer) *link.Request {
@@ -345,8 +347,15 @@
 	return nil
 }
 
-func storedAnswer(a *once.Answer) *serviceAnswer {
-	return &serviceAnswer{status: a.Status, header: answerHeaders(a.Header), body: a.Body}
+// replay writes the stored answer of a call that has run.
+func (s *serviceCall) replay(w http.ResponseWriter, a *once.Answer) *apiError {
+	if a.TooLarge {
+		return &apiError{
+			Status: http.StatusConflict, Code: "answer_not_stored", Run: Unknown,
+			Message: fmt.Sprintf("the call has run and was answered with status %d; its answer was too large to be stored", a.Status),
+		}
+	}
+	return s.writeAnswer(w, &serviceAnswer{status: a.Status, header: answerHeaders(a.Header), body: a.Body})
 }
 
 // answerHeaders marks an answer that comes from the record of an earlier call.
--- a/health/keeper.go
+++ b/health/keeper.go
@@ -3,7 +3,9 @@
 package health
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -24,6 +26,8 @@
 	Snapshot   *config.Snapshot
 	// Broadcast sends a control message to every linked process.
 	Broadcast func(link.Control)
+	// Processes returns the number of processes of this role in the fleet.
+	Processes func() int
 	Clock     func() time.Duration // monotonic
 	Log       *telemetry.Logger
 }
@@ -37,7 +41,8 @@
 	mu          sync.Mutex
 	evidence    *rollout.Evidence
 	quarantines *rollout.QuarantineSet
-	sent        uint64 // sequence number up to which evidence was broadcast
+	ticks       int
+	sent        sentMarks
 	verdicts    map[rollout.VersionKey]rollout.Verdict
 }
 
@@ -63,7 +68,9 @@
 	}
 	k.mu.Lock()
 	for _, recorded := range rollout.RecordKeys(model, key.Version) {
-		k.evidence.Record(recorded, o)
+		if k.records(recorded) {
+			k.evidence.Record(recorded, o)
+		}
 	}
 	raised := k.judge(key)
 	k.mu.Unlock()
@@ -74,8 +81,7 @@
 // under test.
 func (k *Keeper) Tick() {
 	k.mu.Lock()
-	delta := k.evidence.Delta(k.sent)
-	k.sent = delta.Through
+	delta := k.nextDelta()
 	raised := k.judgeAll()
 	k.mu.Unlock()
 	if m, ok := k.encode(delta); ok {
@@ -103,7 +109,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	var out []link.Control
-	if m, ok := k.encode(k.evidence.Delta(0)); ok {
+	if m, ok := k.encode(k.evidence.DeltaFor(0, k.exchanged)); ok {
 		out = append(out, m)
 	}
 	if all := k.quarantines.All(); len(all) > 0 {
@@ -223,11 +229,50 @@
 	return k.verdicts[key] != rollout.Good
 }
 
+// controlRatings is how many answers of a baseline are rated during the test of
+// a version against it. More would hardly add evidence.
+const controlRatings = 100
+
+// NeedsRating reports whether an answer of the version is to be rated although
+// nothing waits for the rating: it is under test, or it is the baseline of such
+// a version. Without ratings of the baseline the test never ends.
+func (k *Keeper) NeedsRating(key rollout.VersionKey) bool {
+	if k.UnderTest(key) {
+		return true
+	}
+	model, ok := k.snapshot.View().Models[key.Model]
+	if !ok {
+		return false
+	}
+	for _, v := range model.Versions {
+		candidate := rollout.VersionKey{Model: key.Model, Version: v.Version}
+		if v.Baseline != key.Version || v.State != config.VersionActive || !k.UnderTest(candidate) {
+			continue
+		}
+		if k.recordsControl(rollout.ControlKey(candidate, key.Version)) {
+			return true
+		}
+	}
+	return false
+}
+
+// recordsControl reports whether this process records the control group and it
+// needs more ratings.
+func (k *Keeper) recordsControl(key rollout.VersionKey) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.records(key) && k.evidence.Totals(key).Rated < controlRatings
+}
+
 // Budget is the part of a version's exposure budget that is open to it now.
 func (k *Keeper) Budget(key rollout.VersionKey, budget int) int {
+	var baseline rollout.VersionKey
+	if version, ok := lookup(k.snapshot.View(), key); ok {
+		baseline = rollout.VersionKey{Model: key.Model, Version: version.Baseline}
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return rollout.Budget(budget, k.evidence.Totals(key), k.verdicts[key])
+	return rollout.Budget(budget, k.evidence.Totals(key), k.evidence.Totals(baseline), k.verdicts[key])
 }
 
 // Quarantined reports whether the store or a process of the fleet has put the
@@ -283,3 +328,36 @@
 	}
 	return model.Version(key.Version)
 }
+
+// Test is the state of a version under test, for operators.
+type Test struct {
+	Model    string         `json:"model"`
+	Version  string         `json:"version"`
+	Baseline string         `json:"baseline"`
+	Verdict  string         `json:"verdict"`
+	Counts   rollout.Counts `json:"counts"`
+	Control  rollout.Counts `json:"control"`
+}
+
+// Tests returns the state of all versions with a baseline.
+func (k *Keeper) Tests() []Test {
+	out := []Test{}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for name, model := range k.snapshot.View().Models {
+		for _, v := range model.Versions {
+			if v.Baseline == "" {
+				continue
+			}
+			key := rollout.VersionKey{Model: name, Version: v.Version}
+			out = append(out, Test{
+				Model: name, Version: v.Version, Baseline: v.Baseline,
+				Verdict: k.verdicts[key].String(),
+				Counts:  k.evidence.Totals(key),
+				Control: k.evidence.Totals(rollout.ControlKey(key, v.Baseline)),
+			})
+		}
+	}
+	slices.SortFunc(out, func(a, b Test) int { return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Version, b.Version)) })
+	return out
+}
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -112,22 +112,34 @@
 	if got := x.Unrated(key); got != 0 {
 		t.Errorf("%d slots held though a later answer was rated a minute ago", got)
 	}
+	x.Acquire(key, "failed", 1)
+	x.Failed(key, "failed")
+	x.Expire(2*overdueAfter - 1)
+	if x.Acquire(key, "next", 1) {
+		t.Error("slot of a failed answer freed at once")
+	}
+	x.Expire(2 * overdueAfter)
+	if !x.Acquire(key, "next", 1) {
+		t.Error("slot of a failed answer not freed after a minute")
+	}
 }
 
 // Guards against a budget that ignores the ratings so far.
 func TestBudget(t *testing.T) {
 	for _, c := range []struct {
-		counts  Counts
-		verdict Verdict
-		want    int
+		counts, baseline Counts
+		verdict          Verdict
+		want             int
 	}{
-		{Counts{}, Continue, 8},
-		{Counts{Rated: 30, Passed: 30}, Continue, 20},
-		{Counts{Rated: 30}, Continue, 1},
-		{Counts{}, Bad, 0},
-		{Counts{}, Good, Unlimited},
+		{Counts{}, Counts{}, Continue, 8},
+		{Counts{Rated: 30, Passed: 30}, Counts{}, Continue, 20},
+		{Counts{Rated: 30}, Counts{}, Continue, 1},
+		{Counts{Rated: 3, Passed: 1}, Counts{Rated: 100, Passed: 90}, Continue, 3},
+		{Counts{Rated: 100, Passed: 10}, Counts{Rated: 100, Passed: 10}, Continue, 13},
+		{Counts{}, Counts{}, Bad, 0},
+		{Counts{}, Counts{}, Good, Unlimited},
 	} {
-		if got := Budget(0, c.counts, c.verdict); got != c.want {
+		if got := Budget(0, c.counts, c.baseline, c.verdict); got != c.want {
 			t.Errorf("Budget(%+v, %v) = %d; want %d", c.counts, c.verdict, got, c.want)
 		}
 	}
