--- a/e2e/command_test.go
+++ b/e2e/command_test.go
@@ -1,10 +1,8 @@
 package e2e
 
 import (
-	"encoding/json"
 	"errors"
 	"net"
-	"net/http"
 	"os/exec"
 	"strings"
 	"syscall"
@@ -14,24 +12,6 @@
 	"hyssoploom/standin"
 )
 
-// vars is the part of /debug/vars that the tests read.
-type vars struct {
-	Hyssoploom struct {
-		Revision uint64
-		Links    struct{ Alive int }
-	}
-}
-
-func readVars(url string) (vars, bool) {
-	var v vars
-	resp, err := http.Get(url + "/debug/vars")
-	if err != nil {
-		return v, false
-	}
-	defer resp.Body.Close()
-	return v, json.NewDecoder(resp.Body).Decode(&v) == nil
-}
-
 // Guards against settings errors that do not say what to mend.
 func TestSettingsErrors(t *testing.T) {
 	busy, err := net.Listen("tcp", "127.0.0.1:0")
--- a/e2e/harness_test.go
+++ b/e2e/harness.go
@@ -31,22 +31,16 @@
 	standinBinary    string
 )
 
-func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "hyssoploom-e2e")
-	if err != nil {
-		panic(err)
-	}
+// build compiles the binaries that the tests start.
+func build(dir string) error {
 	hyssoploomBinary = filepath.Join(dir, "hyssoploom")
 	standinBinary = filepath.Join(dir, "standin")
 	for binary, pkg := range map[string]string{hyssoploomBinary: "hyssoploom/cmd/hyssoploom", standinBinary: "hyssoploom/cmd/standin"} {
 		if out, err := exec.Command("go", "build", "-o", binary, pkg).CombinedOutput(); err != nil {
-			fmt.Fprintf(os.Stderr, "build %s: %v\n%s", pkg, err, out)
-			os.Exit(1)
+			return fmt.Errorf("build %s: %w\n%s", pkg, err, out)
 		}
 	}
-	code := m.Run()
-	_ = os.RemoveAll(dir)
-	os.Exit(code)
+	return nil
 }
 
 // proc is one process of the fleet.
