--- /dev/null
+++ b/measure/routing/measure_test.go
@@ -0,0 +1,130 @@
+package routing
+
+import "testing"
+
+// coldCase is one load of TestMeasureColdServers.
+type coldCase struct {
+	name  string
+	work  Work
+	load  float64
+	whole bool // the target is checked for 60 s too
+}
+
+// TestMeasureColdServers measures the p95 first-token time after three of twenty
+// backend servers have joined a running fleet cold: of the requests that arrive
+// in the first 10 s, and in 60 s. The load is relative to the capacity of the
+// other 17. With long answers the baseline harms fewer than 5% of the requests
+// of 60 s, so that its p95 is near that of an idle fleet; that case has a test of
+// its own.
+func TestMeasureColdServers(t *testing.T) {
+	t.Parallel()
+	measureColdServers(t, []coldCase{
+		{"short answers, load 0.60", ShortAnswers, 0.60, true},
+		{"short answers, load 0.85", ShortAnswers, 0.85, true},
+		{"long answers, load 0.60", LongAnswers, 0.60, false},
+	})
+}
+
+// TestMeasureColdServersLongAnswersMinute asks for the target over 60 s of long
+// answers too.
+func TestMeasureColdServersLongAnswersMinute(t *testing.T) {
+	t.Parallel()
+	measureColdServers(t, []coldCase{{"long answers, load 0.60", LongAnswers, 0.60, true}})
+}
+
+func measureColdServers(t *testing.T, cases []coldCase) {
+	const target = 0.5
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			results := AllSeeds(ColdCase{Answers: tc.work, Load: tc.load}.RunSeed)
+			for _, r := range results {
+				t.Log(r)
+				if r.Early() > target || tc.whole && r.P95() > target || r.Router.Above > 0 {
+					t.Errorf("seed %d: ratio in 10 s %.3f, in 60 s %.3f, target %.2f; %d starts above the cold limit, target 0",
+						r.Seed, r.Early(), r.P95(), target, r.Router.Above)
+				}
+			}
+			t.Logf("p95 relative to least-connections without warm-up: first 10 s: %v; 60 s: %v; p99 in 60 s: %v",
+				Collect(results, ColdResult.Early), Collect(results, ColdResult.P95), Collect(results, ColdResult.P99))
+		})
+	}
+}
+
+// TestMeasureColdWithoutNotice measures the same, without a target, when three of
+// twenty servers turn cold while they work.
+func TestMeasureColdWithoutNotice(t *testing.T) {
+	t.Parallel()
+	results := AllSeeds(ColdCase{Answers: ShortAnswers, Load: 0.6, Unannounced: true}.RunSeed)
+	for _, r := range results {
+		t.Logf("seed %2d: p95 %v, baseline %v; p99 %v, baseline %v; starts above the cold limit %d, baseline %d",
+			r.Seed, round(r.Router.P95), round(r.Baseline.P95), round(r.Router.P99), round(r.Baseline.P99), r.Router.Above, r.Baseline.Above)
+	}
+	t.Logf("relative to least-connections without warm-up: p95 %v; p99 %v", Collect(results, ColdResult.P95), Collect(results, ColdResult.P99))
+}
+
+// TestMeasureCrossRegion measures the bytes that cross a region border at equal
+// load of three regions.
+func TestMeasureCrossRegion(t *testing.T) {
+	t.Parallel()
+	const target = 0.05
+	for _, load := range []float64{0.5, 0.7} {
+		results := AllSeeds(func(seed uint64) CrossRegionResult { return RunCrossRegion(load, seed) })
+		for _, r := range results {
+			t.Log(r)
+			if r.Ratio() > target {
+				t.Errorf("load %.2f seed %d: ratio %.4f, target %.2f", load, r.Seed, r.Ratio(), target)
+			}
+		}
+		t.Logf("load %.2f: cross-region bytes relative to random choice: %v", load, Collect(results, CrossRegionResult.Ratio))
+	}
+}
+
+// TestMeasureSmallWorkspace measures the time of whole answers of a workspace
+// that uses half of its share, alone and while another one sends ten times its
+// own share. The baseline has one flow for all workspaces.
+func TestMeasureSmallWorkspace(t *testing.T) {
+	t.Parallel()
+	measureSmallWorkspace(t, WorkspaceResult.Answer)
+}
+
+// TestMeasureSmallWorkspaceFirstToken asks for the same target for the first
+// token.
+func TestMeasureSmallWorkspaceFirstToken(t *testing.T) {
+	t.Parallel()
+	measureSmallWorkspace(t, WorkspaceResult.FirstToken)
+}
+
+// measureSmallWorkspace checks the ratio that it is given.
+func measureSmallWorkspace(t *testing.T, checked func(WorkspaceResult) float64) {
+	const target = 1.3
+	results := AllSeeds(RunSmallWorkspace)
+	for _, r := range results {
+		t.Log(r)
+		if v := checked(r); v > target || r.Fair.Failed > r.Alone.Failed {
+			t.Errorf("seed %d: ratio %.3f, target %.2f; %d requests of the small workspace refused, target %d", r.Seed, v, target, r.Fair.Failed, r.Alone.Failed)
+		}
+	}
+	t.Logf("p95 of a whole answer relative to alone: fair %v; one flow %v; first token, fair: %v",
+		Collect(results, WorkspaceResult.Answer), Collect(results, WorkspaceResult.Baseline), Collect(results, WorkspaceResult.FirstToken))
+}
+
+// TestMeasureOverload measures attempts per request, and the rate of answers
+// complete before the caller's deadline, at twice the capacity. Goodput is taken
+// after the servers have filled up.
+func TestMeasureOverload(t *testing.T) {
+	t.Parallel()
+	const attemptsTarget, goodputTarget = 1.2, 0.9
+	results := AllSeeds(RunOverload)
+	for _, r := range results {
+		t.Log(r)
+		if a, g := r.Router.Attempts, r.Router.Goodput; a > attemptsTarget || g < goodputTarget {
+			t.Errorf("seed %d: attempts %.3f, target %.1f; goodput %.3f, target %.1f", r.Seed, a, attemptsTarget, g, goodputTarget)
+		}
+	}
+	value := func(f func(OverloadResult) float64) Spread { return Collect(results, f) }
+	t.Logf("attempts per request: %v; unlimited retries: %v",
+		value(func(r OverloadResult) float64 { return r.Router.Attempts }), value(func(r OverloadResult) float64 { return r.Baseline.Attempts }))
+	t.Logf("goodput relative to capacity: %v; unlimited retries: %v",
+		value(func(r OverloadResult) float64 { return r.Router.Goodput }), value(func(r OverloadResult) float64 { return r.Baseline.Goodput }))
+}
--- /dev/null
+++ b/measure/routing/overload.go
@@ -0,0 +1,48 @@
+package routing
+
+import (
+	"fmt"
+	"time"
+)
+
+// OverloadRun is the result of one rule for retries.
+type OverloadRun struct {
+	Attempts float64 // per request
+	Goodput  float64 // relative to capacity
+}
+
+// OverloadResult compares the retry budget with unlimited retries.
+type OverloadResult struct {
+	Seed             uint64
+	Router, Baseline OverloadRun
+}
+
+func (r OverloadResult) String() string {
+	return fmt.Sprintf("seed %2d: attempts per request %.3f, baseline %.2f; goodput %.3f of capacity, baseline %.3f",
+		r.Seed, r.Router.Attempts, r.Baseline.Attempts, r.Router.Goodput, r.Baseline.Goodput)
+}
+
+// RunOverload runs twice the load that the servers can carry. Goodput counts
+// answers that are complete before the caller's deadline, after the servers have
+// filled up.
+func RunOverload(seed uint64) OverloadResult {
+	const from, end, servers = 4 * time.Second, 14 * time.Second, 6
+	run := func(retry func(*job) bool) OverloadRun {
+		s := newSim(seed, servers, 4, 1, ShortAnswers, policy{choose: byRouter, config: agentConfig, retry: retry})
+		s.warmAll()
+		s.arrivals("w", 2*servers*ShortAnswers.capacity(), end)
+		s.run(end)
+		tries, tokens := 0, 0
+		for _, j := range s.jobs {
+			tries += j.attempts
+			if done := j.arrived + j.total; j.total > 0 && done >= from && done <= end {
+				tokens += j.tokens
+			}
+		}
+		// Capacity is in requests of mean length; counting tokens keeps a
+		// preference for short answers from looking like goodput.
+		rate := float64(tokens) / float64(ShortAnswers.meanTokens) / (end - from).Seconds()
+		return OverloadRun{float64(tries) / float64(len(s.jobs)), rate / (servers * ShortAnswers.capacity())}
+	}
+	return OverloadResult{Seed: seed, Router: run(withBudget), Baseline: run(always)}
+}
--- /dev/null
+++ b/measure/routing/regions.go
@@ -0,0 +1,52 @@
+package routing
+
+import (
+	"fmt"
+	"time"
+
+	"hyssoploom/route"
+)
+
+// Crossing counts the request bytes that cross a region border.
+type Crossing struct {
+	Bytes int
+	Share float64 // of all bytes
+}
+
+// CrossRegionResult compares the router with random choice.
+type CrossRegionResult struct {
+	Load             float64
+	Seed             uint64
+	Router, Baseline Crossing
+}
+
+// Ratio returns the bytes relative to the baseline.
+func (r CrossRegionResult) Ratio() float64 {
+	return float64(r.Router.Bytes) / float64(r.Baseline.Bytes)
+}
+
+func (r CrossRegionResult) String() string {
+	return fmt.Sprintf("load %.2f seed %2d: %d bytes cross (%.4f of all), baseline %d (%.4f)",
+		r.Load, r.Seed, r.Router.Bytes, r.Router.Share, r.Baseline.Bytes, r.Baseline.Share)
+}
+
+// RunCrossRegion runs three regions at the same load, relative to their capacity.
+func RunCrossRegion(load float64, seed uint64) CrossRegionResult {
+	const end, servers = 30 * time.Second, 21
+	run := func(choose func(*simEntry, route.Request) (int, error)) (c Crossing) {
+		s := newSim(seed, servers, 6, 3, ShortAnswers, policy{choose: choose, config: agentConfig, retry: withBudget})
+		s.warmAll()
+		s.arrivals("w", load*servers*ShortAnswers.capacity(), end)
+		s.run(end + 2*ShortAnswers.deadline)
+		total := 0
+		for _, j := range s.jobs {
+			total += j.bytes
+			if j.crossed {
+				c.Bytes += j.bytes
+			}
+		}
+		c.Share = float64(c.Bytes) / float64(total)
+		return c
+	}
+	return CrossRegionResult{Load: load, Seed: seed, Baseline: run(atRandom), Router: run(byRouter)}
+}
--- /dev/null
+++ b/measure/routing/spread.go
@@ -0,0 +1,58 @@
+package routing
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Seeds is the number of seeds of every measurement; they are 1 to Seeds.
+const Seeds = 10
+
+// AllSeeds runs one case on every seed, in order.
+func AllSeeds[T any](run func(seed uint64) T) []T {
+	results := make([]T, Seeds)
+	for i := range results {
+		results[i] = run(uint64(i + 1))
+	}
+	return results
+}
+
+// Spread holds one value per seed.
+type Spread []float64
+
+// Collect returns one value of each result.
+func Collect[T any](results []T, value func(T) float64) Spread {
+	s := make(Spread, len(results))
+	for i, r := range results {
+		s[i] = value(r)
+	}
+	return s
+}
+
+func (s Spread) String() string {
+	v := slices.Sorted(slices.Values(s))
+	return fmt.Sprintf("median %.3f, min %.3f, max %.3f", v[len(v)/2], v[0], v[len(v)-1])
+}
+
+// quantile returns the q-quantile of f over the jobs that match.
+func quantile(jobs []*job, q float64, f func(*job) time.Duration, match func(*job) bool) time.Duration {
+	var v []time.Duration
+	for _, j := range jobs {
+		if match(j) {
+			v = append(v, f(j))
+		}
+	}
+	if len(v) == 0 {
+		return 0
+	}
+	slices.Sort(v)
+	return v[min(len(v)-1, int(q*float64(len(v))))]
+}
+
+func ratio(a, b time.Duration) float64 { return float64(a) / float64(b) }
+
+func round(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
+
+func totalLatency(j *job) time.Duration { return j.total }
+func firstLatency(j *job) time.Duration { return j.first }
