--- a/link/flow_test.go
+++ b/link/flow_test.go
@@ -100,8 +100,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t, answer(3, 0))
 		time.Sleep(7 * time.Second)
-		r.net.last().silent[toServer].Store(true)
-		r.net.last().silent[toClient].Store(true)
+		r.net.Last().Silent[toServer].Store(true)
+		r.net.Last().Silent[toClient].Store(true)
 		start := time.Now()
 		wantAnswer(t, r.open("r"), "r", 3)
 		if took := time.Since(start); took < time.Second || took > 1100*time.Millisecond {
@@ -116,10 +116,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t, answer(1, 2*time.Second))
 		time.Sleep(9 * time.Second) // last heard 4 s ago, longer than three active heartbeats
-		r.net.last().delay[toServer].Store(int64(200 * time.Millisecond))
-		r.net.last().delay[toClient].Store(int64(200 * time.Millisecond))
+		r.net.Last().Delay[toServer].Store(int64(200 * time.Millisecond))
+		r.net.Last().Delay[toClient].Store(int64(200 * time.Millisecond))
 		wantAnswer(t, r.open("r"), "r", 1)
-		if d := r.net.dials(); d != 1 {
+		if d := r.net.Dials(); d != 1 {
 			t.Errorf("%d connections, want 1", d)
 		}
 	})
@@ -145,7 +145,7 @@
 		if e, a := entry.Load(), agent.Load(); e < 99 || a < 99 || e > 101 || a > 101 {
 			t.Errorf("active: %d heartbeats from the entry, %d from the agent", e, a)
 		}
-		if d := r.net.dials(); d != 1 {
+		if d := r.net.Dials(); d != 1 {
 			t.Errorf("%d connections, want 1", d)
 		}
 	})
@@ -172,10 +172,10 @@
 		open := r.open("r")
 		wantNotSent(&Request{RequestID: "r"}, 0)
 		wantAnswer(t, open, "r", 1)
-		r.net.last().close()
+		r.net.Last().Close()
 		synctest.Wait()
 		wantAnswer(t, r.open("again"), "again", 1)
-		r.net.setDown(true)
+		r.net.SetDown(true)
 		synctest.Wait()
 		wantNotSent(&Request{RequestID: "r2"}, 250*time.Millisecond)
 		if err := r.client.Send(Control{}); err != ErrLinkDown {
--- a/link/fuzz_test.go
+++ b/link/fuzz_test.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"reflect"
 	"testing"
+
+	"hyssoploom/internal/fakenet"
 )
 
 // sampleFrames returns one frame of each kind that carries fields.
@@ -78,7 +80,7 @@
 // against errors without a type.
 func FuzzFrame(f *testing.F) {
 	samples := bufio.NewReader(bytes.NewReader(sampleFrames().buf))
-	for raw, err := readRaw(samples); err == nil; raw, err = readRaw(samples) {
+	for raw, err := fakenet.ReadFrame(samples); err == nil; raw, err = fakenet.ReadFrame(samples) {
 		f.Add(raw)
 		f.Add(raw[:len(raw)-1])
 	}
--- a/link/handshake_test.go
+++ b/link/handshake_test.go
@@ -81,7 +81,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				r := newRig(t, answer(1, 0))
 				local, remote := net.Pipe()
-				r.net.accepted <- remote
+				r.net.Accepted <- remote
 				if _, err := local.Write([]byte(bytesSent)); err != nil {
 					t.Error(err)
 				}
@@ -145,7 +145,7 @@
 		if err := r.client.Send(Control{Kind: "records", Body: make([]byte, MaxPayload)}); err != nil {
 			t.Errorf("Send of the largest control message: %v", err)
 		}
-		if d := r.net.dials(); d != 1 {
+		if d := r.net.Dials(); d != 1 {
 			t.Errorf("%d connections, want 1", d)
 		}
 	})
--- a/link/resume_test.go
+++ b/link/resume_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"hyssoploom/internal/fakenet"
 )
 
 // once applies act to frame n of one direction of the first connection. An end
@@ -44,7 +46,7 @@
 }
 
 func faultAt(t *testing.T, n int, rule frameRule) {
-	r := newRigOn(t, newNetwork(rule), answer(n, 300*time.Millisecond), func(c *ClientConfig, s *ServerConfig) {
+	r := newRigOn(t, fakenet.New(rule), answer(n, 300*time.Millisecond), func(c *ClientConfig, s *ServerConfig) {
 		c.Window = 2 * frameCost // an ack after each payload
 		c.OpenWait = 20 * time.Second
 	})
@@ -67,14 +69,14 @@
 				s := r.open("r")
 				time.Sleep(2550 * time.Millisecond)
 				for _, d := range dirs {
-					r.net.last().silent[d].Store(true)
+					r.net.Last().Silent[d].Store(true)
 				}
 				wantAnswer(t, s, "r", 100)
 				r.wantOneRun("r")
 				if took := time.Since(start); took > 10200*time.Millisecond {
 					t.Errorf("answer took %v, the handler 10 s", took)
 				}
-				if d := r.net.dials(); d != 2 {
+				if d := r.net.Dials(); d != 2 {
 					t.Errorf("%d connections, want 2", d)
 				}
 			})
@@ -94,9 +96,9 @@
 		})
 		s := r.open("r")
 		time.Sleep(500 * time.Millisecond)
-		r.net.setDown(true)
+		r.net.SetDown(true)
 		time.Sleep(5 * time.Second)
-		r.net.setDown(false)
+		r.net.SetDown(false)
 		ctx, cancel := context.WithTimeout(t.Context(), 8*time.Second)
 		defer cancel()
 		if p, err := s.Recv(ctx); string(p) != token("r", 0) || err != nil {
@@ -125,7 +127,7 @@
 		})
 		s := r.open("r")
 		time.Sleep(time.Second)
-		r.net.setDown(true)
+		r.net.SetDown(true)
 		lost = time.Now()
 		_, err := s.Recv(t.Context())
 		synctest.Wait()
@@ -150,9 +152,9 @@
 			func(c *ClientConfig, _ *ServerConfig) { c.ResumeTimeout = time.Hour })
 		s := r.open("r")
 		time.Sleep(time.Second)
-		r.net.setDown(true)
+		r.net.SetDown(true)
 		time.Sleep(31 * time.Second)
-		r.net.setDown(false)
+		r.net.SetDown(false)
 		_, err := s.Recv(t.Context())
 		var broken *BrokenError
 		if !errors.As(err, &broken) || broken.Reason != BrokenExpired || !broken.Handed {
--- a/link/verify_test.go
+++ b/link/verify_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"hyssoploom/internal/fakenet"
 )
 
 func payloadFrame(seq uint64, p string) *frame {
@@ -68,7 +70,7 @@
 			}
 			return pass
 		}
-		r := newRigOn(t, newNetwork(rewrite), func(ctx context.Context, in *Incoming) {
+		r := newRigOn(t, fakenet.New(rewrite), func(ctx context.Context, in *Incoming) {
 			if in.Request.RequestID == "b" {
 				time.Sleep(time.Millisecond) // the crossed frame comes before the stream's own
 			}
@@ -128,7 +130,7 @@
 		}
 		return b
 	}
-	r := newRigOn(t, newNetwork(rule), func(_ context.Context, in *Incoming) {
+	r := newRigOn(t, fakenet.New(rule), func(_ context.Context, in *Incoming) {
 		_ = in.Finish(End{Complete: bytes.Equal(in.Request.Body, body(in.Request.RequestID))})
 	}, func(c *ClientConfig, _ *ServerConfig) { c.OpenWait = time.Second })
 	var streams []*Stream
@@ -182,14 +184,14 @@
 func randomFaults(t *testing.T, seed uint64) {
 	pauses := rand.New(rand.NewPCG(seed, 0))
 	var n *network
-	n = newNetwork(func(dial int, dir direction, i int, body []byte) action {
+	n = fakenet.New(func(dial int, dir direction, i int, body []byte) action {
 		// The handshake passes, so that faults hit streams.
 		if i < setupFrames || frameKind(body[1]) == kindEnd || frameKind(body[1]) == kindGone {
 			return pass
 		}
 		x := rand.New(rand.NewPCG(seed, uint64(dial<<40|int(dir)<<32|i))).IntN(400)
 		if x == 0 {
-			n.last().silent[dir].Store(true)
+			n.Last().Silent[dir].Store(true)
 		}
 		return []action{drop, cut, cut, duplicate, duplicate, hold, pass}[min(x, 6)]
 	})
@@ -210,7 +212,7 @@
 	if err := r.server.Wait(t.Context()); err != nil {
 		t.Error(err)
 	}
-	if gone := slices.Contains(r.events(), "gone"); gone || n.dials() < 2 {
-		t.Errorf("peer gone: %t; %d connections", gone, n.dials())
+	if gone := slices.Contains(r.events(), "gone"); gone || n.Dials() < 2 {
+		t.Errorf("peer gone: %t; %d connections", gone, n.Dials())
 	}
 }
