--- a/link/network_test.go
+++ b/link/network_test.go
@@ -1,15 +1,9 @@
 package link
 
 import (
-	"bufio"
 	"context"
-	"encoding/binary"
-	"errors"
-	"io"
 	"math/rand/v2"
-	"net"
 	"sync"
-	"sync/atomic"
 	"testing"
 
 	"github.com/phuslu/log"
