--- a/entry/version.go
+++ b/entry/version.go
@@ -119,6 +119,12 @@
 // attempt, so that neither a retry nor a later stage uses a version that was
 // withdrawn meanwhile.
 func (ch *chat) renew(ctx context.Context, st *stage, except string) *apiError {
+	if st.chosenHere && !ch.usable(st) {
+		// The version that this request has chosen went before the caller saw
+		// anything of it: a new session is not refused for that.
+		delete(ch.pins, st.model)
+		st.bound, st.chosenHere = false, false
+	}
 	fresh, err := ch.assignOrLookUp(ch.entry.snapshot.View(), st.model, except)
 	if err != nil {
 		return err
