--- a/agent/orders.go
+++ b/agent/orders.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"hyssoploom/config"
 	"hyssoploom/platform"
 )
@@ -111,7 +113,7 @@
 	key := config.Key(config.KindBackendServer, o.agent.settings.Name)
 	kv, err := o.agent.deps.Store.Get(ctx, key)
 	if err != nil {
-		return fmt.Errorf("read %s before an order: %w", key, err)
+		return eris.Wrapf(err, "read %s before an order", key)
 	}
 	if kv.Revision != order.Fencing {
 		o.agent.snapshot.Adopt([]config.Record{{Key: kv.Key, Revision: kv.Revision, Raw: kv.Value}})
@@ -142,7 +144,7 @@
 		}
 	}
 	if err := o.agent.deps.Engine.Order(ctx, order); err != nil {
-		return fmt.Errorf("%s %s@%s: %w", order.Action, order.Target.Model, order.Target.Version, err)
+		return eris.Wrapf(err, "%s %s@%s", order.Action, order.Target.Model, order.Target.Version)
 	}
 	o.agent.log.Info("Order done.", "action", order.Action, "model", order.Target.Model, "version", order.Target.Version)
 	o.agent.readStatus(ctx)
@@ -170,7 +172,7 @@
 	store := o.agent.deps.Store
 	lease, err := store.Grant(ctx, permitTTL)
 	if err != nil {
-		return "", fmt.Errorf("lease for a load permit: %w", err)
+		return "", eris.Wrap(err, "lease for a load permit")
 	}
 	for n := range loadPermits {
 		key := fmt.Sprintf("permit/%s/%d", o.agent.settings.DataCentre, n)
@@ -181,7 +183,7 @@
 		}
 		if err != nil {
 			o.returnPermit(lease)
-			return "", fmt.Errorf("load permit: %w", err)
+			return "", eris.Wrap(err, "load permit")
 		}
 		o.downSince = time.Time{}
 		return lease, nil
--- a/control/control.go
+++ b/control/control.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 
+	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"hyssoploom/config"
@@ -66,7 +67,7 @@
 // Decode reads the body of a control message into v.
 func Decode(c link.Control, v any) error {
 	if err := msgpack.Unmarshal(c.Body, v); err != nil {
-		return fmt.Errorf("decode control message %q: %w", c.Kind, err)
+		return eris.Wrapf(err, "decode control message %q", c.Kind)
 	}
 	return nil
 }
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -11,6 +11,8 @@
 	"strings"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"hyssoploom/config"
 	"hyssoploom/embedded"
 	"hyssoploom/ledger"
@@ -165,12 +167,12 @@
 func (s *session) stop() error {
 	for name := range s.fleet.Entries {
 		if err := s.fleet.StopEntry(s.ctx, name); err != nil {
-			return fmt.Errorf("stop %s: %w", name, err)
+			return eris.Wrapf(err, "stop %s", name)
 		}
 	}
 	for name := range s.fleet.Backends {
 		if err := s.fleet.StopAgent(s.ctx, name); err != nil {
-			return fmt.Errorf("stop %s: %w", name, err)
+			return eris.Wrapf(err, "stop %s", name)
 		}
 	}
 	fmt.Fprintln(s.out, "\nAll processes have drained and stopped.")
--- a/embedded/fleet.go
+++ b/embedded/fleet.go
@@ -9,7 +9,6 @@
 	"embed"
 	"encoding/hex"
 	"errors"
-	"fmt"
 	"io"
 	"io/fs"
 	"net"
@@ -18,6 +17,7 @@
 	"time"
 
 	"github.com/oklog/ulid/v2"
+	"github.com/rotisserie/eris"
 
 	"hyssoploom/agent"
 	"hyssoploom/config"
@@ -424,7 +424,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return fmt.Errorf("fleet is not ready: %w", ctx.Err())
+			return eris.Wrap(ctx.Err(), "fleet is not ready")
 		case <-time.After(10 * time.Millisecond):
 		}
 	}
--- a/provider/provider.go
+++ b/provider/provider.go
@@ -3,10 +3,10 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"github.com/phuslu/log"
+	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
 	"hyssoploom/config"
@@ -132,7 +132,7 @@
 		g.Go(func() error { return f.serve(ctx) })
 	}
 	if err := g.Wait(); err != nil {
-		return fmt.Errorf("config %s: %w", p.name, err)
+		return eris.Wrapf(err, "config %s", p.name)
 	}
 	return nil
 }
--- a/telemetry/trace.go
+++ b/telemetry/trace.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 
+	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
 	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
@@ -58,7 +59,7 @@
 		err = fmt.Errorf("unknown exporter %q", exporter)
 	}
 	if err != nil {
-		return nil, fmt.Errorf("set up tracing: %w", err)
+		return nil, eris.Wrap(err, "set up tracing")
 	}
 	return WithExporter(spans, process), nil
 }
