--- a/agent/agent.go
+++ b/agent/agent.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -231,72 +230,6 @@
 	}
 }
 
-func (a *Agent) onPeer(peer link.Hello) {
-	a.log.Info("Entry connected.", "entry", peer.Name)
-	for _, c := range a.health.Greeting() {
-		_ = a.server.SendTo(peer.BootID, c)
-	}
-}
-
-// onPeerGone takes over the charges that a lost entry has not made durable.
-func (a *Agent) onPeerGone(peer link.Hello) {
-	if rows := a.held.Orphans(peer.BootID); rows > 0 {
-		a.log.Warn("Writing charges of a lost entry.", "entry", peer.Name, "rows", rows)
-	}
-}
-
-func (a *Agent) onHeartbeat(peer link.Hello, hb link.Heartbeat) {
-	for _, m := range control.SplitRecords(control.Missing(a.snapshot, hb.Revision, hb.Digest)) {
-		_ = a.server.SendTo(peer.BootID, m)
-	}
-}
-
-func (a *Agent) onControl(peer link.Hello, c link.Control) {
-	if err := a.dispatch(peer, c); err != nil {
-		a.log.Warn("Dropped a control message.", "peer", peer.Name, "error", err.Error())
-	}
-}
-
-func (a *Agent) dispatch(peer link.Hello, c link.Control) error {
-	switch c.Kind {
-	case control.KindRecords:
-		var m control.Records
-		if err := control.Decode(c, &m); err != nil {
-			return err
-		}
-		a.snapshot.Adopt(m.Records)
-	case control.KindWanted:
-		var m control.Wanted
-		if err := control.Decode(c, &m); err != nil {
-			return err
-		}
-		for _, out := range control.SplitRecords(a.snapshot.After(m.After)) {
-			if err := a.server.SendTo(peer.BootID, out); err != nil {
-				return err
-			}
-		}
-	case control.KindDurable:
-		var m control.Durable
-		if err := control.Decode(c, &m); err != nil {
-			return err
-		}
-		a.held.Release(peer.BootID, m.Rows)
-	case control.KindRating:
-		var m control.Rating
-		if err := control.Decode(c, &m); err != nil {
-			return err
-		}
-		a.exposure.onRating(m)
-	default:
-		handled, err := a.health.Handle(c)
-		if err == nil && !handled {
-			err = fmt.Errorf("unknown kind %q", c.Kind)
-		}
-		return err
-	}
-	return nil
-}
-
 // forwardRecords sends the entries what the store told this agent first. While
 // the watches of the entries work, that is nothing; an entry whose watch hangs
 // would otherwise have to wait for the next heartbeat.
--- /dev/null
+++ b/agent/peers.go
@@ -0,0 +1,59 @@
+package agent
+
+import (
+	"hyssoploom/control"
+	"hyssoploom/link"
+)
+
+func (a *Agent) onPeer(peer link.Hello) {
+	a.log.Info("Entry connected.", "entry", peer.Name)
+	for _, c := range a.health.Greeting() {
+		_ = a.server.SendTo(peer.BootID, c)
+	}
+}
+
+// onPeerGone takes over the charges that a lost entry has not made durable.
+func (a *Agent) onPeerGone(peer link.Hello) {
+	if rows := a.held.Orphans(peer.BootID); rows > 0 {
+		a.log.Warn("Writing charges of a lost entry.", "entry", peer.Name, "rows", rows)
+	}
+}
+
+func (a *Agent) onHeartbeat(peer link.Hello, hb link.Heartbeat) {
+	for _, m := range control.SplitRecords(control.Missing(a.snapshot, hb.Revision, hb.Digest)) {
+		_ = a.server.SendTo(peer.BootID, m)
+	}
+}
+
+func (a *Agent) onControl(peer link.Hello, c link.Control) {
+	if err := a.dispatch(peer, c); err != nil {
+		a.log.Warn("Dropped a control message.", "peer", peer.Name, "error", err.Error())
+	}
+}
+
+// dispatch takes in one control message of an entry.
+func (a *Agent) dispatch(peer link.Hello, c link.Control) error {
+	handled, err := control.HandleRecords(a.snapshot, c, func(out link.Control) error {
+		return a.server.SendTo(peer.BootID, out)
+	})
+	if handled || err != nil {
+		return err
+	}
+	switch c.Kind {
+	case control.KindDurable:
+		var m control.Durable
+		if err := control.Decode(c, &m); err != nil {
+			return err
+		}
+		a.held.Release(peer.BootID, m.Rows)
+	case control.KindRating:
+		var m control.Rating
+		if err := control.Decode(c, &m); err != nil {
+			return err
+		}
+		a.exposure.onRating(m)
+	default:
+		return a.health.Take(c)
+	}
+	return nil
+}
--- a/control/control.go
+++ b/control/control.go
@@ -109,3 +109,31 @@
 		return nil
 	}
 }
+
+// HandleRecords takes in a message about configuration records: it adopts what
+// a peer sends, and answers a request for records through send. It reports
+// whether the kind is one of these.
+func HandleRecords(snap *config.Snapshot, c link.Control, send func(link.Control) error) (bool, error) {
+	switch c.Kind {
+	case KindRecords:
+		var m Records
+		if err := Decode(c, &m); err != nil {
+			return true, err
+		}
+		snap.Adopt(m.Records)
+		return true, nil
+	case KindWanted:
+		var m Wanted
+		if err := Decode(c, &m); err != nil {
+			return true, err
+		}
+		for _, out := range SplitRecords(snap.After(m.After)) {
+			if err := send(out); err != nil {
+				return true, err
+			}
+		}
+		return true, nil
+	default:
+		return false, nil
+	}
+}
--- /dev/null
+++ b/embedded/daemons.go
@@ -0,0 +1,171 @@
+package embedded
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"net"
+	"strings"
+	"syscall"
+	"time"
+
+	"hyssoploom/agent"
+	"hyssoploom/config"
+	"hyssoploom/entry"
+	"hyssoploom/platform"
+	"hyssoploom/settings"
+	"hyssoploom/standin"
+)
+
+// AddBackend starts a backend server with its agent and writes its record.
+func (f *Fleet) AddBackend(ctx context.Context, spec BackendSpec) error {
+	b := &Backend{Spec: spec}
+	var err error
+	if spec.Service != "" {
+		b.Booking = standin.NewBookingRunner(standin.BookingFaults{})
+		b.Server, err = standin.ListenLoopback("127.0.0.1:0", b.Booking.Handler())
+	} else {
+		b.Engine = standin.NewEngine(spec.Engine)
+		b.Server, err = standin.ListenLoopback("127.0.0.1:0", b.Engine.Handler())
+	}
+	if err != nil {
+		return err
+	}
+	f.Backends[spec.Name] = b
+	if err := f.StartAgent(ctx, spec.Name); err != nil {
+		return err
+	}
+	f.setVM(platform.VM{Name: "vm-" + spec.Name, DataCentre: spec.DataCentre, Role: "backend", Addr: b.addr})
+	return f.Put(ctx, config.KindBackendServer, spec.Name, b.Record(config.BackendServerIn))
+}
+
+// Record returns the operator record of the backend server.
+func (b *Backend) Record(state config.BackendServerState) *config.BackendServer {
+	return &config.BackendServer{
+		Name: b.Spec.Name, VM: "vm-" + b.Spec.Name, DataCentre: b.Spec.DataCentre, AgentAddr: b.addr, State: state,
+		Serves: b.Spec.Serves, Service: b.Spec.Service,
+		ColdLimit: b.Spec.ColdLimit, WarmLimit: b.Spec.WarmLimit, ChecksFencing: b.Spec.Engine.ChecksFencing,
+	}
+}
+
+// StartAgent starts the agent of a backend server, at the address that it had
+// before if it ran already.
+func (f *Fleet) StartAgent(ctx context.Context, name string) error {
+	b := f.Backends[name]
+	listen := b.addr
+	if listen == "" {
+		listen = "127.0.0.1:0"
+	}
+	listener, err := listenAgain(ctx, listen)
+	if err != nil {
+		return err
+	}
+	b.addr = listener.Addr().String()
+	deps := agent.Deps{
+		Store:   f.storeOf(name),
+		VMs:     platform.NewHTTPVMList(f.vmURL),
+		Log:     f.log.Part("agent " + name),
+		Tracing: f.spec.Tracing,
+	}
+	if b.Engine != nil {
+		deps.Engine = platform.NewHTTPEngine(b.Server.URL(), nil)
+		if f.spec.Engine != nil {
+			deps.Engine = f.spec.Engine(name, deps.Engine)
+		}
+	} else {
+		deps.Service = platform.NewHTTPService(b.Server.URL(), nil)
+	}
+	b.Agent = agent.New(&settings.Agent{
+		Name: name, VM: "vm-" + name, DataCentre: b.Spec.DataCentre, Listen: b.addr,
+		FleetKey: FleetKey, DrainGrace: drainGrace, QueueLimit: 64,
+	}, deps)
+	b.run = f.serve(ctx, func(ctx context.Context) error { return b.Agent.ServeOn(ctx, listener, nil) })
+	return nil
+}
+
+// listenAgain listens on the address that a daemon had before. Meanwhile an
+// outgoing connection of this machine may use its port for a moment.
+func listenAgain(ctx context.Context, addr string) (net.Listener, error) {
+	for {
+		listener, err := net.Listen("tcp", addr)
+		if !errors.Is(err, syscall.EADDRINUSE) {
+			return listener, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, errors.Join(ctx.Err(), err)
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
+
+func (f *Fleet) addEntry(ctx context.Context, spec EntrySpec) error {
+	f.Entries[spec.Name] = &Entry{Spec: spec}
+	f.setVM(platform.VM{Name: "vm-" + spec.Name, DataCentre: spec.DataCentre, Role: "entry"})
+	return f.StartEntry(ctx, spec.Name)
+}
+
+// StartEntry starts an entry, at the address that it had before if it ran
+// already.
+func (f *Fleet) StartEntry(ctx context.Context, name string) error {
+	e := f.Entries[name]
+	listen := strings.TrimPrefix(e.URL, "http://")
+	if listen == "" {
+		listen = "127.0.0.1:0"
+	}
+	listener, err := listenAgain(ctx, listen)
+	if err != nil {
+		return err
+	}
+	e.URL = "http://" + listener.Addr().String()
+	rater, err := platform.NewHTTPRater(f.raterURL, 0)
+	if err != nil {
+		return errors.Join(err, listener.Close())
+	}
+	e.Entry = entry.New(&settings.Entry{
+		Name: name, VM: "vm-" + name, DataCentre: e.Spec.DataCentre, Listen: e.URL,
+		FleetKey: FleetKey, DrainGrace: drainGrace,
+		RequestTimeout: config.Duration(cmp.Or(f.spec.RequestTimeout, defaultRequestTimeout)), MaxBodyBytes: 512 << 10,
+	}, entry.Deps{
+		Store: f.storeOf(name), VMs: platform.NewHTTPVMList(f.vmURL), Rater: rater,
+		Log: f.log.Part("entry " + name), Tracing: f.spec.Tracing, Seed: f.spec.Seed,
+	})
+	e.run = f.serve(ctx, func(ctx context.Context) error { return e.Entry.ServeOn(ctx, listener) })
+	return nil
+}
+
+func (f *Fleet) serve(ctx context.Context, run func(context.Context) error) *process {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	p := &process{cancel: cancel, done: make(chan error, 1)}
+	go func() { p.done <- run(ctx) }()
+	return p
+}
+
+// kill stops the daemon without a drain.
+func (p *process) kill() error {
+	p.cancel()
+	err := <-p.done
+	p.done <- err
+	return err
+}
+
+// KillAgent stops an agent as if its process had died.
+func (f *Fleet) KillAgent(name string) error { return f.Backends[name].run.kill() }
+
+// KillEntry stops an entry as if its process had died.
+func (f *Fleet) KillEntry(name string) error { return f.Entries[name].run.kill() }
+
+// StopAgent stops an agent gracefully.
+func (f *Fleet) StopAgent(ctx context.Context, name string) error {
+	b := f.Backends[name]
+	return errors.Join(b.Agent.Drain(ctx), b.run.kill())
+}
+
+// StopEntry stops an entry gracefully.
+func (f *Fleet) StopEntry(ctx context.Context, name string) error {
+	e := f.Entries[name]
+	return errors.Join(e.Entry.Drain(ctx), e.run.kill())
+}
+
+// running reports whether the daemon has not ended.
+func (p *process) running() bool { return len(p.done) == 0 }
--- a/embedded/fleet.go
+++ b/embedded/fleet.go
@@ -3,27 +3,16 @@
 package embedded
 
 import (
-	"cmp"
 	"context"
-	"crypto/sha256"
 	"embed"
-	"encoding/hex"
 	"errors"
 	"io"
-	"io/fs"
-	"net"
-	"strings"
-	"syscall"
 	"time"
 
-	"github.com/oklog/ulid/v2"
-	"github.com/rotisserie/eris"
-
 	"hyssoploom/agent"
 	"hyssoploom/config"
 	"hyssoploom/entry"
 	"hyssoploom/platform"
-	"hyssoploom/settings"
 	"hyssoploom/standin"
 	"hyssoploom/telemetry"
 )
@@ -198,166 +187,6 @@
 	return nil
 }
 
-// Declarations returns the records of the embedded fleet. A key hash that is
-// written "@key" stands for the digest of the key.
-func Declarations() ([]config.Declaration, error) {
-	files, err := fs.Sub(recordFiles, "records")
-	if err != nil {
-		return nil, err
-	}
-	decls, issues := config.LoadFS(hashedKeys{files})
-	for _, issue := range issues {
-		err = errors.Join(err, issue)
-	}
-	return decls, err
-}
-
-// Hash returns the form of an API key that records hold.
-func Hash(key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return hex.EncodeToString(sum[:])
-}
-
-// Put writes one operator record over whatever the store has.
-func (f *Fleet) Put(ctx context.Context, kind config.Kind, name string, spec any) error {
-	return PutRecord(ctx, f.Store, kind, name, spec)
-}
-
-// PutRecord writes one operator record over whatever the store has.
-func PutRecord(ctx context.Context, store platform.Store, kind config.Kind, name string, spec any) error {
-	key := config.Key(kind, name)
-	raw, err := config.Encode(config.Envelope{
-		SchemaVersion: config.LatestSchema(kind), Kind: kind, Name: name,
-		Writer: "embedded", ChangeID: ulid.Make().String(), Spec: spec,
-	})
-	if err != nil {
-		return err
-	}
-	current, err := store.Get(ctx, key)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
-		return err
-	}
-	_, err = store.Swap(ctx, platform.Write{Key: key, Value: raw, Expect: current.Revision})
-	return err
-}
-
-// AddBackend starts a backend server with its agent and writes its record.
-func (f *Fleet) AddBackend(ctx context.Context, spec BackendSpec) error {
-	b := &Backend{Spec: spec}
-	var err error
-	if spec.Service != "" {
-		b.Booking = standin.NewBookingRunner(standin.BookingFaults{})
-		b.Server, err = standin.ListenLoopback("127.0.0.1:0", b.Booking.Handler())
-	} else {
-		b.Engine = standin.NewEngine(spec.Engine)
-		b.Server, err = standin.ListenLoopback("127.0.0.1:0", b.Engine.Handler())
-	}
-	if err != nil {
-		return err
-	}
-	f.Backends[spec.Name] = b
-	if err := f.StartAgent(ctx, spec.Name); err != nil {
-		return err
-	}
-	f.setVM(platform.VM{Name: "vm-" + spec.Name, DataCentre: spec.DataCentre, Role: "backend", Addr: b.addr})
-	return f.Put(ctx, config.KindBackendServer, spec.Name, b.Record(config.BackendServerIn))
-}
-
-// Record returns the operator record of the backend server.
-func (b *Backend) Record(state config.BackendServerState) *config.BackendServer {
-	return &config.BackendServer{
-		Name: b.Spec.Name, VM: "vm-" + b.Spec.Name, DataCentre: b.Spec.DataCentre, AgentAddr: b.addr, State: state,
-		Serves: b.Spec.Serves, Service: b.Spec.Service,
-		ColdLimit: b.Spec.ColdLimit, WarmLimit: b.Spec.WarmLimit, ChecksFencing: b.Spec.Engine.ChecksFencing,
-	}
-}
-
-// StartAgent starts the agent of a backend server, at the address that it had
-// before if it ran already.
-func (f *Fleet) StartAgent(ctx context.Context, name string) error {
-	b := f.Backends[name]
-	listen := b.addr
-	if listen == "" {
-		listen = "127.0.0.1:0"
-	}
-	listener, err := listenAgain(ctx, listen)
-	if err != nil {
-		return err
-	}
-	b.addr = listener.Addr().String()
-	deps := agent.Deps{
-		Store:   f.storeOf(name),
-		VMs:     platform.NewHTTPVMList(f.vmURL),
-		Log:     f.log.Part("agent " + name),
-		Tracing: f.spec.Tracing,
-	}
-	if b.Engine != nil {
-		deps.Engine = platform.NewHTTPEngine(b.Server.URL(), nil)
-		if f.spec.Engine != nil {
-			deps.Engine = f.spec.Engine(name, deps.Engine)
-		}
-	} else {
-		deps.Service = platform.NewHTTPService(b.Server.URL(), nil)
-	}
-	b.Agent = agent.New(&settings.Agent{
-		Name: name, VM: "vm-" + name, DataCentre: b.Spec.DataCentre, Listen: b.addr,
-		FleetKey: FleetKey, DrainGrace: drainGrace, QueueLimit: 64,
-	}, deps)
-	b.run = f.serve(ctx, func(ctx context.Context) error { return b.Agent.ServeOn(ctx, listener, nil) })
-	return nil
-}
-
-// listenAgain listens on the address that a daemon had before. Meanwhile an
-// outgoing connection of this machine may use its port for a moment.
-func listenAgain(ctx context.Context, addr string) (net.Listener, error) {
-	for {
-		listener, err := net.Listen("tcp", addr)
-		if !errors.Is(err, syscall.EADDRINUSE) {
-			return listener, err
-		}
-		select {
-		case <-ctx.Done():
-			return nil, errors.Join(ctx.Err(), err)
-		case <-time.After(10 * time.Millisecond):
-		}
-	}
-}
-
-func (f *Fleet) addEntry(ctx context.Context, spec EntrySpec) error {
-	f.Entries[spec.Name] = &Entry{Spec: spec}
-	f.setVM(platform.VM{Name: "vm-" + spec.Name, DataCentre: spec.DataCentre, Role: "entry"})
-	return f.StartEntry(ctx, spec.Name)
-}
-
-// StartEntry starts an entry, at the address that it had before if it ran
-// already.
-func (f *Fleet) StartEntry(ctx context.Context, name string) error {
-	e := f.Entries[name]
-	listen := strings.TrimPrefix(e.URL, "http://")
-	if listen == "" {
-		listen = "127.0.0.1:0"
-	}
-	listener, err := listenAgain(ctx, listen)
-	if err != nil {
-		return err
-	}
-	e.URL = "http://" + listener.Addr().String()
-	rater, err := platform.NewHTTPRater(f.raterURL, 0)
-	if err != nil {
-		return errors.Join(err, listener.Close())
-	}
-	e.Entry = entry.New(&settings.Entry{
-		Name: name, VM: "vm-" + name, DataCentre: e.Spec.DataCentre, Listen: e.URL,
-		FleetKey: FleetKey, DrainGrace: drainGrace,
-		RequestTimeout: config.Duration(cmp.Or(f.spec.RequestTimeout, defaultRequestTimeout)), MaxBodyBytes: 512 << 10,
-	}, entry.Deps{
-		Store: f.storeOf(name), VMs: platform.NewHTTPVMList(f.vmURL), Rater: rater,
-		Log: f.log.Part("entry " + name), Tracing: f.spec.Tracing, Seed: f.spec.Seed,
-	})
-	e.run = f.serve(ctx, func(ctx context.Context) error { return e.Entry.ServeOn(ctx, listener) })
-	return nil
-}
-
 func (f *Fleet) storeOf(process string) platform.Store {
 	var store platform.Store = platform.NewHTTPStore(f.storeURL)
 	if f.spec.Store != nil {
@@ -366,39 +195,6 @@
 	return store
 }
 
-func (f *Fleet) serve(ctx context.Context, run func(context.Context) error) *process {
-	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	p := &process{cancel: cancel, done: make(chan error, 1)}
-	go func() { p.done <- run(ctx) }()
-	return p
-}
-
-// kill stops the daemon without a drain.
-func (p *process) kill() error {
-	p.cancel()
-	err := <-p.done
-	p.done <- err
-	return err
-}
-
-// KillAgent stops an agent as if its process had died.
-func (f *Fleet) KillAgent(name string) error { return f.Backends[name].run.kill() }
-
-// KillEntry stops an entry as if its process had died.
-func (f *Fleet) KillEntry(name string) error { return f.Entries[name].run.kill() }
-
-// StopAgent stops an agent gracefully.
-func (f *Fleet) StopAgent(ctx context.Context, name string) error {
-	b := f.Backends[name]
-	return errors.Join(b.Agent.Drain(ctx), b.run.kill())
-}
-
-// StopEntry stops an entry gracefully.
-func (f *Fleet) StopEntry(ctx context.Context, name string) error {
-	e := f.Entries[name]
-	return errors.Join(e.Entry.Drain(ctx), e.run.kill())
-}
-
 func (f *Fleet) setVM(vm platform.VM) {
 	f.vms[vm.Name] = vm
 	list := make([]platform.VM, 0, len(f.vms))
@@ -415,37 +211,6 @@
 	f.setVM(vm)
 }
 
-// WaitReady waits until every entry has a link to every agent and every engine
-// has loaded its versions.
-func (f *Fleet) WaitReady(ctx context.Context) error {
-	for {
-		if f.ready() {
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return eris.Wrap(ctx.Err(), "fleet is not ready")
-		case <-time.After(10 * time.Millisecond):
-		}
-	}
-}
-
-func (f *Fleet) ready() bool {
-	for _, e := range f.Entries {
-		if !e.Entry.Linked(len(f.Backends)) {
-			return false
-		}
-		for _, b := range f.Backends {
-			for _, p := range b.Spec.Serves {
-				if !e.Entry.Serving(p.Model, p.Version) {
-					return false
-				}
-			}
-		}
-	}
-	return true
-}
-
 // Close stops everything at once.
 func (f *Fleet) Close() error {
 	var errs []error
@@ -465,31 +230,3 @@
 	}
 	return errors.Join(errs...)
 }
-
-// InForce reports whether every running daemon has the newest records.
-func (f *Fleet) InForce() bool {
-	newest := uint64(0)
-	for _, prefix := range config.Prefixes() {
-		kvs, _, err := f.Store.List(context.Background(), prefix)
-		if err != nil {
-			return false
-		}
-		for _, kv := range kvs {
-			newest = max(newest, kv.Revision)
-		}
-	}
-	for _, e := range f.Entries {
-		if e.run.running() && e.Entry.Revision() < newest {
-			return false
-		}
-	}
-	for _, b := range f.Backends {
-		if b.run.running() && b.Agent.Revision() < newest {
-			return false
-		}
-	}
-	return true
-}
-
-// running reports whether the daemon has not ended.
-func (p *process) running() bool { return len(p.done) == 0 }
--- /dev/null
+++ b/embedded/records.go
@@ -0,0 +1,57 @@
+package embedded
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"io/fs"
+
+	"github.com/oklog/ulid/v2"
+
+	"hyssoploom/config"
+	"hyssoploom/platform"
+)
+
+// Declarations returns the records of the embedded fleet. A key hash that is
+// written "@key" stands for the digest of the key.
+func Declarations() ([]config.Declaration, error) {
+	files, err := fs.Sub(recordFiles, "records")
+	if err != nil {
+		return nil, err
+	}
+	decls, issues := config.LoadFS(hashedKeys{files})
+	for _, issue := range issues {
+		err = errors.Join(err, issue)
+	}
+	return decls, err
+}
+
+// Hash returns the form of an API key that records hold.
+func Hash(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// Put writes one operator record over whatever the store has.
+func (f *Fleet) Put(ctx context.Context, kind config.Kind, name string, spec any) error {
+	return PutRecord(ctx, f.Store, kind, name, spec)
+}
+
+// PutRecord writes one operator record over whatever the store has.
+func PutRecord(ctx context.Context, store platform.Store, kind config.Kind, name string, spec any) error {
+	key := config.Key(kind, name)
+	raw, err := config.Encode(config.Envelope{
+		SchemaVersion: config.LatestSchema(kind), Kind: kind, Name: name,
+		Writer: "embedded", ChangeID: ulid.Make().String(), Spec: spec,
+	})
+	if err != nil {
+		return err
+	}
+	current, err := store.Get(ctx, key)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return err
+	}
+	_, err = store.Swap(ctx, platform.Write{Key: key, Value: raw, Expect: current.Revision})
+	return err
+}
--- a/entry/links.go
+++ b/entry/links.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"maps"
 	"slices"
 	"sync"
@@ -251,30 +250,16 @@
 	}
 }
 
+// dispatch takes in one control message of an agent.
 func (l *links) dispatch(p *peer, c link.Control) error {
-	switch c.Kind {
-	case control.KindRecords:
-		var m control.Records
-		if err := control.Decode(c, &m); err != nil {
-			return err
-		}
-		l.entry.snapshot.Adopt(m.Records)
-		return nil
-	case control.KindWanted:
-		var m control.Wanted
-		if err := control.Decode(c, &m); err != nil {
-			return err
-		}
-		for _, out := range control.SplitRecords(l.entry.snapshot.After(m.After)) {
-			l.sendTo(p, out)
-		}
+	handled, err := control.HandleRecords(l.entry.snapshot, c, func(out link.Control) error {
+		l.sendTo(p, out)
 		return nil
+	})
+	if handled || err != nil {
+		return err
 	}
-	handled, err := l.entry.health.Handle(c)
-	if err == nil && !handled {
-		err = fmt.Errorf("unknown kind %q", c.Kind)
-	}
-	return err
+	return l.entry.health.Take(c)
 }
 
 func (l *links) sendTo(p *peer, c link.Control) {
--- a/health/keeper.go
+++ b/health/keeper.go
@@ -131,6 +131,15 @@
 	}
 }
 
+// Take is Handle for the last handler of a message: an unknown kind is an error.
+func (k *Keeper) Take(c link.Control) error {
+	handled, err := k.Handle(c)
+	if err == nil && !handled {
+		err = fmt.Errorf("unknown kind %q of control message", c.Kind)
+	}
+	return err
+}
+
 func (k *Keeper) mergeEvidence(c link.Control) error {
 	delta, err := rollout.DecodeDelta(c.Body)
 	if err != nil {
