--- a/entry/links.go
+++ b/entry/links.go
@@ -20,9 +20,11 @@
 )
 
 // resumeTimeout is how long a stream waits for a lost link to come back. After
-// it another backend server continues the answer; a caller notices a pause of
-// some seconds, and 30 s ended requests whose agent had died.
-const resumeTimeout = 1500 * time.Millisecond
+// it another backend server continues the answer. It stays below the 5 s for
+// which agents keep the streams of a lost link; 1.5 s was too short for links
+// that are cut several times in a row on a busy machine. A refused connection
+// shows that the agent's process is gone and ends the wait at once.
+const resumeTimeout = 4 * time.Second
 
 // peer is the link to one agent.
 type peer struct {
--- a/link/client.go
+++ b/link/client.go
@@ -7,6 +7,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -156,6 +157,10 @@
 	dialCtx, cancel := context.WithTimeout(ctx, c.cfg.Timing.HandshakeTimeout)
 	nc, err := c.cfg.Dial(dialCtx, c.cfg.Addr)
 	cancel()
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		// Nothing listens at the address: the process that ran the streams is gone.
+		c.breakAll(BrokenLost)
+	}
 	if err != nil {
 		return err
 	}
