--- a/link/client.go
+++ b/link/client.go
@@ -159,7 +159,9 @@
 	cancel()
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		// Nothing listens at the address: the process that ran the streams is gone.
+		c.mu.Lock()
 		c.breakAll(BrokenLost)
+		c.mu.Unlock()
 	}
 	if err != nil {
 		return err
