--- a/agent/agent.go
+++ b/agent/agent.go
@@ -19,11 +19,11 @@
 	"hyssoploom/admission"
 	"hyssoploom/config"
 	"hyssoploom/control"
+	"hyssoploom/dialect"
 	"hyssoploom/health"
 	"hyssoploom/ledger"
 	"hyssoploom/link"
 	"hyssoploom/once"
-	"hyssoploom/platform"
 	"hyssoploom/provider"
 	"hyssoploom/rollout"
 	"hyssoploom/settings"
@@ -53,10 +53,10 @@
 
 // Deps are the outside systems of an agent.
 type Deps struct {
-	Store   platform.Store
-	VMs     platform.VMList
-	Engine  platform.Engine  // nil for a plain service
-	Service platform.Service // nil for an engine
+	Store   dialect.Store
+	VMs     dialect.VMList
+	Engine  dialect.Engine  // nil for a plain service
+	Service dialect.Service // nil for an engine
 	Log     *telemetry.Logger
 	Tracing *telemetry.Tracing
 }
@@ -94,7 +94,7 @@
 
 // engineView is what the engine reported last.
 type engineView struct {
-	status platform.EngineStatus
+	status dialect.EngineStatus
 	ok     bool
 }
 
--- a/agent/chat.go
+++ b/agent/chat.go
@@ -9,8 +9,8 @@
 	"go.opentelemetry.io/otel/attribute"
 
 	"hyssoploom/admission"
+	"hyssoploom/dialect"
 	"hyssoploom/link"
-	"hyssoploom/platform"
 	"hyssoploom/rollout"
 )
 
@@ -43,7 +43,7 @@
 	if v := modelVersion(a.snapshot.View(), r.Model, r.Version); v != nil {
 		g.priceIn, g.priceOut = v.PriceIn, v.PriceOut
 	}
-	generated, err := a.deps.Engine.Generate(runCtx, a.generateRequest(r), func(t platform.Token) error {
+	generated, err := a.deps.Engine.Generate(runCtx, a.generateRequest(r), func(t dialect.Token) error {
 		if g.tokens == 0 {
 			a.gate.firstToken(ticket)
 		}
@@ -70,8 +70,8 @@
 	return nil
 }
 
-func (a *Agent) generateRequest(r *link.Request) platform.GenerateRequest {
-	return platform.GenerateRequest{
+func (a *Agent) generateRequest(r *link.Request) dialect.GenerateRequest {
+	return dialect.GenerateRequest{
 		RequestID:  r.RequestID,
 		Model:      r.Model,
 		Version:    r.Version,
@@ -89,22 +89,22 @@
 		return nil
 	}
 	switch {
-	case errors.Is(err, platform.ErrRefusedConnection):
+	case errors.Is(err, dialect.ErrRefusedConnection):
 		// A call that was cancelled before its connection says nothing about the
 		// engine.
 		a.gate.done(admission.Result{ID: ticket, RefusedConnection: !errors.Is(err, context.Canceled)})
 		return a.refuse(codeUnreachable, fmt.Sprintf("backend server %q refused the connection", a.settings.Name))
-	case errors.Is(err, platform.ErrOverloaded):
+	case errors.Is(err, dialect.ErrOverloaded):
 		a.gate.done(admission.Result{ID: ticket, Overloaded: true})
 		return a.refuse(codeOverloaded, fmt.Sprintf("backend server %q is overloaded", a.settings.Name))
-	case errors.Is(err, platform.ErrNotLoaded):
+	case errors.Is(err, dialect.ErrNotLoaded):
 		a.gate.done(admission.Result{ID: ticket})
 		return a.refuse(codeNotLoaded, fmt.Sprintf("%s@%s is not loaded on %q", r.Model, r.Version, a.settings.Name))
 	}
 	return nil
 }
 
-func (a *Agent) finishChat(ctx context.Context, in *link.Incoming, generated platform.Generated, g generation, err error) {
+func (a *Agent) finishChat(ctx context.Context, in *link.Incoming, generated dialect.Generated, g generation, err error) {
 	r := in.Request
 	end := link.End{
 		Complete:     err == nil,
@@ -132,7 +132,7 @@
 
 // rejected reports whether the engine answered that the request is at fault.
 func rejected(err error) bool {
-	var status *platform.BackendStatusError
+	var status *dialect.BackendStatusError
 	return errors.As(err, &status) && status.Status >= http.StatusBadRequest && status.Status < http.StatusInternalServerError
 }
 
@@ -144,7 +144,7 @@
 		return codeDeadline
 	case errors.Is(err, context.Canceled):
 		return codeCancelled
-	case errors.Is(err, platform.ErrTruncated):
+	case errors.Is(err, dialect.ErrTruncated):
 		return "answer_truncated"
 	default:
 		return "backend_failed"
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -10,7 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"hyssoploom/config"
-	"hyssoploom/platform"
+	"hyssoploom/dialect"
 )
 
 const (
@@ -81,27 +81,27 @@
 }
 
 // nextOrder returns the first difference between the record and what is loaded.
-func nextOrder(server *config.BackendServer, loaded []platform.ModelRef) (platform.Order, bool) {
-	has := make(map[platform.ModelRef]bool)
+func nextOrder(server *config.BackendServer, loaded []dialect.ModelRef) (dialect.Order, bool) {
+	has := make(map[dialect.ModelRef]bool)
 	for _, ref := range loaded {
 		has[ref] = true
 	}
-	wanted := make(map[platform.ModelRef]bool)
+	wanted := make(map[dialect.ModelRef]bool)
 	for _, p := range server.Serves {
-		wanted[platform.ModelRef{Model: p.Model, Version: p.Version}] = true
+		wanted[dialect.ModelRef{Model: p.Model, Version: p.Version}] = true
 	}
 	for _, ref := range loaded {
 		if !wanted[ref] {
-			return platform.Order{Action: "unload", Target: ref}, true
+			return dialect.Order{Action: "unload", Target: ref}, true
 		}
 	}
 	for _, p := range server.Serves {
-		ref := platform.ModelRef{Model: p.Model, Version: p.Version}
+		ref := dialect.ModelRef{Model: p.Model, Version: p.Version}
 		if !has[ref] {
-			return platform.Order{Action: "load", Target: ref}, true
+			return dialect.Order{Action: "load", Target: ref}, true
 		}
 	}
-	return platform.Order{}, false
+	return dialect.Order{}, false
 }
 
 // errStaleRecord reports that the store has a newer record than the snapshot.
@@ -109,7 +109,7 @@
 
 // confirm reads the record afresh. Engines that ignore the fencing number would
 // otherwise obey an agent that was paused while its record was replaced.
-func (o *orders) confirm(ctx context.Context, order platform.Order) error {
+func (o *orders) confirm(ctx context.Context, order dialect.Order) error {
 	key := config.Key(config.KindBackendServer, o.agent.settings.Name)
 	kv, err := o.agent.deps.Store.Get(ctx, key)
 	if err != nil {
@@ -124,7 +124,7 @@
 
 // give sends the order. The record is confirmed last, because the agent may
 // have waited long for its load permit.
-func (o *orders) give(ctx context.Context, order platform.Order, checksFencing bool) error {
+func (o *orders) give(ctx context.Context, order dialect.Order, checksFencing bool) error {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	if order.Action == "load" {
@@ -154,7 +154,7 @@
 // outlasts reports whether the store has been down for longer than an order
 // waits for it.
 func (o *orders) outlasts(err error) bool {
-	if !errors.Is(err, platform.ErrUnavailable) {
+	if !errors.Is(err, dialect.ErrUnavailable) {
 		o.downSince = time.Time{}
 		return false
 	}
@@ -168,7 +168,7 @@
 var errNoPermit = errors.New("all load permits are taken")
 
 // takePermit creates one of the data centre's permit keys under a lease.
-func (o *orders) takePermit(ctx context.Context) (platform.Lease, error) {
+func (o *orders) takePermit(ctx context.Context) (dialect.Lease, error) {
 	store := o.agent.deps.Store
 	lease, err := store.Grant(ctx, permitTTL)
 	if err != nil {
@@ -176,8 +176,8 @@
 	}
 	for n := range loadPermits {
 		key := fmt.Sprintf("permit/%s/%d", o.agent.settings.DataCentre, n)
-		_, err := store.Swap(ctx, platform.Write{Key: key, Value: []byte(o.agent.settings.Name), Lease: lease})
-		var conflict *platform.ConflictError
+		_, err := store.Swap(ctx, dialect.Write{Key: key, Value: []byte(o.agent.settings.Name), Lease: lease})
+		var conflict *dialect.ConflictError
 		if errors.As(err, &conflict) {
 			continue
 		}
@@ -192,7 +192,7 @@
 	return "", errNoPermit
 }
 
-func (o *orders) returnPermit(lease platform.Lease) {
+func (o *orders) returnPermit(lease dialect.Lease) {
 	ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
 	defer cancel()
 	if err := o.agent.deps.Store.Revoke(ctx, lease); err != nil {
--- a/agent/service.go
+++ b/agent/service.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"hyssoploom/admission"
+	"hyssoploom/dialect"
 	"hyssoploom/link"
 	"hyssoploom/once"
-	"hyssoploom/platform"
 )
 
 const (
@@ -46,7 +46,7 @@
 	span.End()
 	took := time.Since(started)
 
-	if errors.Is(err, platform.ErrRefusedConnection) {
+	if errors.Is(err, dialect.ErrRefusedConnection) {
 		a.gate.done(admission.Result{ID: ticket, RefusedConnection: true})
 		a.abandon(r)
 		return a.refuse(codeUnreachable, fmt.Sprintf("backend server %q refused the connection", a.settings.Name))
@@ -102,8 +102,8 @@
 	}
 }
 
-func serviceCall(r *link.Request) platform.Call {
-	return platform.Call{
+func serviceCall(r *link.Request) dialect.Call {
+	return dialect.Call{
 		RequestID: r.RequestID,
 		Workspace: r.Workspace,
 		Method:    r.Method,
@@ -124,7 +124,7 @@
 	}
 }
 
-func (a *Agent) finishService(ctx context.Context, in *link.Incoming, reply platform.Reply) {
+func (a *Agent) finishService(ctx context.Context, in *link.Incoming, reply dialect.Reply) {
 	r := in.Request
 	row := a.rowOf(r)
 	row.Outcome = outcomeComplete
--- a/cli/apply.go
+++ b/cli/apply.go
@@ -10,7 +10,7 @@
 	"github.com/spf13/cobra"
 
 	"hyssoploom/config"
-	"hyssoploom/platform"
+	"hyssoploom/dialect"
 )
 
 func (g *globals) checkCommand() *cobra.Command {
@@ -64,7 +64,7 @@
 }
 
 // plan loads and validates a directory and compares it with the store.
-func (g *globals) plan(ctx context.Context, dir string, prune bool) (platform.Store, []config.Change, []config.Issue, error) {
+func (g *globals) plan(ctx context.Context, dir string, prune bool) (dialect.Store, []config.Change, []config.Issue, error) {
 	decls, issues := config.LoadFS(os.DirFS(dir))
 	if len(issues) > 0 {
 		return nil, nil, issues, nil
@@ -196,7 +196,7 @@
 
 // writeAll writes the records in order. Once the store is unavailable, the
 // remaining records are not attempted.
-func writeAll(ctx context.Context, store platform.Store, writes []pending) []Result {
+func writeAll(ctx context.Context, store dialect.Store, writes []pending) []Result {
 	results := make([]Result, 0, len(writes))
 	var stopped error
 	for _, p := range writes {
--- a/cli/exit.go
+++ b/cli/exit.go
@@ -4,7 +4,7 @@
 	"errors"
 	"fmt"
 
-	"hyssoploom/platform"
+	"hyssoploom/dialect"
 )
 
 // Code is an exit code of the command line, documented in docs/exit-codes.md.
@@ -42,7 +42,7 @@
 // CodeOf returns the exit code of a command's error.
 func CodeOf(err error) Code {
 	var exit *ExitError
-	var conflict *platform.ConflictError
+	var conflict *dialect.ConflictError
 	switch {
 	case err == nil:
 		return CodeOK
@@ -50,11 +50,11 @@
 		return exit.Code
 	case errors.As(err, &conflict):
 		return CodeConflict
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, dialect.ErrUnavailable):
 		return CodeUnavailable
-	case errors.Is(err, platform.ErrUnknownOutcome):
+	case errors.Is(err, dialect.ErrUnknownOutcome):
 		return CodeUnknown
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, dialect.ErrNotFound):
 		return CodeNotFound
 	}
 	return CodeFailure
--- a/cli/get.go
+++ b/cli/get.go
@@ -11,7 +11,7 @@
 	"github.com/spf13/cobra"
 
 	"hyssoploom/config"
-	"hyssoploom/platform"
+	"hyssoploom/dialect"
 )
 
 // shownRecord is a stored record as get prints it.
@@ -56,7 +56,7 @@
 }
 
 // show decodes a stored record and converts it to a schema version, if given.
-func show(kv platform.KV, schema int) (shownRecord, error) {
+func show(kv dialect.KV, schema int) (shownRecord, error) {
 	e, err := config.Decode(kv.Key, kv.Value)
 	s := shownRecord{Key: kv.Key, Revision: kv.Revision, Record: kv.Value, envelope: e}
 	if err != nil {
@@ -77,7 +77,7 @@
 	return s, nil
 }
 
-func printOne(ctx context.Context, w io.Writer, store platform.Store, f format, key string, schema int) error {
+func printOne(ctx context.Context, w io.Writer, store dialect.Store, f format, key string, schema int) error {
 	kv, err := store.Get(ctx, key)
 	if err != nil {
 		return fmt.Errorf("%s: %w", key, err)
@@ -101,7 +101,7 @@
 	return nil
 }
 
-func printKind(ctx context.Context, w io.Writer, store platform.Store, f format, kind config.Kind, schema int) error {
+func printKind(ctx context.Context, w io.Writer, store dialect.Store, f format, kind config.Kind, schema int) error {
 	kvs, _, err := store.List(ctx, config.Key(kind, ""))
 	if err != nil {
 		return err
--- a/cli/race_test.go
+++ b/cli/race_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"hyssoploom/config"
-	"hyssoploom/platform"
+	"hyssoploom/dialect"
 	"hyssoploom/standin"
 )
 
@@ -82,7 +82,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	inStore := map[string]platform.Event{}
+	inStore := map[string]dialect.Event{}
 	for _, e := range events {
 		env, err := config.Decode(e.Key, e.Value)
 		if _, twice := inStore[env.ChangeID]; twice || err != nil {
--- a/cli/root.go
+++ b/cli/root.go
@@ -12,7 +12,7 @@
 	"github.com/spf13/cobra"
 
 	"hyssoploom/config"
-	"hyssoploom/platform"
+	"hyssoploom/dialect"
 )
 
 // The environment variables that stand in for flags.
@@ -90,15 +90,15 @@
 	return name + "@" + host
 }
 
-func (g *globals) store() (platform.Store, error) {
+func (g *globals) store() (dialect.Store, error) {
 	if g.storeURL == "" {
 		return nil, Exit(CodeUsage, "no store: set --store or %s", EnvStore)
 	}
-	return platform.NewHTTPStore(g.storeURL), nil
+	return dialect.NewHTTPStore(g.storeURL), nil
 }
 
 // load reads all records from the store. The returned revision is the store's.
-func load(ctx context.Context, store platform.Store) (*config.Snapshot, uint64, error) {
+func load(ctx context.Context, store dialect.Store) (*config.Snapshot, uint64, error) {
 	snap := config.NewSnapshot()
 	var newest uint64
 	for _, prefix := range config.Prefixes() {
@@ -117,7 +117,7 @@
 }
 
 // load reads all records from the store of the flags.
-func (g *globals) load(ctx context.Context) (platform.Store, *config.Snapshot, error) {
+func (g *globals) load(ctx context.Context) (dialect.Store, *config.Snapshot, error) {
 	store, err := g.store()
 	if err != nil {
 		return nil, nil, err
--- a/cli/write.go
+++ b/cli/write.go
@@ -10,7 +10,7 @@
 	"github.com/oklog/ulid/v2"
 
 	"hyssoploom/config"
-	"hyssoploom/platform"
+	"hyssoploom/dialect"
 )
 
 // Bounds of retries. Only calls that certainly had no effect, and reads, are
@@ -69,27 +69,27 @@
 
 // write performs one compare-and-swap. It repeats it only after ErrUnavailable,
 // which says that it was not applied, and resolves a lost response by reading.
-func (p pending) write(ctx context.Context, store platform.Store) Result {
+func (p pending) write(ctx context.Context, store dialect.Store) Result {
 	var rev uint64
 	var err error
 	// The error of Retry itself is ignored: when the command is interrupted, the
 	// error of the last call still tells whether the write took effect.
 	_, _ = backoff.Retry(ctx, func() (struct{}, error) {
-		rev, err = store.Swap(ctx, platform.Write{Key: p.key, Value: p.raw, Expect: p.expect})
-		if err != nil && !errors.Is(err, platform.ErrUnavailable) {
+		rev, err = store.Swap(ctx, dialect.Write{Key: p.key, Value: p.raw, Expect: p.expect})
+		if err != nil && !errors.Is(err, dialect.ErrUnavailable) {
 			return struct{}{}, backoff.Permanent(err)
 		}
 		return struct{}{}, err
 	}, retryOptions(retryFor)...)
-	var conflict *platform.ConflictError
+	var conflict *dialect.ConflictError
 	switch {
 	case err == nil:
 		return p.result(Written, rev, "")
 	case errors.As(err, &conflict):
 		return p.resolve(conflict.Current)
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, dialect.ErrUnavailable):
 		return p.result(Unavailable, 0, err.Error())
-	case errors.Is(err, platform.ErrValueTooLarge):
+	case errors.Is(err, dialect.ErrValueTooLarge):
 		return p.result(Failed, 0, err.Error())
 	}
 	return p.readBack(ctx, store, err)
@@ -103,11 +103,11 @@
 
 // readBack finds out whether a write whose response was lost took effect. It
 // goes on when the operator interrupts the command, so that the report is right.
-func (p pending) readBack(ctx context.Context, store platform.Store, lost error) Result {
+func (p pending) readBack(ctx context.Context, store dialect.Store, lost error) Result {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), readBackFor)
 	defer cancel()
 	for range settleReads {
-		kv, err := backoff.Retry(ctx, func() (platform.KV, error) { return get(ctx, store, p.key) }, retryOptions(readBackFor)...)
+		kv, err := backoff.Retry(ctx, func() (dialect.KV, error) { return get(ctx, store, p.key) }, retryOptions(readBackFor)...)
 		if err != nil {
 			return p.result(Unknown, 0, fmt.Sprintf("%v; reading back failed: %v", lost, err))
 		}
@@ -124,16 +124,16 @@
 }
 
 // get reads a key; a key that does not exist has revision 0.
-func get(ctx context.Context, store platform.Store, key string) (platform.KV, error) {
+func get(ctx context.Context, store dialect.Store, key string) (dialect.KV, error) {
 	kv, err := store.Get(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) {
-		return platform.KV{Key: key}, nil
+	if errors.Is(err, dialect.ErrNotFound) {
+		return dialect.KV{Key: key}, nil
 	}
 	return kv, err
 }
 
 // resolve decides by the change id whether the store's record is the one written.
-func (p pending) resolve(current platform.KV) Result {
+func (p pending) resolve(current dialect.KV) Result {
 	e, _ := config.Decode(current.Key, current.Value)
 	if e.ChangeID == p.id {
 		return p.result(Written, current.Revision, "")
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -15,7 +15,7 @@
 
 	"github.com/spf13/cobra"
 
-	"hyssoploom/platform"
+	"hyssoploom/dialect"
 	"hyssoploom/standin"
 )
 
@@ -63,7 +63,7 @@
 			if !ok {
 				return fmt.Errorf("--load %q is not model@version", text)
 			}
-			config.Loaded = append(config.Loaded, platform.ModelRef{Model: model, Version: version})
+			config.Loaded = append(config.Loaded, dialect.ModelRef{Model: model, Version: version})
 		}
 		return serve(cmd.Context(), *listen, standin.NewEngine(config).Handler())
 	}}
--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -9,7 +9,7 @@
 
 	"hyssoploom/agent"
 	"hyssoploom/cli"
-	"hyssoploom/platform"
+	"hyssoploom/dialect"
 	"hyssoploom/settings"
 	"hyssoploom/supervise"
 	"hyssoploom/telemetry"
@@ -52,16 +52,16 @@
 		}
 	}
 	deps := agent.Deps{
-		Store:   platform.NewHTTPStore(s.StoreURL),
-		VMs:     platform.NewHTTPVMList(s.VMListURL),
+		Store:   dialect.NewHTTPStore(s.StoreURL),
+		VMs:     dialect.NewHTTPVMList(s.VMListURL),
 		Log:     log,
 		Tracing: tracing,
 	}
 	switch s.BackendKind {
 	case settings.BackendService:
-		deps.Service = platform.NewHTTPService(s.BackendURL, nil)
+		deps.Service = dialect.NewHTTPService(s.BackendURL, nil)
 	default:
-		deps.Engine = platform.NewHTTPEngine(s.BackendURL, nil)
+		deps.Engine = dialect.NewHTTPEngine(s.BackendURL, nil)
 	}
 	d.agent = agent.New(s, deps)
 	return supervise.Run(ctx, d, log)
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -10,8 +10,8 @@
 	"github.com/spf13/cobra"
 
 	"hyssoploom/cli"
+	"hyssoploom/dialect"
 	"hyssoploom/entry"
-	"hyssoploom/platform"
 	"hyssoploom/settings"
 	"hyssoploom/supervise"
 	"hyssoploom/telemetry"
@@ -59,8 +59,8 @@
 		return err
 	}
 	e := entry.New(s, entry.Deps{
-		Store:   platform.NewHTTPStore(s.StoreURL),
-		VMs:     platform.NewHTTPVMList(s.VMListURL),
+		Store:   dialect.NewHTTPStore(s.StoreURL),
+		VMs:     dialect.NewHTTPVMList(s.VMListURL),
 		Rater:   rater,
 		Log:     log,
 		Tracing: tracing,
@@ -100,13 +100,13 @@
 // noRater stands for a rater that the settings do not name.
 type noRater struct{}
 
-func (noRater) Rate(context.Context, platform.RateRequest) (platform.Rating, error) {
-	return platform.Rating{}, fmt.Errorf("%w: no rater_url in the settings", platform.ErrRaterUnavailable)
+func (noRater) Rate(context.Context, dialect.RateRequest) (dialect.Rating, error) {
+	return dialect.Rating{}, fmt.Errorf("%w: no rater_url in the settings", dialect.ErrRaterUnavailable)
 }
 
-func newRater(url string) (platform.Rater, error) {
+func newRater(url string) (dialect.Rater, error) {
 	if url == "" {
 		return noRater{}, nil
 	}
-	return platform.NewHTTPRater(url, 0)
+	return dialect.NewHTTPRater(url, 0)
 }
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -14,9 +14,9 @@
 	"github.com/rotisserie/eris"
 
 	"hyssoploom/config"
+	"hyssoploom/dialect"
 	"hyssoploom/embedded"
 	"hyssoploom/ledger"
-	"hyssoploom/platform"
 )
 
 const (
@@ -41,7 +41,7 @@
 }
 
 // judge lets the cheapest model fail on inspection summaries.
-func judge(r platform.RateRequest, _ float64) bool {
+func judge(r dialect.RateRequest, _ float64) bool {
 	return r.TaskClass != "inspection-summary" || r.Model != "small"
 }
 
--- a/platform/engine.go
+++ b/dialect/engine.go
@@ -1,4 +1,4 @@
-package platform
+package dialect
 
 import (
 	"bufio"
--- a/platform/http_test.go
+++ b/dialect/http_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package dialect_test
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"hyssoploom/platform"
+	"hyssoploom/dialect"
 	"hyssoploom/standin"
 )
 
@@ -20,19 +20,19 @@
 	backing := standin.NewStore()
 	srv := httptest.NewServer(backing.Handler())
 	defer srv.Close()
-	s, ctx := platform.NewHTTPStore(srv.URL+"/"), t.Context()
+	s, ctx := dialect.NewHTTPStore(srv.URL+"/"), t.Context()
 
-	if _, err := s.Get(ctx, "a/1"); !errors.Is(err, platform.ErrNotFound) {
+	if _, err := s.Get(ctx, "a/1"); !errors.Is(err, dialect.ErrNotFound) {
 		t.Fatalf("Get of a missing key: %v", err)
 	}
 	lease, err := s.Grant(ctx, time.Hour)
 	if err != nil {
 		t.Fatal(err)
 	}
-	first := must(s.Swap(ctx, platform.Write{Key: "a/1", Value: []byte{0, 255}, Lease: lease}))(t)
-	must(s.Swap(ctx, platform.Write{Key: "b/1", Value: []byte("x")}))(t)
-	var conflict *platform.ConflictError
-	if _, err := s.Swap(ctx, platform.Write{Key: "a/1"}); !errors.As(err, &conflict) || conflict.Current.Revision != first {
+	first := must(s.Swap(ctx, dialect.Write{Key: "a/1", Value: []byte{0, 255}, Lease: lease}))(t)
+	must(s.Swap(ctx, dialect.Write{Key: "b/1", Value: []byte("x")}))(t)
+	var conflict *dialect.ConflictError
+	if _, err := s.Swap(ctx, dialect.Write{Key: "a/1"}); !errors.As(err, &conflict) || conflict.Current.Revision != first {
 		t.Fatalf("Swap over an existing key: %v", err)
 	}
 	kvs, rev, err := s.List(ctx, "a/")
@@ -46,17 +46,17 @@
 	if err != nil || len(events) != 1 || !events[0].Deleted || events[0].Revision != 3 || next != 3 {
 		t.Fatalf("Watch after revoke = %v, %d, %v", events, next, err)
 	}
-	if err := s.KeepAlive(ctx, lease); !errors.Is(err, platform.ErrLeaseEnded) {
+	if err := s.KeepAlive(ctx, lease); !errors.Is(err, dialect.ErrLeaseEnded) {
 		t.Fatalf("KeepAlive of a revoked lease: %v", err)
 	}
-	if _, err := s.Swap(ctx, platform.Write{Key: "c", Lease: lease}); !errors.Is(err, platform.ErrLeaseEnded) {
+	if _, err := s.Swap(ctx, dialect.Write{Key: "c", Lease: lease}); !errors.Is(err, dialect.ErrLeaseEnded) {
 		t.Fatalf("Swap with a revoked lease: %v", err)
 	}
-	if _, err := s.Swap(ctx, platform.Write{Key: "c", Value: make([]byte, platform.MaxValueBytes+1)}); !errors.Is(err, platform.ErrValueTooLarge) {
+	if _, err := s.Swap(ctx, dialect.Write{Key: "c", Value: make([]byte, dialect.MaxValueBytes+1)}); !errors.Is(err, dialect.ErrValueTooLarge) {
 		t.Fatalf("Swap of a large value: %v", err)
 	}
 	backing.SetHistory(1)
-	if _, _, err := s.Watch(ctx, "", 0, 0); !errors.Is(err, platform.ErrCompacted) {
+	if _, _, err := s.Watch(ctx, "", 0, 0); !errors.Is(err, dialect.ErrCompacted) {
 		t.Fatalf("Watch from the start: %v", err)
 	}
 }
@@ -83,19 +83,19 @@
 		serve       http.HandlerFunc
 		read, write error
 	}{
-		"refused":      {nil, platform.ErrUnavailable, platform.ErrUnavailable},
-		"closed":       {func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, platform.ErrUnavailable, platform.ErrUnknownOutcome},
-		"silent":       {hang, platform.ErrUnavailable, platform.ErrUnknownOutcome},
-		"intermediary": {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(503) }, platform.ErrUnavailable, platform.ErrUnknownOutcome},
-		"redirect":     {func(w http.ResponseWriter, r *http.Request) { http.Redirect(w, r, "/x", http.StatusTemporaryRedirect) }, platform.ErrUnavailable, platform.ErrUnknownOutcome},
+		"refused":      {nil, dialect.ErrUnavailable, dialect.ErrUnavailable},
+		"closed":       {func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, dialect.ErrUnavailable, dialect.ErrUnknownOutcome},
+		"silent":       {hang, dialect.ErrUnavailable, dialect.ErrUnknownOutcome},
+		"intermediary": {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(503) }, dialect.ErrUnavailable, dialect.ErrUnknownOutcome},
+		"redirect":     {func(w http.ResponseWriter, r *http.Request) { http.Redirect(w, r, "/x", http.StatusTemporaryRedirect) }, dialect.ErrUnavailable, dialect.ErrUnknownOutcome},
 		"store": {func(w http.ResponseWriter, _ *http.Request) {
 			w.WriteHeader(503)
 			_, _ = w.Write([]byte(`{"code":"unavailable"}`))
-		}, platform.ErrUnavailable, platform.ErrUnavailable},
+		}, dialect.ErrUnavailable, dialect.ErrUnavailable},
 		"truncated": {func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Content-Length", "100")
 			_, _ = w.Write([]byte(`{"revision":4}`))
-		}, platform.ErrUnavailable, platform.ErrUnknownOutcome},
+		}, dialect.ErrUnavailable, dialect.ErrUnknownOutcome},
 	} {
 		t.Run(name, func(t *testing.T) {
 			srv := httptest.NewServer(c.serve)
@@ -103,14 +103,14 @@
 			if c.serve == nil {
 				srv.Close()
 			}
-			s := platform.NewHTTPStore(srv.URL, platform.WithCallTimeout(100*time.Millisecond), platform.WithWatchMargin(100*time.Millisecond))
+			s := dialect.NewHTTPStore(srv.URL, dialect.WithCallTimeout(100*time.Millisecond), dialect.WithWatchMargin(100*time.Millisecond))
 			_, readErr := s.Get(t.Context(), "k")
 			_, _, watchErr := s.Watch(t.Context(), "k", 0, 10*time.Millisecond)
-			_, writeErr := s.Swap(t.Context(), platform.Write{Key: "k"})
+			_, writeErr := s.Swap(t.Context(), dialect.Write{Key: "k"})
 			if !errors.Is(readErr, c.read) || !errors.Is(watchErr, c.read) || !errors.Is(writeErr, c.write) {
 				t.Fatalf("read: %v, watch: %v, write: %v", readErr, watchErr, writeErr)
 			}
-			if errors.Is(writeErr, platform.ErrUnavailable) && c.write == platform.ErrUnknownOutcome {
+			if errors.Is(writeErr, dialect.ErrUnavailable) && c.write == dialect.ErrUnknownOutcome {
 				t.Fatalf("a lost write also claims that it was not applied: %v", writeErr)
 			}
 		})
@@ -129,11 +129,11 @@
 		_, _ = w.Write([]byte(`{"kvs":[],"revision":1}`))
 	}))
 	defer srv.Close()
-	s := platform.NewHTTPStore(srv.URL)
+	s := dialect.NewHTTPStore(srv.URL)
 	if _, _, err := s.List(t.Context(), ""); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := s.Swap(t.Context(), platform.Write{Key: "k"}); !errors.Is(err, platform.ErrUnknownOutcome) || swaps.Load() != 1 {
+	if _, err := s.Swap(t.Context(), dialect.Write{Key: "k"}); !errors.Is(err, dialect.ErrUnknownOutcome) || swaps.Load() != 1 {
 		t.Fatalf("Swap sent %d times, %v", swaps.Load(), err)
 	}
 }
@@ -155,8 +155,8 @@
 	}
 	srv.Start()
 	defer srv.Close()
-	l := platform.NewHTTPVMList(srv.URL, platform.WithCallTimeout(100*time.Millisecond))
-	if _, err := l.VMs(t.Context()); !errors.Is(err, platform.ErrUnavailable) || !errors.Is(err, context.DeadlineExceeded) {
+	l := dialect.NewHTTPVMList(srv.URL, dialect.WithCallTimeout(100*time.Millisecond))
+	if _, err := l.VMs(t.Context()); !errors.Is(err, dialect.ErrUnavailable) || !errors.Is(err, context.DeadlineExceeded) {
 		t.Fatalf("call on a silent connection: %v", err)
 	}
 	vms, err := l.VMs(t.Context())
--- a/platform/platform.go
+++ b/dialect/platform.go
@@ -1,6 +1,6 @@
-// Package platform defines what hyssoploom needs from the platform and from
+// Package dialect defines what hyssoploom needs from the platform and from
 // backend servers, and implements it with HTTP clients.
-package platform
+package dialect
 
 import (
 	"context"
--- a/platform/storeproto.go
+++ b/dialect/storeproto.go
@@ -1,4 +1,4 @@
-package platform
+package dialect
 
 // The bodies of the store protocol, see docs/platform-protocols.md. Values are
 // base64 in JSON.
--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -9,9 +9,9 @@
 	"testing"
 
 	"hyssoploom/config"
+	"hyssoploom/dialect"
 	"hyssoploom/embedded"
 	"hyssoploom/ledger"
-	"hyssoploom/platform"
 )
 
 // Guards against parts that work in one process only: every process of the
@@ -19,7 +19,7 @@
 func TestWholePathAsProcesses(t *testing.T) {
 	c := newCluster(t)
 	c.storeURL = startStandin(t, "store").addr
-	store := platform.NewHTTPStore(c.storeURL)
+	store := dialect.NewHTTPStore(c.storeURL)
 	copyRecords(t, c, store)
 	engines := map[string]*proc{
 		"small":  startStandin(t, "engine", "--load", "small@1", "--tokens", "12"),
@@ -65,20 +65,20 @@
 }
 
 // copyRecords writes the cluster's records to the store of a process.
-func copyRecords(t *testing.T, c *cluster, store platform.Store) {
+func copyRecords(t *testing.T, c *cluster, store dialect.Store) {
 	t.Helper()
 	kvs, _, err := c.store.List(context.Background(), "config/")
 	if err != nil {
 		t.Fatal(err)
 	}
 	for _, kv := range kvs {
-		if _, err := store.Swap(context.Background(), platform.Write{Key: kv.Key, Value: kv.Value}); err != nil {
+		if _, err := store.Swap(context.Background(), dialect.Write{Key: kv.Key, Value: kv.Value}); err != nil {
 			t.Fatal(err)
 		}
 	}
 }
 
-func putBackend(t *testing.T, store platform.Store, name, addr string, record config.BackendServer) {
+func putBackend(t *testing.T, store dialect.Store, name, addr string, record config.BackendServer) {
 	t.Helper()
 	record.VM, record.AgentAddr, record.State = name, addr, config.BackendServerIn
 	if err := embedded.PutRecord(context.Background(), store, config.KindBackendServer, name, &record); err != nil {
--- a/e2e/smallfleet.go
+++ b/e2e/smallfleet.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"hyssoploom/platform"
+	"hyssoploom/dialect"
 	"hyssoploom/standin"
 )
 
@@ -26,7 +26,7 @@
 func startSmallFleet(t *testing.T, engine standin.EngineConfig) *smallFleet {
 	t.Helper()
 	f := &smallFleet{cluster: newCluster(t), engines: make(map[string]*standin.Engine), urls: make(map[string]string)}
-	engine.Loaded = []platform.ModelRef{{Model: "small", Version: "1"}}
+	engine.Loaded = []dialect.ModelRef{{Model: "small", Version: "1"}}
 	engine.Resumes = true
 	for _, name := range []string{"small-1", "small-2"} {
 		f.engines[name] = standin.NewEngine(engine)
--- a/embedded/daemons.go
+++ b/embedded/daemons.go
@@ -11,8 +11,8 @@
 
 	"hyssoploom/agent"
 	"hyssoploom/config"
+	"hyssoploom/dialect"
 	"hyssoploom/entry"
-	"hyssoploom/platform"
 	"hyssoploom/settings"
 	"hyssoploom/standin"
 )
@@ -35,7 +35,7 @@
 	if err := f.StartAgent(ctx, spec.Name); err != nil {
 		return err
 	}
-	f.setVM(platform.VM{Name: "vm-" + spec.Name, DataCentre: spec.DataCentre, Role: "backend", Addr: b.addr})
+	f.setVM(dialect.VM{Name: "vm-" + spec.Name, DataCentre: spec.DataCentre, Role: "backend", Addr: b.addr})
 	return f.Put(ctx, config.KindBackendServer, spec.Name, b.Record(config.BackendServerIn))
 }
 
@@ -63,17 +63,17 @@
 	b.addr = listener.Addr().String()
 	deps := agent.Deps{
 		Store:   f.storeOf(name),
-		VMs:     platform.NewHTTPVMList(f.vmURL),
+		VMs:     dialect.NewHTTPVMList(f.vmURL),
 		Log:     f.log.Part("agent " + name),
 		Tracing: f.spec.Tracing,
 	}
 	if b.Engine != nil {
-		deps.Engine = platform.NewHTTPEngine(b.Server.URL(), nil)
+		deps.Engine = dialect.NewHTTPEngine(b.Server.URL(), nil)
 		if f.spec.Engine != nil {
 			deps.Engine = f.spec.Engine(name, deps.Engine)
 		}
 	} else {
-		deps.Service = platform.NewHTTPService(b.Server.URL(), nil)
+		deps.Service = dialect.NewHTTPService(b.Server.URL(), nil)
 	}
 	b.Agent = agent.New(&settings.Agent{
 		Name: name, VM: "vm-" + name, DataCentre: b.Spec.DataCentre, Listen: b.addr,
@@ -101,7 +101,7 @@
 
 func (f *Fleet) addEntry(ctx context.Context, spec EntrySpec) error {
 	f.Entries[spec.Name] = &Entry{Spec: spec}
-	f.setVM(platform.VM{Name: "vm-" + spec.Name, DataCentre: spec.DataCentre, Role: "entry"})
+	f.setVM(dialect.VM{Name: "vm-" + spec.Name, DataCentre: spec.DataCentre, Role: "entry"})
 	return f.StartEntry(ctx, spec.Name)
 }
 
@@ -118,7 +118,7 @@
 		return err
 	}
 	e.URL = "http://" + listener.Addr().String()
-	rater, err := platform.NewHTTPRater(f.raterURL, 0)
+	rater, err := dialect.NewHTTPRater(f.raterURL, 0)
 	if err != nil {
 		return errors.Join(err, listener.Close())
 	}
@@ -127,7 +127,7 @@
 		FleetKey: FleetKey, DrainGrace: drainGrace,
 		RequestTimeout: config.Duration(cmp.Or(f.spec.RequestTimeout, defaultRequestTimeout)), MaxBodyBytes: 512 << 10,
 	}, entry.Deps{
-		Store: f.storeOf(name), VMs: platform.NewHTTPVMList(f.vmURL), Rater: rater,
+		Store: f.storeOf(name), VMs: dialect.NewHTTPVMList(f.vmURL), Rater: rater,
 		Log: f.log.Part("entry " + name), Tracing: f.spec.Tracing, Seed: f.spec.Seed,
 	})
 	e.run = f.serve(ctx, func(ctx context.Context) error { return e.Entry.ServeOn(ctx, listener) })
--- a/embedded/default.go
+++ b/embedded/default.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"hyssoploom/config"
-	"hyssoploom/platform"
+	"hyssoploom/dialect"
 	"hyssoploom/standin"
 )
 
@@ -30,7 +30,7 @@
 		Name: name, DataCentre: dataCentre, ColdLimit: 4, WarmLimit: 16,
 		Serves: []config.Placement{{Model: model, Version: version}},
 		Engine: standin.EngineConfig{
-			Loaded:     []platform.ModelRef{{Model: model, Version: version}},
+			Loaded:     []dialect.ModelRef{{Model: model, Version: version}},
 			TokenDelay: time.Millisecond, Tokens: 12, Resumes: true, ChecksFencing: true,
 		},
 	}
--- a/embedded/fleet.go
+++ b/embedded/fleet.go
@@ -11,8 +11,8 @@
 
 	"hyssoploom/agent"
 	"hyssoploom/config"
+	"hyssoploom/dialect"
 	"hyssoploom/entry"
-	"hyssoploom/platform"
 	"hyssoploom/standin"
 	"hyssoploom/telemetry"
 )
@@ -59,10 +59,10 @@
 	Tracing *telemetry.Tracing
 	// Store returns the store as one process sees it; the stand-in over HTTP
 	// when nil.
-	Store func(process string, store platform.Store) platform.Store
+	Store func(process string, store dialect.Store) dialect.Store
 	// Engine returns the engine as its agent sees it; the stand-in over HTTP
 	// when nil.
-	Engine func(backend string, engine platform.Engine) platform.Engine
+	Engine func(backend string, engine dialect.Engine) dialect.Engine
 	// RequestTimeout bounds one request; 20 s when 0.
 	RequestTimeout time.Duration
 	// Judge replaces the rater's judgement.
@@ -102,7 +102,7 @@
 	vmURL    string
 	raterURL string
 	servers  []*standin.LoopbackServer
-	vms      map[string]platform.VM
+	vms      map[string]dialect.VM
 }
 
 // URLs are the addresses of the platform's stand-ins.
@@ -130,7 +130,7 @@
 		Store: standin.NewStore(), VMs: standin.NewVMList(),
 		Rater:    standin.NewRater(standin.RaterOptions{Judge: spec.Judge, Seed: spec.Seed}),
 		Backends: make(map[string]*Backend), Entries: make(map[string]*Entry),
-		spec: spec, log: telemetry.NewLogger(logs, spec.Level, "embedded"), vms: make(map[string]platform.VM),
+		spec: spec, log: telemetry.NewLogger(logs, spec.Level, "embedded"), vms: make(map[string]dialect.VM),
 	}
 	if err := f.startPlatform(); err != nil {
 		return nil, errors.Join(err, f.Close())
@@ -187,17 +187,17 @@
 	return nil
 }
 
-func (f *Fleet) storeOf(process string) platform.Store {
-	var store platform.Store = platform.NewHTTPStore(f.storeURL)
+func (f *Fleet) storeOf(process string) dialect.Store {
+	var store dialect.Store = dialect.NewHTTPStore(f.storeURL)
 	if f.spec.Store != nil {
 		return f.spec.Store(process, store)
 	}
 	return store
 }
 
-func (f *Fleet) setVM(vm platform.VM) {
+func (f *Fleet) setVM(vm dialect.VM) {
 	f.vms[vm.Name] = vm
-	list := make([]platform.VM, 0, len(f.vms))
+	list := make([]dialect.VM, 0, len(f.vms))
 	for _, vm := range f.vms {
 		list = append(list, vm)
 	}
--- a/embedded/records.go
+++ b/embedded/records.go
@@ -10,7 +10,7 @@
 	"github.com/oklog/ulid/v2"
 
 	"hyssoploom/config"
-	"hyssoploom/platform"
+	"hyssoploom/dialect"
 )
 
 // Declarations returns the records of the embedded fleet. A key hash that is
@@ -39,7 +39,7 @@
 }
 
 // PutRecord writes one operator record over whatever the store has.
-func PutRecord(ctx context.Context, store platform.Store, kind config.Kind, name string, spec any) error {
+func PutRecord(ctx context.Context, store dialect.Store, kind config.Kind, name string, spec any) error {
 	key := config.Key(kind, name)
 	raw, err := config.Encode(config.Envelope{
 		SchemaVersion: config.LatestSchema(kind), Kind: kind, Name: name,
@@ -49,9 +49,9 @@
 		return err
 	}
 	current, err := store.Get(ctx, key)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, dialect.ErrNotFound) {
 		return err
 	}
-	_, err = store.Swap(ctx, platform.Write{Key: key, Value: raw, Expect: current.Revision})
+	_, err = store.Swap(ctx, dialect.Write{Key: key, Value: raw, Expect: current.Revision})
 	return err
 }
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"hyssoploom/config"
+	"hyssoploom/dialect"
 	"hyssoploom/ledger"
-	"hyssoploom/platform"
 )
 
 const (
@@ -32,7 +32,7 @@
 	defer func() {
 		_ = e.deps.Store.Revoke(context.WithoutCancel(ctx), lease)
 	}()
-	if _, err := e.deps.Store.Swap(ctx, platform.Write{Key: dutyKey, Value: []byte(e.settings.Name), Lease: lease}); err != nil {
+	if _, err := e.deps.Store.Swap(ctx, dialect.Write{Key: dutyKey, Value: []byte(e.settings.Name), Lease: lease}); err != nil {
 		return
 	}
 	if err := ledger.Compact(ctx, e.deps.Store); err != nil {
@@ -60,8 +60,8 @@
 			continue
 		}
 		key := config.QuarantineKey(q.Model, q.Version)
-		revision, err := e.deps.Store.Swap(ctx, platform.Write{Key: key, Value: raw, Expect: q.BaseRevision})
-		var conflict *platform.ConflictError
+		revision, err := e.deps.Store.Swap(ctx, dialect.Write{Key: key, Value: raw, Expect: q.BaseRevision})
+		var conflict *dialect.ConflictError
 		switch {
 		case err == nil:
 			e.snapshot.Adopt([]config.Record{{Key: key, Revision: revision, Raw: raw}})
@@ -74,13 +74,13 @@
 // adoptQuarantine follows a conflict. A key that is gone without a tombstone was
 // removed from the store by other means than an operator's lift; the quarantine
 // is then written anew.
-func (e *Entry) adoptQuarantine(ctx context.Context, key string, raw []byte, current platform.KV) {
+func (e *Entry) adoptQuarantine(ctx context.Context, key string, raw []byte, current dialect.KV) {
 	if current.Revision == 0 {
-		revision, err := e.deps.Store.Swap(ctx, platform.Write{Key: key, Value: raw})
+		revision, err := e.deps.Store.Swap(ctx, dialect.Write{Key: key, Value: raw})
 		if err != nil {
 			return // the next round tries again
 		}
-		current = platform.KV{Revision: revision, Value: raw}
+		current = dialect.KV{Revision: revision, Value: raw}
 	}
 	e.snapshot.Adopt([]config.Record{{Key: key, Revision: current.Revision, Raw: current.Value}})
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -16,10 +16,10 @@
 
 	"hyssoploom/cascade"
 	"hyssoploom/config"
+	"hyssoploom/dialect"
 	"hyssoploom/health"
 	"hyssoploom/ledger"
 	"hyssoploom/once"
-	"hyssoploom/platform"
 	"hyssoploom/provider"
 	"hyssoploom/route"
 	"hyssoploom/session"
@@ -52,9 +52,9 @@
 
 // Deps are the outside systems of an entry.
 type Deps struct {
-	Store   platform.Store
-	VMs     platform.VMList
-	Rater   platform.Rater
+	Store   dialect.Store
+	VMs     dialect.VMList
+	Rater   dialect.Rater
 	Log     *telemetry.Logger
 	Tracing *telemetry.Tracing
 	// Seed makes the random choices repeatable; 0 takes a random seed.
--- a/entry/links.go
+++ b/entry/links.go
@@ -12,9 +12,9 @@
 
 	"hyssoploom/config"
 	"hyssoploom/control"
+	"hyssoploom/dialect"
 	"hyssoploom/ledger"
 	"hyssoploom/link"
-	"hyssoploom/platform"
 	"hyssoploom/route"
 	"hyssoploom/supervise"
 )
@@ -50,7 +50,7 @@
 
 	mu    sync.Mutex
 	peers map[string]*peer
-	vms   []platform.VM
+	vms   []dialect.VM
 	// held lists the agents that hold a row of a charge too.
 	held map[ledger.RowKey][]heldRow
 }
@@ -313,13 +313,13 @@
 	}
 }
 
-func (l *links) setVMs(vms []platform.VM) {
+func (l *links) setVMs(vms []dialect.VM) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.vms = vms
 }
 
-func (l *links) vmList() []platform.VM {
+func (l *links) vmList() []dialect.VM {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return slices.Clone(l.vms)
--- a/entry/ratings.go
+++ b/entry/ratings.go
@@ -7,7 +7,7 @@
 
 	"hyssoploom/cascade"
 	"hyssoploom/control"
-	"hyssoploom/platform"
+	"hyssoploom/dialect"
 	"hyssoploom/rollout"
 	"hyssoploom/supervise"
 )
@@ -23,7 +23,7 @@
 
 // ratingJob is one answer to be rated.
 type ratingJob struct {
-	request platform.RateRequest
+	request dialect.RateRequest
 	wait    time.Duration
 	cascade bool // the request named a cascade
 	stage   int
@@ -113,7 +113,7 @@
 	return cascade.Failed
 }
 
-func (r *ratings) record(job ratingJob, verdict platform.Rating) {
+func (r *ratings) record(job ratingJob, verdict dialect.Rating) {
 	e := r.entry
 	e.metrics.Add("ratings", 1)
 	key := versionKey(job.request.Model, job.request.Version)
--- a/entry/run.go
+++ b/entry/run.go
@@ -5,7 +5,7 @@
 	"net/http"
 
 	"hyssoploom/cascade"
-	"hyssoploom/platform"
+	"hyssoploom/dialect"
 )
 
 // answer is the whole answer of one stage.
@@ -98,7 +98,7 @@
 		stage:   a.stage,
 		start:   plan.Start,
 		backend: a.backend,
-		request: platform.RateRequest{
+		request: dialect.RateRequest{
 			RequestID: ch.requestID,
 			Workspace: ch.workspace.Name,
 			TaskClass: ch.taskClass,
--- a/entry/version.go
+++ b/entry/version.go
@@ -6,7 +6,7 @@
 	"net/http"
 
 	"hyssoploom/config"
-	"hyssoploom/platform"
+	"hyssoploom/dialect"
 	"hyssoploom/rollout"
 )
 
@@ -109,7 +109,7 @@
 	if errors.As(err, &refused) {
 		return refused
 	}
-	if errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrUnknownOutcome) {
+	if errors.Is(err, dialect.ErrUnavailable) || errors.Is(err, dialect.ErrUnknownOutcome) {
 		return busy("session_unavailable", "the store is down; send %s to go on with a known session", headerSessionToken)
 	}
 	return busy("session_unavailable", "%v", err)
--- a/golden/sessions_test.go
+++ b/golden/sessions_test.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"hyssoploom/config"
+	"hyssoploom/dialect"
 	"hyssoploom/embedded"
-	"hyssoploom/platform"
 )
 
 // Guards against changes of the plain answer that callers would notice.
@@ -34,7 +34,7 @@
 // Guards against a cascade that releases an answer its rater rejects.
 func TestCascadeEscalates(t *testing.T) {
 	spec := embedded.DefaultSpec()
-	spec.Judge = func(r platform.RateRequest, _ float64) bool { return r.Model == "large" }
+	spec.Judge = func(r dialect.RateRequest, _ float64) bool { return r.Model == "large" }
 	tr := newTranscript(t, spec)
 	tr.note("The rater accepts answers of model large only.")
 	for range 3 {
--- a/internal/faketest/store.go
+++ b/internal/faketest/store.go
@@ -1,4 +1,4 @@
-// Package faketest provides an in-memory platform.Store with faults, for tests.
+// Package faketest provides an in-memory dialect.Store with faults, for tests.
 package faketest
 
 import (
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"hyssoploom/platform"
+	"hyssoploom/dialect"
 )
 
 // Fault is what happens to one call.
@@ -30,7 +30,7 @@
 type Call struct {
 	Op    string // "get", "list" or "swap"
 	Key   string
-	Write *platform.Write
+	Write *dialect.Write
 }
 
 // Store is an in-memory store. Its zero value is empty and has no faults.
@@ -40,8 +40,8 @@
 	fault    func(Call) Fault
 	after    func(Call)
 	revision uint64
-	keys     map[string]platform.KV
-	late     []platform.Write
+	keys     map[string]dialect.KV
+	late     []dialect.Write
 	calls    []Call
 }
 
@@ -69,11 +69,11 @@
 }
 
 // Get reads a key.
-func (s *Store) Get(ctx context.Context, key string) (kv platform.KV, err error) {
+func (s *Store) Get(ctx context.Context, key string) (kv dialect.KV, err error) {
 	err = s.call(ctx, Call{Op: "get", Key: key}, func() error {
 		var ok bool
 		if kv, ok = s.keys[key]; !ok {
-			return platform.ErrNotFound
+			return dialect.ErrNotFound
 		}
 		return nil
 	})
@@ -81,7 +81,7 @@
 }
 
 // List reads all keys with the prefix in their order.
-func (s *Store) List(ctx context.Context, prefix string) (kvs []platform.KV, revision uint64, err error) {
+func (s *Store) List(ctx context.Context, prefix string) (kvs []dialect.KV, revision uint64, err error) {
 	err = s.call(ctx, Call{Op: "list", Key: prefix}, func() error {
 		for _, k := range slices.Sorted(maps.Keys(s.keys)) {
 			if strings.HasPrefix(k, prefix) {
@@ -95,7 +95,7 @@
 }
 
 // Swap performs a compare-and-swap.
-func (s *Store) Swap(ctx context.Context, w platform.Write) (revision uint64, err error) {
+func (s *Store) Swap(ctx context.Context, w dialect.Write) (revision uint64, err error) {
 	w.Value = slices.Clone(w.Value)
 	err = s.call(ctx, Call{Op: "swap", Key: w.Key, Write: &w}, func() error {
 		err := s.apply(w)
@@ -138,7 +138,7 @@
 	case Pass:
 		return apply()
 	case Refuse:
-		return platform.ErrUnavailable
+		return dialect.ErrUnavailable
 	case Lose, Hang:
 		_ = apply()
 	case Late:
@@ -146,22 +146,22 @@
 			s.late = append(s.late, *c.Write)
 		}
 	}
-	return platform.ErrUnknownOutcome
+	return dialect.ErrUnknownOutcome
 }
 
-func (s *Store) apply(w platform.Write) error {
+func (s *Store) apply(w dialect.Write) error {
 	if s.keys == nil {
-		s.keys = make(map[string]platform.KV)
+		s.keys = make(map[string]dialect.KV)
 	}
 	if cur := s.keys[w.Key]; cur.Revision != w.Expect {
 		cur.Key = w.Key
-		return &platform.ConflictError{Current: cur}
+		return &dialect.ConflictError{Current: cur}
 	}
 	s.revision++
 	if w.Delete {
 		delete(s.keys, w.Key)
 	} else {
-		s.keys[w.Key] = platform.KV{Key: w.Key, Value: w.Value, Revision: s.revision}
+		s.keys[w.Key] = dialect.KV{Key: w.Key, Value: w.Value, Revision: s.revision}
 	}
 	return nil
 }
@@ -203,17 +203,17 @@
 }
 
 // Watch is not provided.
-func (*Store) Watch(context.Context, string, uint64, time.Duration) ([]platform.Event, uint64, error) {
-	return nil, 0, platform.ErrUnavailable
+func (*Store) Watch(context.Context, string, uint64, time.Duration) ([]dialect.Event, uint64, error) {
+	return nil, 0, dialect.ErrUnavailable
 }
 
 // Grant is not provided.
-func (*Store) Grant(context.Context, time.Duration) (platform.Lease, error) {
-	return "", platform.ErrUnavailable
+func (*Store) Grant(context.Context, time.Duration) (dialect.Lease, error) {
+	return "", dialect.ErrUnavailable
 }
 
 // KeepAlive is not provided.
-func (*Store) KeepAlive(context.Context, platform.Lease) error { return platform.ErrUnavailable }
+func (*Store) KeepAlive(context.Context, dialect.Lease) error { return dialect.ErrUnavailable }
 
 // Revoke is not provided.
-func (*Store) Revoke(context.Context, platform.Lease) error { return platform.ErrUnavailable }
+func (*Store) Revoke(context.Context, dialect.Lease) error { return dialect.ErrUnavailable }
--- a/invariants/billing_test.go
+++ b/invariants/billing_test.go
@@ -11,9 +11,9 @@
 	"testing"
 	"time"
 
+	"hyssoploom/dialect"
 	"hyssoploom/ledger"
 	"hyssoploom/once"
-	"hyssoploom/platform"
 	"hyssoploom/standin"
 )
 
@@ -208,7 +208,7 @@
 	for range 2 {
 		compactors.Go(func() {
 			for ctx.Err() == nil {
-				_ = ledger.Compact(ctx, platform.Store(f.Store))
+				_ = ledger.Compact(ctx, dialect.Store(f.Store))
 			}
 		})
 	}
@@ -267,7 +267,7 @@
 }
 
 // failBelow is a judgement that passes only the answers of the large model.
-func failBelow(r platform.RateRequest, _ float64) bool { return r.Model == "large" }
+func failBelow(r dialect.RateRequest, _ float64) bool { return r.Model == "large" }
 
 // Guards against a cascade that is charged for a stage twice, or not for every
 // stage, also when its entry dies in the third stage and the caller sends it
--- a/invariants/commands_test.go
+++ b/invariants/commands_test.go
@@ -9,13 +9,13 @@
 	"time"
 
 	"hyssoploom/config"
-	"hyssoploom/platform"
+	"hyssoploom/dialect"
 )
 
 // gatedCommands can pause an agent right before it sends a command, and counts
 // the loads that run at once.
 type gatedCommands struct {
-	platform.Engine
+	dialect.Engine
 	gate *commandGate
 }
 
@@ -29,11 +29,11 @@
 	release chan struct{} // closed to let it go on; nil when commands do not wait
 }
 
-func (g *commandGate) wrap(_ string, engine platform.Engine) platform.Engine {
+func (g *commandGate) wrap(_ string, engine dialect.Engine) dialect.Engine {
 	return &gatedCommands{Engine: engine, gate: g}
 }
 
-func (e *gatedCommands) Order(ctx context.Context, o platform.Order) error {
+func (e *gatedCommands) Order(ctx context.Context, o dialect.Order) error {
 	g := e.gate
 	if g.release != nil {
 		select {
@@ -61,11 +61,11 @@
 // pausedStore pauses the agent at its call for a load permit, which comes
 // between its decision and its command.
 type pausedStore struct {
-	platform.Store
+	dialect.Store
 	gate *commandGate
 }
 
-func (s *pausedStore) Grant(ctx context.Context, ttl time.Duration) (platform.Lease, error) {
+func (s *pausedStore) Grant(ctx context.Context, ttl time.Duration) (dialect.Lease, error) {
 	select {
 	case s.gate.paused <- struct{}{}:
 		<-s.gate.release
@@ -86,7 +86,7 @@
 	}
 }
 
-var second = platform.ModelRef{Model: "small", Version: "2"}
+var second = dialect.ModelRef{Model: "small", Version: "2"}
 
 // Guards against an agent that was paused between its decision and its command
 // and then undoes what its successor did on a newer record: with an engine that
@@ -101,7 +101,7 @@
 			if checks {
 				spec.Engine = gate.wrap
 			} else {
-				spec.Store = func(process string, store platform.Store) platform.Store {
+				spec.Store = func(process string, store dialect.Store) dialect.Store {
 					if process != "small-1" {
 						return store
 					}
@@ -120,13 +120,13 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			b.Engine.Apply(platform.Order{Fencing: newer.Revision, Action: "unload", Target: second})
+			b.Engine.Apply(dialect.Order{Fencing: newer.Revision, Action: "unload", Target: second})
 			close(gate.release)
 
 			// The next order of the agent shows that the old one is over.
 			f.put(config.KindBackendServer, "small-1", serving("small-1", checks, "1", "3")(f))
 			eventually(t, "the agent acts on the newest record", func() bool {
-				return slices.Contains(b.Engine.Status().Loaded, platform.ModelRef{Model: "small", Version: "3"})
+				return slices.Contains(b.Engine.Status().Loaded, dialect.ModelRef{Model: "small", Version: "3"})
 			})
 			for _, o := range b.Engine.Record().Orders {
 				if o.Action == "load" && o.Target == second {
--- a/invariants/config_test.go
+++ b/invariants/config_test.go
@@ -13,8 +13,8 @@
 
 	"hyssoploom/config"
 	"hyssoploom/control"
+	"hyssoploom/dialect"
 	"hyssoploom/link"
-	"hyssoploom/platform"
 )
 
 // modelOf is a record of versions that all take new sessions.
@@ -224,7 +224,7 @@
 	read, release chan struct{}
 }
 
-func (l *lateLists) wrap(process string, store platform.Store) platform.Store {
+func (l *lateLists) wrap(process string, store dialect.Store) dialect.Store {
 	if process != l.process {
 		return store
 	}
@@ -232,11 +232,11 @@
 }
 
 type lateStore struct {
-	platform.Store
+	dialect.Store
 	lists *lateLists
 }
 
-func (s *lateStore) List(ctx context.Context, prefix string) ([]platform.KV, uint64, error) {
+func (s *lateStore) List(ctx context.Context, prefix string) ([]dialect.KV, uint64, error) {
 	kvs, revision, err := s.Store.List(ctx, prefix)
 	if prefix == config.RecordPrefix && s.lists.armed.CompareAndSwap(true, false) {
 		close(s.lists.read)
@@ -323,7 +323,7 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	if _, err := f.Store.Swap(f.t.Context(), platform.Write{Key: key, Value: []byte(raw), Expect: current.Revision}); err != nil {
+	if _, err := f.Store.Swap(f.t.Context(), dialect.Write{Key: key, Value: []byte(raw), Expect: current.Revision}); err != nil {
 		f.t.Fatal(err)
 	}
 	eventually(f.t, "the record is in force", f.InForce)
--- a/invariants/once_test.go
+++ b/invariants/once_test.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"hyssoploom/config"
+	"hyssoploom/dialect"
 	"hyssoploom/once"
-	"hyssoploom/platform"
 	"hyssoploom/standin"
 )
 
@@ -103,7 +103,7 @@
 func (f *fleet) record(key string) once.Record {
 	f.t.Helper()
 	kv, err := f.Store.Get(f.t.Context(), once.StoreKey("aljibe", key))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, dialect.ErrNotFound) {
 		return once.Record{}
 	}
 	var r once.Record
--- a/invariants/relay.go
+++ b/invariants/relay.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"hyssoploom/config"
-	"hyssoploom/platform"
+	"hyssoploom/dialect"
 )
 
 // relay forwards TCP connections to an agent and can break them.
@@ -179,31 +179,31 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.off[process] {
-		return platform.ErrUnavailable
+		return dialect.ErrUnavailable
 	}
 	return nil
 }
 
 // wrap is the Store hook of an embedded fleet.
-func (s *storeSwitch) wrap(process string, store platform.Store) platform.Store {
+func (s *storeSwitch) wrap(process string, store dialect.Store) dialect.Store {
 	return &switchedStore{Store: store, process: process, by: s}
 }
 
 // switchedStore fails the calls that this test file's faults concern.
 type switchedStore struct {
-	platform.Store
+	dialect.Store
 	process string
 	by      *storeSwitch
 }
 
-func (s *switchedStore) Get(ctx context.Context, key string) (platform.KV, error) {
+func (s *switchedStore) Get(ctx context.Context, key string) (dialect.KV, error) {
 	if err := s.by.check(s.process); err != nil {
-		return platform.KV{}, err
+		return dialect.KV{}, err
 	}
 	return s.Store.Get(ctx, key)
 }
 
-func (s *switchedStore) List(ctx context.Context, prefix string) ([]platform.KV, uint64, error) {
+func (s *switchedStore) List(ctx context.Context, prefix string) ([]dialect.KV, uint64, error) {
 	if err := s.by.check(s.process); err != nil {
 		return nil, 0, err
 	}
@@ -214,7 +214,7 @@
 	return kvs, revision, err
 }
 
-func (s *switchedStore) Swap(ctx context.Context, w platform.Write) (uint64, error) {
+func (s *switchedStore) Swap(ctx context.Context, w dialect.Write) (uint64, error) {
 	if err := s.by.check(s.process); err != nil {
 		return 0, err
 	}
@@ -222,7 +222,7 @@
 }
 
 // Watch drops what arrives after the process was cut off.
-func (s *switchedStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]platform.Event, uint64, error) {
+func (s *switchedStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]dialect.Event, uint64, error) {
 	if err := s.by.check(s.process); err != nil {
 		return nil, 0, err
 	}
--- a/invariants/session_test.go
+++ b/invariants/session_test.go
@@ -11,8 +11,8 @@
 	"github.com/oklog/ulid/v2"
 
 	"hyssoploom/config"
+	"hyssoploom/dialect"
 	"hyssoploom/embedded"
-	"hyssoploom/platform"
 	"hyssoploom/session"
 	"hyssoploom/standin"
 )
@@ -37,7 +37,7 @@
 	for i := range 2 {
 		b := &spec.Backends[i]
 		b.Serves = append(b.Serves, config.Placement{Model: "small", Version: "2"})
-		b.Engine.Loaded = append(b.Engine.Loaded, platform.ModelRef{Model: "small", Version: "2"})
+		b.Engine.Loaded = append(b.Engine.Loaded, dialect.ModelRef{Model: "small", Version: "2"})
 	}
 	spec.RequestTimeout = 2 * time.Second
 	f, s := startTapped(t, spec)
@@ -218,10 +218,10 @@
 	}
 	key := config.QuarantineKey(model, version)
 	current, err := f.Store.Get(f.t.Context(), key)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, dialect.ErrNotFound) {
 		return err
 	}
-	_, err = f.Store.Swap(f.t.Context(), platform.Write{Key: key, Value: raw, Expect: current.Revision})
+	_, err = f.Store.Swap(f.t.Context(), dialect.Write{Key: key, Value: raw, Expect: current.Revision})
 	return err
 }
 
--- a/invariants/stores.go
+++ b/invariants/stores.go
@@ -8,9 +8,9 @@
 	"sync"
 	"testing"
 
+	"hyssoploom/dialect"
 	"hyssoploom/embedded"
 	"hyssoploom/once"
-	"hyssoploom/platform"
 )
 
 // taps holds the store of each process as that process sees it.
@@ -21,7 +21,7 @@
 
 // tap is the store as one run of a process sees it.
 type tap struct {
-	platform.Store
+	dialect.Store
 	died chan struct{}
 	kill sync.Once
 
@@ -30,11 +30,11 @@
 }
 
 // swapFunc performs a write under a fault.
-type swapFunc func(ctx context.Context, t *tap, w platform.Write) (uint64, error)
+type swapFunc func(ctx context.Context, t *tap, w dialect.Write) (uint64, error)
 
 // writeFault is applied to the first write that it matches.
 type writeFault struct {
-	match   func(platform.Write) bool
+	match   func(dialect.Write) bool
 	do      swapFunc
 	reached chan struct{} // closed when the write was made
 	resume  chan struct{} // closing it ends a pause
@@ -48,7 +48,7 @@
 	return startFleet(t, spec), s
 }
 
-func (s *taps) wrap(process string, store platform.Store) platform.Store {
+func (s *taps) wrap(process string, store dialect.Store) dialect.Store {
 	t := &tap{Store: store, died: make(chan struct{})}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -66,7 +66,7 @@
 // that was killed still does has no effect from then on.
 func (t *tap) die() { t.kill.Do(func() { close(t.died) }) }
 
-var errDead = fmt.Errorf("%w: the process is dead", platform.ErrUnavailable)
+var errDead = fmt.Errorf("%w: the process is dead", dialect.ErrUnavailable)
 
 func (t *tap) isDead() bool {
 	select {
@@ -77,14 +77,14 @@
 	}
 }
 
-func (t *tap) Get(ctx context.Context, key string) (platform.KV, error) {
+func (t *tap) Get(ctx context.Context, key string) (dialect.KV, error) {
 	if t.isDead() {
-		return platform.KV{}, errDead
+		return dialect.KV{}, errDead
 	}
 	return t.Store.Get(ctx, key)
 }
 
-func (t *tap) Swap(ctx context.Context, w platform.Write) (uint64, error) {
+func (t *tap) Swap(ctx context.Context, w dialect.Write) (uint64, error) {
 	if t.isDead() {
 		return 0, errDead
 	}
@@ -95,7 +95,7 @@
 	return t.Store.Swap(ctx, w)
 }
 
-func (t *tap) take(w platform.Write) *writeFault {
+func (t *tap) take(w dialect.Write) *writeFault {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for i, f := range t.faults {
@@ -107,7 +107,7 @@
 	return nil
 }
 
-func (t *tap) inject(match func(platform.Write) bool, kind func(*writeFault) swapFunc) *writeFault {
+func (t *tap) inject(match func(dialect.Write) bool, kind func(*writeFault) swapFunc) *writeFault {
 	f := &writeFault{match: match, reached: make(chan struct{}), resume: make(chan struct{})}
 	f.do = kind(f)
 	t.mu.Lock()
@@ -145,7 +145,7 @@
 // The kinds of write faults. A pause ignores the caller's context, as a paused
 // process does.
 func pauseBefore(f *writeFault) swapFunc {
-	return func(ctx context.Context, t *tap, w platform.Write) (uint64, error) {
+	return func(ctx context.Context, t *tap, w dialect.Write) (uint64, error) {
 		if err := f.pause(t); err != nil {
 			return 0, err
 		}
@@ -154,7 +154,7 @@
 }
 
 func pauseAfter(f *writeFault) swapFunc {
-	return func(ctx context.Context, t *tap, w platform.Write) (uint64, error) {
+	return func(ctx context.Context, t *tap, w dialect.Write) (uint64, error) {
 		revision, err := t.Store.Swap(ctx, w)
 		if err := f.pause(t); err != nil {
 			return 0, err
@@ -164,29 +164,29 @@
 }
 
 func loseResponse(*writeFault) swapFunc {
-	return func(ctx context.Context, t *tap, w platform.Write) (uint64, error) {
+	return func(ctx context.Context, t *tap, w dialect.Write) (uint64, error) {
 		_, _ = t.Store.Swap(ctx, w)
-		return 0, fmt.Errorf("%w: response lost", platform.ErrUnknownOutcome)
+		return 0, fmt.Errorf("%w: response lost", dialect.ErrUnknownOutcome)
 	}
 }
 
 func dropRequest(*writeFault) swapFunc {
-	return func(context.Context, *tap, platform.Write) (uint64, error) {
-		return 0, fmt.Errorf("%w: request lost", platform.ErrUnknownOutcome)
+	return func(context.Context, *tap, dialect.Write) (uint64, error) {
+		return 0, fmt.Errorf("%w: request lost", dialect.ErrUnknownOutcome)
 	}
 }
 
 // toState matches the write that moves an idempotency record to a state.
-func toState(state once.State) func(platform.Write) bool {
-	return func(w platform.Write) bool {
+func toState(state once.State) func(dialect.Write) bool {
+	return func(w dialect.Write) bool {
 		var r once.Record
 		return strings.HasPrefix(w.Key, "once/") && json.Unmarshal(w.Value, &r) == nil && r.State == state
 	}
 }
 
 // toPrefix matches writes below a prefix.
-func toPrefix(prefix string) func(platform.Write) bool {
-	return func(w platform.Write) bool { return strings.HasPrefix(w.Key, prefix) }
+func toPrefix(prefix string) func(dialect.Write) bool {
+	return func(w dialect.Write) bool { return strings.HasPrefix(w.Key, prefix) }
 }
 
 // crashEntry kills an entry and cuts it off from the store.
--- a/invariants/storm_test.go
+++ b/invariants/storm_test.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"hyssoploom/config"
+	"hyssoploom/dialect"
 	"hyssoploom/embedded"
-	"hyssoploom/platform"
 	"hyssoploom/standin"
 )
 
@@ -41,7 +41,7 @@
 		b := &spec.Backends[i]
 		if strings.HasPrefix(b.Name, "small") {
 			b.Serves = append(b.Serves, config.Placement{Model: "small", Version: "2"})
-			b.Engine.Loaded = append(b.Engine.Loaded, platform.ModelRef{Model: "small", Version: "2"})
+			b.Engine.Loaded = append(b.Engine.Loaded, dialect.ModelRef{Model: "small", Version: "2"})
 		}
 	}
 	s := &storm{fleet: startFleet(t, spec), rand: rand.New(rand.NewPCG(7, 0)), sent: make(map[string]sentRequest)}
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -9,7 +9,7 @@
 	"strings"
 	"time"
 
-	"hyssoploom/platform"
+	"hyssoploom/dialect"
 )
 
 // Book is a set of merged rows. The zero Book is empty. It is not safe for
@@ -139,7 +139,7 @@
 
 // Read returns all rows in the store. When a batch cannot be decoded, it
 // returns the rows of the others together with an error that names the key.
-func Read(ctx context.Context, store platform.Store) (*Book, error) {
+func Read(ctx context.Context, store dialect.Store) (*Book, error) {
 	kvs, _, err := store.List(ctx, Prefix)
 	if err != nil {
 		return nil, err
--- a/ledger/compact.go
+++ b/ledger/compact.go
@@ -8,7 +8,7 @@
 	"fmt"
 	"math"
 
-	"hyssoploom/platform"
+	"hyssoploom/dialect"
 )
 
 // DefaultSmallBytes is the size below which a batch is merged with others.
@@ -27,7 +27,7 @@
 func WithMaxWrites(n int) CompactOption { return func(c *compaction) { c.maxWrites = max(n, 3) } }
 
 type compaction struct {
-	store     platform.Store
+	store     dialect.Store
 	id        string
 	small     int
 	maxWrites int
@@ -42,7 +42,7 @@
 // batch is written under a key of its own and is known to be in the store before
 // its sources are removed, each by compare-and-swap. A compactor that is paused
 // at any point, or runs beside another, leaves at most copies, which merge.
-func Compact(ctx context.Context, store platform.Store, opts ...CompactOption) error {
+func Compact(ctx context.Context, store dialect.Store, opts ...CompactOption) error {
 	c := &compaction{store: store, id: "compact-" + rand.Text(), small: DefaultSmallBytes, maxWrites: math.MaxInt}
 	for _, o := range opts {
 		o(c)
@@ -65,8 +65,8 @@
 // group collects small batches whose sizes sum to at most MaxBatchBytes. Their
 // merged batch is no larger than the sum. A batch that cannot be decoded is
 // kept and reported.
-func (c *compaction) group(kvs []platform.KV) (groups [][]platform.KV, failed []error) {
-	var g []platform.KV
+func (c *compaction) group(kvs []dialect.KV) (groups [][]dialect.KV, failed []error) {
+	var g []dialect.KV
 	size := 0
 	flush := func() {
 		if len(g) > 1 {
@@ -93,7 +93,7 @@
 }
 
 // replace writes the union of the sources and then removes them.
-func (c *compaction) replace(ctx context.Context, sources []platform.KV) error {
+func (c *compaction) replace(ctx context.Context, sources []dialect.KV) error {
 	// A group that is begun is also ended, so that no copies are left.
 	if c.writes+1+len(sources) > c.maxWrites {
 		return errBudget
@@ -107,8 +107,8 @@
 	}
 	for _, kv := range sources {
 		c.writes++
-		_, err := c.store.Swap(ctx, platform.Write{Key: kv.Key, Expect: kv.Revision, Delete: true})
-		var conflict *platform.ConflictError
+		_, err := c.store.Swap(ctx, dialect.Write{Key: kv.Key, Expect: kv.Revision, Delete: true})
+		var conflict *dialect.ConflictError
 		if err != nil && !errors.As(err, &conflict) {
 			// What is left is a copy; the next compaction merges it again.
 			return fmt.Errorf("ledger: remove %q: %w", kv.Key, err)
@@ -117,7 +117,7 @@
 	return nil
 }
 
-func union(sources []platform.KV) ([]byte, error) {
+func union(sources []dialect.KV) ([]byte, error) {
 	book := new(Book)
 	for _, kv := range sources {
 		rows, err := decodeBatch(kv.Value)
@@ -147,7 +147,7 @@
 	key := fmt.Sprintf("%s%s/%010d", Prefix, c.id, c.n)
 	c.n++
 	c.writes++
-	_, err := c.store.Swap(ctx, platform.Write{Key: key, Value: value})
+	_, err := c.store.Swap(ctx, dialect.Write{Key: key, Value: value})
 	if err == nil {
 		return nil
 	}
--- a/ledger/compact_test.go
+++ b/ledger/compact_test.go
@@ -8,8 +8,8 @@
 	"strings"
 	"testing"
 
+	"hyssoploom/dialect"
 	"hyssoploom/internal/faketest"
-	"hyssoploom/platform"
 )
 
 // smallBatches fills a store with n batches of one row each; every third row is
@@ -170,7 +170,7 @@
 // version that it does not know.
 func TestUnknownBatch(t *testing.T) {
 	store, want := smallBatches(t, 3)
-	_, err := store.Swap(t.Context(), platform.Write{Key: Prefix + "new/0", Value: []byte{0x92, 0x02, 0x90}})
+	_, err := store.Swap(t.Context(), dialect.Write{Key: Prefix + "new/0", Value: []byte{0x92, 0x02, 0x90}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/ledger/writer.go
+++ b/ledger/writer.go
@@ -10,7 +10,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
-	"hyssoploom/platform"
+	"hyssoploom/dialect"
 )
 
 const (
@@ -39,7 +39,7 @@
 	// as that of a later attempt on another agent: its holder must keep it.
 	OnDurable func([]RowKey)
 
-	store   platform.Store
+	store   dialect.Store
 	bootID  string
 	window  func() time.Duration
 	maxRows int
@@ -90,7 +90,7 @@
 
 // NewWriter returns a Writer for the batches of one boot id. window returns how
 // long a commit waits for more rows; nil means DefaultWindow.
-func NewWriter(store platform.Store, bootID string, window func() time.Duration, opts ...WriterOption) *Writer {
+func NewWriter(store dialect.Store, bootID string, window func() time.Duration, opts ...WriterOption) *Writer {
 	if window == nil {
 		window = func() time.Duration { return DefaultWindow }
 	}
@@ -331,8 +331,8 @@
 			return taken, err
 		}
 	}
-	_, err = w.store.Swap(ctx, platform.Write{Key: b.key, Value: b.value})
-	var conflict *platform.ConflictError
+	_, err = w.store.Swap(ctx, dialect.Write{Key: b.key, Value: b.value})
+	var conflict *dialect.ConflictError
 	switch {
 	case err == nil:
 		return false, nil
@@ -341,7 +341,7 @@
 			return false, nil
 		}
 		return true, err
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, dialect.ErrUnavailable):
 		return false, err
 	}
 	b.unknown = true
@@ -354,7 +354,7 @@
 func (w *Writer) readBack(ctx context.Context, b *batch) (done, taken bool, err error) {
 	kv, err := w.store.Get(ctx, b.key)
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, dialect.ErrNotFound):
 		b.unknown = false // the next write needs no reading before
 		return false, false, nil
 	case err != nil:
--- a/ledger/writer_test.go
+++ b/ledger/writer_test.go
@@ -12,8 +12,8 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"hyssoploom/dialect"
 	"hyssoploom/internal/faketest"
-	"hyssoploom/platform"
 )
 
 func row(request int, amount int64) Row {
@@ -220,7 +220,7 @@
 		short, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
 		store.OnCall(func(faketest.Call) faketest.Fault { return faketest.Refuse })
-		if err := w.Flush(short); !errors.Is(err, context.DeadlineExceeded) || !errors.Is(err, platform.ErrUnavailable) {
+		if err := w.Flush(short); !errors.Is(err, context.DeadlineExceeded) || !errors.Is(err, dialect.ErrUnavailable) {
 			t.Errorf("Flush() in an outage = %v", err)
 		}
 		store.OnCall(nil)
@@ -255,7 +255,7 @@
 func TestWriterKeyTaken(t *testing.T) {
 	bubble(t, func(t *testing.T, store *faketest.Store, w *Writer) {
 		foreign, _ := EncodeRow(row(9, 9))
-		_, _ = store.Swap(t.Context(), platform.Write{Key: Prefix + "boot/0000000000", Value: encodeBatch([][]byte{foreign})})
+		_, _ = store.Swap(t.Context(), dialect.Write{Key: Prefix + "boot/0000000000", Value: encodeBatch([][]byte{foreign})})
 		<-w.Add(row(1, 1))
 		wantStored(t, store, bookOf(row(9, 9), row(1, 1)))
 	})
--- a/measure/overhead/overhead.go
+++ b/measure/overhead/overhead.go
@@ -15,8 +15,8 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"hyssoploom/config"
+	"hyssoploom/dialect"
 	"hyssoploom/embedded"
-	"hyssoploom/platform"
 	"hyssoploom/standin"
 )
 
@@ -30,7 +30,7 @@
 		spec.Backends = append(spec.Backends, embedded.BackendSpec{
 			Name: name, DataCentre: "jylland", ColdLimit: 256, WarmLimit: 256,
 			Serves: []config.Placement{{Model: "small", Version: "1"}},
-			Engine: standin.EngineConfig{Loaded: []platform.ModelRef{{Model: "small", Version: "1"}}, Tokens: 12, Resumes: true},
+			Engine: standin.EngineConfig{Loaded: []dialect.ModelRef{{Model: "small", Version: "1"}}, Tokens: 12, Resumes: true},
 		})
 	}
 	f, err := embedded.Start(b.Context(), spec)
--- a/once/faults_test.go
+++ b/once/faults_test.go
@@ -9,8 +9,8 @@
 	"testing"
 	"time"
 
+	"hyssoploom/dialect"
 	"hyssoploom/internal/faketest"
-	"hyssoploom/platform"
 )
 
 const workspace, key = "jylland", "k/1"
@@ -42,7 +42,7 @@
 
 func (w *world) state() State {
 	kv, err := w.store.Get(context.Background(), StoreKey(workspace, key))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, dialect.ErrNotFound) {
 		return "absent"
 	}
 	rec, decodeErr := decode(kv.Key, kv.Value)
@@ -77,9 +77,9 @@
 		outcome, err = "ok", w.logs["agent"].Abandon(ctx, workspace, key, nonce, "a2")
 	}
 	switch {
-	case errors.Is(err, platform.ErrUnknownOutcome):
+	case errors.Is(err, dialect.ErrUnknownOutcome):
 		outcome = "unknown"
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, dialect.ErrUnavailable):
 		outcome = "unavailable"
 	case err != nil:
 		outcome = err.Error()
--- a/once/log.go
+++ b/once/log.go
@@ -8,9 +8,9 @@
 	"fmt"
 	"time"
 
+	"hyssoploom/dialect"
 	"hyssoploom/internal/lru"
 	"hyssoploom/internal/storekey"
-	"hyssoploom/platform"
 )
 
 // Errors of Finish and Abandon that a retry cannot mend, and of invalid arguments.
@@ -43,7 +43,7 @@
 
 // Log reads and writes the records of all keys.
 type Log struct {
-	store platform.Store
+	store dialect.Store
 	now   func() time.Time
 	newID func() string
 	seen  *lru.Cache[string, observation]
@@ -71,7 +71,7 @@
 }
 
 // New returns a Log on the store.
-func New(store platform.Store, opts ...Option) *Log {
+func New(store dialect.Store, opts ...Option) *Log {
 	l := &Log{store: store, now: time.Now, newID: rand.Text}
 	WithObservations(DefaultObservations)(l)
 	for _, o := range opts {
@@ -101,7 +101,7 @@
 		Owner: r.Owner, TimeoutMS: (r.Timeout + time.Millisecond - 1).Milliseconds(),
 	}
 	// Most keys are new: the first write does not read before.
-	absent := &platform.KV{Key: key}
+	absent := &dialect.KV{Key: key}
 	return run(ctx, l, "reserve", key, absent, func(cur *Record) (Result, *Record) {
 		var observed, age time.Duration
 		if cur != nil {
@@ -173,7 +173,7 @@
 // against that revision, so that at most one of the two can take effect.
 //
 // cur is the assumed present value; nil reads it first.
-func run[T any](ctx context.Context, l *Log, step, key string, cur *platform.KV, decide func(*Record) (T, *Record)) (T, error) {
+func run[T any](ctx context.Context, l *Log, step, key string, cur *dialect.KV, decide func(*Record) (T, *Record)) (T, error) {
 	var zero T
 	unknown := false
 	last := errors.New("too many competing writers")
@@ -200,7 +200,7 @@
 		switch {
 		case err == nil:
 			return result, nil
-		case errors.Is(err, platform.ErrUnavailable):
+		case errors.Is(err, dialect.ErrUnavailable):
 			return zero, stepError(step, key, unknown, err)
 		case conflict == nil:
 			unknown, last = true, err
@@ -211,33 +211,33 @@
 }
 
 // read returns a KV with revision 0 when the key is absent.
-func (l *Log) read(ctx context.Context, key string, readBack bool) (platform.KV, error) {
+func (l *Log) read(ctx context.Context, key string, readBack bool) (dialect.KV, error) {
 	if readBack { // also for a caller whose context has ended
 		var stop context.CancelFunc
 		ctx, stop = context.WithTimeout(context.WithoutCancel(ctx), readBackTimeout)
 		defer stop()
 	}
 	kv, err := l.store.Get(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) {
-		return platform.KV{Key: key}, nil
+	if errors.Is(err, dialect.ErrNotFound) {
+		return dialect.KV{Key: key}, nil
 	}
 	return kv, err
 }
 
 // swap returns the present value after a conflict, or nil when it has to be read.
-func (l *Log) swap(ctx context.Context, key string, expect uint64, next Record) (*platform.KV, error) {
+func (l *Log) swap(ctx context.Context, key string, expect uint64, next Record) (*dialect.KV, error) {
 	next.At = l.now().UTC()
 	value, err := json.Marshal(next)
 	if err != nil {
-		return nil, errors.Join(platform.ErrUnavailable, err)
+		return nil, errors.Join(dialect.ErrUnavailable, err)
 	}
-	if _, err = l.store.Swap(ctx, platform.Write{Key: key, Value: value, Expect: expect}); err == nil {
+	if _, err = l.store.Swap(ctx, dialect.Write{Key: key, Value: value, Expect: expect}); err == nil {
 		if next.State == StateReserved {
 			l.observe(key, next.Nonce)
 		}
 		return nil, nil
 	}
-	var conflict *platform.ConflictError
+	var conflict *dialect.ConflictError
 	if errors.As(err, &conflict) {
 		return &conflict.Current, err
 	}
@@ -246,9 +246,9 @@
 
 // stepError tells whether a write of the step may have taken effect.
 func stepError(step, key string, unknown bool, err error) error {
-	kind := platform.ErrUnavailable
+	kind := dialect.ErrUnavailable
 	if unknown {
-		kind = platform.ErrUnknownOutcome
+		kind = dialect.ErrUnknownOutcome
 	}
 	return fmt.Errorf("once: %s %q: %w (%w)", step, key, kind, err)
 }
--- a/once/log_test.go
+++ b/once/log_test.go
@@ -9,8 +9,8 @@
 	"testing"
 	"time"
 
+	"hyssoploom/dialect"
 	"hyssoploom/internal/faketest"
-	"hyssoploom/platform"
 )
 
 // Guards against a wrong answer to a duplicate at each state, before and after
@@ -183,7 +183,7 @@
 	if got, err := w.logs["agent"].Start(ctx, workspace, key, nonce, "a1"); got != Started || err != nil {
 		t.Errorf("Start() = %q, %v; want started", got, err)
 	}
-	if _, err := w.logs["agent"].Start(ctx, workspace, key, nonce, "a1"); !errors.Is(err, platform.ErrUnavailable) {
+	if _, err := w.logs["agent"].Start(ctx, workspace, key, nonce, "a1"); !errors.Is(err, dialect.ErrUnavailable) {
 		t.Errorf("Start() before any write: error = %v, want ErrUnavailable", err)
 	}
 }
--- a/once/sweep.go
+++ b/once/sweep.go
@@ -4,8 +4,8 @@
 	"context"
 	"errors"
 
+	"hyssoploom/dialect"
 	"hyssoploom/internal/storekey"
-	"hyssoploom/platform"
 )
 
 // Sweep removes up to limit records of a workspace, or of all workspaces when
@@ -38,8 +38,8 @@
 		if l.now().Sub(rec.At) <= Retention {
 			continue
 		}
-		_, err = l.store.Swap(ctx, platform.Write{Key: kv.Key, Expect: kv.Revision, Delete: true})
-		var conflict *platform.ConflictError
+		_, err = l.store.Swap(ctx, dialect.Write{Key: kv.Key, Expect: kv.Revision, Delete: true})
+		var conflict *dialect.ConflictError
 		switch {
 		case err == nil:
 			removed++
--- a/provider/follower.go
+++ b/provider/follower.go
@@ -10,12 +10,12 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"hyssoploom/config"
-	"hyssoploom/platform"
+	"hyssoploom/dialect"
 )
 
 // follower follows one prefix of the store.
 type follower struct {
-	store    platform.Store
+	store    dialect.Store
 	snap     *config.Snapshot
 	prefix   string
 	longPoll bool
@@ -31,7 +31,7 @@
 	failing bool
 }
 
-func newFollower(store platform.Store, snap *config.Snapshot, prefix string, longPoll bool, o Options) *follower {
+func newFollower(store dialect.Store, snap *config.Snapshot, prefix string, longPoll bool, o Options) *follower {
 	f := &follower{store: store, snap: snap, prefix: prefix, longPoll: longPoll, opts: o,
 		backoff: &backoff.ExponentialBackOff{InitialInterval: minBackoff, MaxInterval: maxBackoff,
 			RandomizationFactor: backoff.DefaultRandomizationFactor, Multiplier: backoff.DefaultMultiplier}}
@@ -108,7 +108,7 @@
 	defer cancel()
 	begun := time.Now()
 	events, revision, err := f.store.Watch(ctx, f.prefix, f.cursor, wait)
-	if errors.Is(err, platform.ErrCompacted) {
+	if errors.Is(err, dialect.ErrCompacted) {
 		f.contact.Store(time.Now().UnixNano())
 		f.listDue = time.Time{}
 		return jitter(f.opts.watchSpacing()), nil
@@ -129,7 +129,7 @@
 	return jitter(f.opts.watchSpacing()), nil
 }
 
-func recordsOf(events []platform.Event) []config.Record {
+func recordsOf(events []dialect.Event) []config.Record {
 	records := make([]config.Record, 0, len(events))
 	for _, e := range events {
 		r := config.Record{Key: e.Key, Revision: e.Revision, Raw: e.Value}
--- a/provider/provider.go
+++ b/provider/provider.go
@@ -10,7 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"hyssoploom/config"
-	"hyssoploom/platform"
+	"hyssoploom/dialect"
 )
 
 // Defaults of Options.
@@ -100,7 +100,7 @@
 // records, polls the quarantines and lists both periodically. The quarantines
 // are polled because a second waiting watch per entry would double the entries'
 // share of the store's read rate.
-func NewWatcher(store platform.Store, snap *config.Snapshot, o Options) *Provider {
+func NewWatcher(store dialect.Store, snap *config.Snapshot, o Options) *Provider {
 	o = o.withDefaults(DefaultWatcherList)
 	return &Provider{name: "watcher", followers: []*follower{
 		newFollower(store, snap, config.RecordPrefix, true, o),
@@ -111,7 +111,7 @@
 // NewPoller returns the provider of an agent: it polls for changes and lists
 // seldom, because a full list costs hundreds of kilobytes. Without
 // Options.Processes the number of backend servers in the snapshot sets the rate.
-func NewPoller(store platform.Store, snap *config.Snapshot, o Options) *Provider {
+func NewPoller(store dialect.Store, snap *config.Snapshot, o Options) *Provider {
 	if o.Processes == nil {
 		o.Processes = func() int { return len(snap.View().BackendServers) }
 	}
--- a/provider/provider_test.go
+++ b/provider/provider_test.go
@@ -10,7 +10,7 @@
 	"github.com/phuslu/log"
 
 	"hyssoploom/config"
-	"hyssoploom/platform"
+	"hyssoploom/dialect"
 	"hyssoploom/standin"
 )
 
@@ -22,7 +22,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	rev, err := s.Swap(t.Context(), platform.Write{Key: config.Key(config.KindDataCentre, "a"), Value: raw, Expect: expect})
+	rev, err := s.Swap(t.Context(), dialect.Write{Key: config.Key(config.KindDataCentre, "a"), Value: raw, Expect: expect})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -38,20 +38,20 @@
 
 // faultyStore can answer lists and watches with what the store held earlier.
 type faultyStore struct {
-	platform.Store
-	kvs      []platform.KV
-	events   []platform.Event // sent once, before the store's own
+	dialect.Store
+	kvs      []dialect.KV
+	events   []dialect.Event // sent once, before the store's own
 	revision uint64
 }
 
-func (s *faultyStore) List(ctx context.Context, prefix string) ([]platform.KV, uint64, error) {
+func (s *faultyStore) List(ctx context.Context, prefix string) ([]dialect.KV, uint64, error) {
 	if s.revision > 0 {
 		return s.kvs, s.revision, nil
 	}
 	return s.Store.List(ctx, prefix)
 }
 
-func (s *faultyStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]platform.Event, uint64, error) {
+func (s *faultyStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]dialect.Event, uint64, error) {
 	if events := s.events; prefix == config.RecordPrefix && len(events) > 0 {
 		s.events = nil
 		return events, events[len(events)-1].Revision, nil
@@ -74,7 +74,7 @@
 
 		faulty := &faultyStore{Store: store, kvs: old, revision: first}
 		store.SetDown(true)
-		faulty.events = []platform.Event{{KV: old[0]}, {KV: platform.KV{Key: old[0].Key, Revision: first}, Deleted: true}}
+		faulty.events = []dialect.Event{{KV: old[0]}, {KV: dialect.KV{Key: old[0].Key, Revision: first}, Deleted: true}}
 		snap := config.NewSnapshot()
 		for range 200 {
 			snap.Adopt(peer.All()) // the restarted process asks its peers
@@ -107,7 +107,7 @@
 		store.SetHistory(1)
 		put(t, store, rev, config.DataCentreOut)
 		for i := range 3 {
-			if _, err := store.Swap(t.Context(), platform.Write{Key: fmt.Sprint("once/", i)}); err != nil {
+			if _, err := store.Swap(t.Context(), dialect.Write{Key: fmt.Sprint("once/", i)}); err != nil {
 				t.Fatal(err)
 			}
 		}
@@ -180,7 +180,7 @@
 // Guards against changes that do not arrive, and against records that turn
 // back or vanish while the store is away or its watches are silent.
 func TestFollow(t *testing.T) {
-	for name, make := range map[string]func(platform.Store, *config.Snapshot, Options) *Provider{
+	for name, make := range map[string]func(dialect.Store, *config.Snapshot, Options) *Provider{
 		"watcher": NewWatcher, "poller": NewPoller,
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/session/binder.go
+++ b/session/binder.go
@@ -8,9 +8,9 @@
 	"sync"
 	"time"
 
+	"hyssoploom/dialect"
 	"hyssoploom/internal/lru"
 	"hyssoploom/internal/storekey"
-	"hyssoploom/platform"
 )
 
 // ErrUnavailable means that the version of a session is not known and the store
@@ -41,7 +41,7 @@
 
 // Binder keeps the version of sessions that come without a token.
 type Binder struct {
-	store platform.Store
+	store dialect.Store
 	now   func() time.Time
 	cache *lru.Cache[string, cached]
 	mu    sync.Mutex // makes remember atomic
@@ -64,7 +64,7 @@
 func WithClock(now func() time.Time) BinderOption { return func(b *Binder) { b.now = now } }
 
 // NewBinder returns a Binder on the store.
-func NewBinder(store platform.Store, opts ...BinderOption) *Binder {
+func NewBinder(store dialect.Store, opts ...BinderOption) *Binder {
 	b := &Binder{store: store, now: time.Now}
 	WithCacheSize(DefaultCacheSize)(b)
 	for _, o := range opts {
@@ -124,8 +124,8 @@
 	last := errors.New("too many competing writers")
 	for range maxSwaps {
 		kv, err := b.store.Get(ctx, key)
-		if errors.Is(err, platform.ErrNotFound) {
-			kv, err = platform.KV{}, nil
+		if errors.Is(err, dialect.ErrNotFound) {
+			kv, err = dialect.KV{}, nil
 		}
 		if err != nil {
 			return "", fmt.Errorf("%w: %w", ErrUnavailable, err)
@@ -149,12 +149,12 @@
 		if err != nil {
 			return "", err
 		}
-		revision, err := b.store.Swap(ctx, platform.Write{Key: key, Value: value, Expect: kv.Revision})
+		revision, err := b.store.Swap(ctx, dialect.Write{Key: key, Value: value, Expect: kv.Revision})
 		if err == nil {
 			b.remember(key, cached{model, chosen, revision})
 			return chosen, nil
 		}
-		if last = err; errors.Is(err, platform.ErrUnavailable) {
+		if last = err; errors.Is(err, dialect.ErrUnavailable) {
 			break
 		}
 	}
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
+	"hyssoploom/dialect"
 	"hyssoploom/internal/faketest"
-	"hyssoploom/platform"
 )
 
 var (
@@ -133,7 +133,7 @@
 	if v, err := b.Bind(ctx, "w", "known", "m", choose("v2")); v != "v1" || err != nil {
 		t.Errorf("cached session: %q, %v; want v1", v, err)
 	}
-	if _, err := b.Bind(ctx, "w", "new", "m", choose("v2")); !errors.Is(err, ErrUnavailable) || !errors.Is(err, platform.ErrUnavailable) {
+	if _, err := b.Bind(ctx, "w", "new", "m", choose("v2")); !errors.Is(err, ErrUnavailable) || !errors.Is(err, dialect.ErrUnavailable) {
 		t.Errorf("session not cached: error = %v, want ErrUnavailable", err)
 	}
 	b.Forget("m", "v1")
@@ -228,7 +228,7 @@
 			t.Errorf("id %q got %q, %v; want %q", id, v, err, want)
 		}
 	}
-	if _, err := store.Swap(ctx, platform.Write{Key: "session/w/bad/m", Value: []byte("{")}); err != nil {
+	if _, err := store.Swap(ctx, dialect.Write{Key: "session/w/bad/m", Value: []byte("{")}); err != nil {
 		t.Fatal(err)
 	}
 	if _, err := b.Bind(ctx, "w", "bad", "m", choose("v1")); err == nil {
--- a/standin/booking_test.go
+++ b/standin/booking_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"hyssoploom/platform"
+	"hyssoploom/dialect"
 )
 
 // TestBookingRunsOnce guards against a client that sends a booking again after
@@ -21,27 +21,27 @@
 		t.Fatal(err)
 	}
 	defer s.Close()
-	client := platform.NewHTTPService(s.URL(), nil)
-	call := func(method, id string) (platform.Reply, error) {
+	client := dialect.NewHTTPService(s.URL(), nil)
+	call := func(method, id string) (dialect.Reply, error) {
 		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 		defer cancel()
-		return client.Call(ctx, platform.Call{RequestID: id, Workspace: "w", Method: method, Path: "bookings",
+		return client.Call(ctx, dialect.Call{RequestID: id, Workspace: "w", Method: method, Path: "bookings",
 			Header: http.Header{"Idempotency-Key": {"k-" + id}}, Body: []byte(`{"room":1}`)})
 	}
 	if r, err := call(http.MethodPost, "a"); err != nil || r.Status != http.StatusCreated {
 		t.Fatalf("got %+v, %v", r, err)
 	}
 	b.SetFaults(BookingFaults{CloseAfterRun: true})
-	if _, err := call(http.MethodPost, "b"); err == nil || errors.Is(err, platform.ErrRefusedConnection) {
+	if _, err := call(http.MethodPost, "b"); err == nil || errors.Is(err, dialect.ErrRefusedConnection) {
 		t.Errorf("closed after running: got %v", err)
 	}
 	b.SetFaults(BookingFaults{Refuse: true})
-	if _, err := call(http.MethodPost, "c"); err == nil || errors.Is(err, platform.ErrRefusedConnection) {
+	if _, err := call(http.MethodPost, "c"); err == nil || errors.Is(err, dialect.ErrRefusedConnection) {
 		t.Errorf("closed before running: got %v", err)
 	}
 	b.SetFaults(BookingFaults{})
 	_ = s.Refuse(true)
-	if _, err := call(http.MethodPost, "d"); !errors.Is(err, platform.ErrRefusedConnection) {
+	if _, err := call(http.MethodPost, "d"); !errors.Is(err, dialect.ErrRefusedConnection) {
 		t.Errorf("closed port: got %v", err)
 	}
 	if err := s.Refuse(false); err != nil {
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -8,14 +8,14 @@
 	"sync"
 	"time"
 
-	"hyssoploom/platform"
+	"hyssoploom/dialect"
 
 	"github.com/gorilla/mux"
 )
 
 // EngineConfig describes an engine stand-in. Zero values select the defaults.
 type EngineConfig struct {
-	Loaded []platform.ModelRef
+	Loaded []dialect.ModelRef
 	// TokenDelay is the time between two tokens.
 	TokenDelay time.Duration
 	// FirstToken is the time to the first token as a function of the number of
@@ -83,9 +83,9 @@
 	bootID    string
 	started   time.Time
 	stop      chan struct{} // closed by Restart: cuts what is running
-	loaded    []platform.ModelRef
+	loaded    []dialect.ModelRef
 	fencing   uint64
-	orders    []platform.Order
+	orders    []dialect.Order
 	cold      bool
 	completed int // since the engine became cold
 	running   int
@@ -166,10 +166,10 @@
 
 // EngineRecord is what an engine stand-in has observed.
 type EngineRecord struct {
-	Runs   []EngineRun      `json:"runs"`
-	Orders []platform.Order `json:"orders"` // accepted ones
-	Cold   bool             `json:"cold"`
-	Peak   int              `json:"peak"` // most concurrent requests
+	Runs   []EngineRun     `json:"runs"`
+	Orders []dialect.Order `json:"orders"` // accepted ones
+	Cold   bool            `json:"cold"`
+	Peak   int             `json:"peak"` // most concurrent requests
 	// ColdPeak is the most concurrent requests while cold.
 	ColdPeak int `json:"cold_peak"`
 	// Collapses counts the requests that a cold engine took above its limit.
@@ -189,15 +189,15 @@
 }
 
 // Status returns the engine's load report.
-func (e *Engine) Status() platform.EngineStatus {
+func (e *Engine) Status() dialect.EngineStatus {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return platform.EngineStatus{BootID: e.bootID, Uptime: time.Since(e.started), Running: e.running,
+	return dialect.EngineStatus{BootID: e.bootID, Uptime: time.Since(e.started), Running: e.running,
 		Loaded: slices.Clone(e.loaded), Resumes: e.config.Resumes}
 }
 
 // Apply performs an order and tells whether the fencing number was accepted.
-func (e *Engine) Apply(o platform.Order) bool {
+func (e *Engine) Apply(o dialect.Order) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.config.ChecksFencing && o.Fencing < e.fencing {
@@ -205,7 +205,7 @@
 	}
 	e.fencing = max(e.fencing, o.Fencing)
 	e.orders = append(e.orders, o)
-	e.loaded = slices.DeleteFunc(e.loaded, func(m platform.ModelRef) bool { return m == o.Target })
+	e.loaded = slices.DeleteFunc(e.loaded, func(m dialect.ModelRef) bool { return m == o.Target })
 	if o.Action == "load" {
 		e.loaded = append(e.loaded, o.Target)
 	}
@@ -216,7 +216,7 @@
 func (e *Engine) begin(run *EngineRun) (stop chan struct{}, status int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !slices.Contains(e.loaded, platform.ModelRef{Model: run.Model, Version: run.Version}) {
+	if !slices.Contains(e.loaded, dialect.ModelRef{Model: run.Model, Version: run.Version}) {
 		return nil, http.StatusNotFound
 	}
 	if e.config.MaxConcurrent > 0 && e.running >= e.config.MaxConcurrent {
--- a/standin/engine_http.go
+++ b/standin/engine_http.go
@@ -9,7 +9,7 @@
 	"strings"
 	"time"
 
-	"hyssoploom/platform"
+	"hyssoploom/dialect"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -174,7 +174,7 @@
 	b, err := json.Marshal(map[string]any{
 		"object": "chat.completion.chunk", "model": s.model,
 		"choices": []any{map[string]any{"index": 0, "delta": map[string]string{"content": text}, "finish_reason": reason}},
-		"usage":   platform.Usage{TokensIn: s.prompt, TokensOut: int64(s.sent)},
+		"usage":   dialect.Usage{TokensIn: s.prompt, TokensOut: int64(s.sent)},
 	})
 	if err != nil {
 		return err
@@ -190,7 +190,7 @@
 func (e *Engine) serveRecord(w http.ResponseWriter, _ *http.Request) { engineJSON(w, e.Record()) }
 
 func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
-	var o platform.Order
+	var o dialect.Order
 	if err := json.NewDecoder(r.Body).Decode(&o); err != nil || o.Action != "load" && o.Action != "unload" {
 		engineError(w, http.StatusBadRequest, "malformed order")
 		return
--- a/standin/engine_test.go
+++ b/standin/engine_test.go
@@ -8,16 +8,16 @@
 	"testing"
 	"time"
 
-	"hyssoploom/platform"
+	"hyssoploom/dialect"
 )
 
-var testRef = platform.ModelRef{Model: "draft", Version: "1"}
+var testRef = dialect.ModelRef{Model: "draft", Version: "1"}
 
 // startEngine serves an engine stand-in over loopback and returns its client.
-func startEngine(t *testing.T, c EngineConfig) (*Engine, *LoopbackServer, *platform.HTTPEngine) {
+func startEngine(t *testing.T, c EngineConfig) (*Engine, *LoopbackServer, *dialect.HTTPEngine) {
 	t.Helper()
 	if c.Loaded == nil {
-		c.Loaded = []platform.ModelRef{testRef}
+		c.Loaded = []dialect.ModelRef{testRef}
 	}
 	e := NewEngine(c)
 	s, err := ListenLoopback("127.0.0.1:0", e.Handler())
@@ -25,19 +25,19 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = s.Close() })
-	return e, s, platform.NewHTTPEngine(s.URL(), nil)
+	return e, s, dialect.NewHTTPEngine(s.URL(), nil)
 }
 
-func chat(prompt string, tokens int) platform.GenerateRequest {
-	return platform.GenerateRequest{RequestID: "r1", Model: testRef.Model, Version: testRef.Version,
+func chat(prompt string, tokens int) dialect.GenerateRequest {
+	return dialect.GenerateRequest{RequestID: "r1", Model: testRef.Model, Version: testRef.Version,
 		Body: fmt.Appendf(nil, `{"model":"x","max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, tokens, prompt)}
 }
 
-func generate(c *platform.HTTPEngine, r platform.GenerateRequest) (string, platform.Generated, error) {
+func generate(c *dialect.HTTPEngine, r dialect.GenerateRequest) (string, dialect.Generated, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	var text strings.Builder
-	g, err := c.Generate(ctx, r, func(t platform.Token) error { text.WriteString(t.Text); return nil })
+	g, err := c.Generate(ctx, r, func(t dialect.Token) error { text.WriteString(t.Text); return nil })
 	return text.String(), g, err
 }
 
@@ -49,21 +49,21 @@
 		name      string
 		config    EngineConfig
 		faults    EngineFaults
-		change    func(*platform.GenerateRequest)
+		change    func(*dialect.GenerateRequest)
 		err       error
 		text      string
 		tokensOut int64
 		ran       int
 	}{
 		{name: "complete", text: full, tokensOut: 6, ran: 1},
-		{name: "truncated", faults: EngineFaults{TruncateAfter: 4}, err: platform.ErrTruncated,
+		{name: "truncated", faults: EngineFaults{TruncateAfter: 4}, err: dialect.ErrTruncated,
 			text: full[:4*5], tokensOut: 4, ran: 1},
 		{name: "bad version", faults: EngineFaults{Bad: []string{"draft@1"}},
 			text: full[:5] + "BAD " + full[10:], tokensOut: 6, ran: 1},
-		{name: "version not loaded", change: func(r *platform.GenerateRequest) { r.Version = "9" }, err: platform.ErrNotLoaded},
-		{name: "malformed body", change: func(r *platform.GenerateRequest) { r.Body = []byte("[]") }, err: platform.ErrBadBody},
+		{name: "version not loaded", change: func(r *dialect.GenerateRequest) { r.Version = "9" }, err: dialect.ErrNotLoaded},
+		{name: "malformed body", change: func(r *dialect.GenerateRequest) { r.Body = []byte("[]") }, err: dialect.ErrBadBody},
 		{name: "resumed", config: EngineConfig{Resumes: true}, text: full[10:], tokensOut: 4, ran: 1,
-			change: func(r *platform.GenerateRequest) { r.ResumeFrom, r.ResumeText = 2, full[:10] }},
+			change: func(r *dialect.GenerateRequest) { r.ResumeFrom, r.ResumeText = 2, full[:10] }},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -96,14 +96,14 @@
 		t.Fatal(err)
 	}
 	e.SetFaults(EngineFaults{Refuse: true})
-	if _, _, err := generate(client, chat("a", 1)); err == nil || errors.Is(err, platform.ErrRefusedConnection) {
+	if _, _, err := generate(client, chat("a", 1)); err == nil || errors.Is(err, dialect.ErrRefusedConnection) {
 		t.Errorf("connection closed after the request was sent: got %v", err)
 	}
 	e.SetFaults(EngineFaults{})
 	if err := server.Refuse(true); err != nil {
 		t.Fatal(err)
 	}
-	if _, _, err := generate(client, chat("a", 1)); !errors.Is(err, platform.ErrRefusedConnection) {
+	if _, _, err := generate(client, chat("a", 1)); !errors.Is(err, dialect.ErrRefusedConnection) {
 		t.Errorf("closed port: got %v", err)
 	}
 	if err := server.Refuse(false); err != nil {
@@ -121,14 +121,14 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var overloaded error
-	g, err := client.Generate(ctx, chat("a", 1000), func(platform.Token) error {
+	g, err := client.Generate(ctx, chat("a", 1000), func(dialect.Token) error {
 		if overloaded == nil {
 			_, _, overloaded = generate(client, chat("b", 1))
 			cancel()
 		}
 		return nil
 	})
-	if !errors.Is(overloaded, platform.ErrOverloaded) {
+	if !errors.Is(overloaded, dialect.ErrOverloaded) {
 		t.Errorf("second request: got %v", overloaded)
 	}
 	if !errors.Is(err, context.Canceled) || g.Usage.TokensOut < 1 {
@@ -150,7 +150,7 @@
 // keeps its boot id over a restart.
 func TestEngineRestartAndCold(t *testing.T) {
 	e, _, client := startEngine(t, EngineConfig{ColdLimit: 1, WarmAfter: 3})
-	status := func() platform.EngineStatus {
+	status := func() dialect.EngineStatus {
 		s, err := client.Status(context.Background())
 		if err != nil {
 			t.Fatal(err)
@@ -184,14 +184,14 @@
 func TestEngineOrders(t *testing.T) {
 	for _, checks := range []bool{true, false} {
 		e, _, client := startEngine(t, EngineConfig{ChecksFencing: checks})
-		next := platform.ModelRef{Model: "draft", Version: "2"}
+		next := dialect.ModelRef{Model: "draft", Version: "2"}
 		order := func(fencing uint64, action string) error {
-			return client.Order(context.Background(), platform.Order{Fencing: fencing, Action: action, Target: next})
+			return client.Order(context.Background(), dialect.Order{Fencing: fencing, Action: action, Target: next})
 		}
 		if err := order(7, "load"); err != nil {
 			t.Fatal(err)
 		}
-		if err := order(6, "unload"); errors.Is(err, platform.ErrFenced) != checks {
+		if err := order(6, "unload"); errors.Is(err, dialect.ErrFenced) != checks {
 			t.Errorf("old order, checks %v: got %v", checks, err)
 		}
 		if got := len(e.Status().Loaded); got != map[bool]int{true: 2, false: 1}[checks] {
@@ -228,7 +228,7 @@
 		time.Sleep(time.Millisecond)
 	}
 	e.Restart()
-	if err := <-results; err == nil || errors.Is(err, platform.ErrRefusedConnection) {
+	if err := <-results; err == nil || errors.Is(err, dialect.ErrRefusedConnection) {
 		t.Errorf("restarted during an answer: got %v", err)
 	}
 }
@@ -240,7 +240,7 @@
 		e.SetFaults(f)
 		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 		defer cancel()
-		g, err := client.Generate(ctx, chat("a", 5), func(platform.Token) error { return nil })
+		g, err := client.Generate(ctx, chat("a", 5), func(dialect.Token) error { return nil })
 		if !errors.Is(err, context.DeadlineExceeded) || g.Usage.TokensOut != int64(f.HangAfter) {
 			t.Errorf("%s: got %+v, %v", name, g, err)
 		}
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -5,10 +5,10 @@
 	"fmt"
 	"time"
 
-	"hyssoploom/platform"
+	"hyssoploom/dialect"
 )
 
-var errDown = fmt.Errorf("%w: stand-in is switched off", platform.ErrUnavailable)
+var errDown = fmt.Errorf("%w: stand-in is switched off", dialect.ErrUnavailable)
 
 // faults are the fault switches of a Store.
 type faults struct {
@@ -19,7 +19,7 @@
 	silent        bool
 }
 
-// SetDown makes every call fail with platform.ErrUnavailable. Waiting watches
+// SetDown makes every call fail with dialect.ErrUnavailable. Waiting watches
 // end with the same error.
 func (s *Store) SetDown(down bool) {
 	s.mu.Lock()
@@ -107,7 +107,7 @@
 
 func lostIn(ctx context.Context, write bool) error {
 	if write {
-		return fmt.Errorf("%w: %w", platform.ErrUnknownOutcome, ctx.Err())
+		return fmt.Errorf("%w: %w", dialect.ErrUnknownOutcome, ctx.Err())
 	}
-	return fmt.Errorf("%w: %w", platform.ErrUnavailable, ctx.Err())
+	return fmt.Errorf("%w: %w", dialect.ErrUnavailable, ctx.Err())
 }
--- a/standin/lease.go
+++ b/standin/lease.go
@@ -6,23 +6,23 @@
 
 	"github.com/oklog/ulid/v2"
 
-	"hyssoploom/platform"
+	"hyssoploom/dialect"
 )
 
 // Grant creates a lease.
-func (s *Store) Grant(ctx context.Context, ttl time.Duration) (platform.Lease, error) {
+func (s *Store) Grant(ctx context.Context, ttl time.Duration) (dialect.Lease, error) {
 	if err := s.begin(ctx, true); err != nil {
 		return "", err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	id := platform.Lease(ulid.Make().String())
+	id := dialect.Lease(ulid.Make().String())
 	s.leases[id] = &lease{ttl: ttl, timer: time.AfterFunc(ttl, func() { s.ExpireLease(id) })}
 	return id, nil
 }
 
 // KeepAlive restarts the time to live of a lease.
-func (s *Store) KeepAlive(ctx context.Context, id platform.Lease) error {
+func (s *Store) KeepAlive(ctx context.Context, id dialect.Lease) error {
 	if err := s.begin(ctx, true); err != nil {
 		return err
 	}
@@ -30,14 +30,14 @@
 	defer s.mu.Unlock()
 	l := s.leases[id]
 	if l == nil {
-		return platform.ErrLeaseEnded
+		return dialect.ErrLeaseEnded
 	}
 	l.timer.Reset(l.ttl)
 	return nil
 }
 
 // Revoke ends a lease and deletes its keys.
-func (s *Store) Revoke(ctx context.Context, id platform.Lease) error {
+func (s *Store) Revoke(ctx context.Context, id dialect.Lease) error {
 	if err := s.begin(ctx, true); err != nil {
 		return err
 	}
@@ -46,7 +46,7 @@
 }
 
 // ExpireLease ends a lease at once, as if its time to live had passed.
-func (s *Store) ExpireLease(id platform.Lease) {
+func (s *Store) ExpireLease(id dialect.Lease) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := s.leases[id]
--- a/standin/rater.go
+++ b/standin/rater.go
@@ -11,7 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/gorilla/mux"
 
-	"hyssoploom/platform"
+	"hyssoploom/dialect"
 )
 
 // maxRateRequest bounds the body of a rating call.
@@ -23,10 +23,10 @@
 // Judge decides whether an answer passes. u is uniform in [0, 1) and depends
 // only on the rater's seed, the request id, the model and the version, so the
 // result does not depend on the order of calls.
-type Judge func(r platform.RateRequest, u float64) bool
+type Judge func(r dialect.RateRequest, u float64) bool
 
 // JudgeBAD passes every answer whose text does not contain the word "BAD".
-func JudgeBAD(r platform.RateRequest, _ float64) bool { return !strings.Contains(r.Answer, "BAD") }
+func JudgeBAD(r dialect.RateRequest, _ float64) bool { return !strings.Contains(r.Answer, "BAD") }
 
 // RaterOptions configures the stand-in rater.
 type RaterOptions struct {
@@ -37,8 +37,8 @@
 
 // RatingRecord is one rating that the stand-in has given.
 type RatingRecord struct {
-	Request platform.RateRequest
-	Rating  platform.Rating
+	Request dialect.RateRequest
+	Rating  dialect.Rating
 }
 
 // Rater is a stand-in for the platform's rating service.
@@ -120,7 +120,7 @@
 // Handler serves the protocol of docs/rater-protocol.md.
 func (s *Rater) Handler() http.Handler {
 	r := mux.NewRouter()
-	r.HandleFunc(platform.RaterPath, s.rate).Methods(http.MethodPost)
+	r.HandleFunc(dialect.RaterPath, s.rate).Methods(http.MethodPost)
 	return r
 }
 
@@ -131,7 +131,7 @@
 	delay, hang := s.options.Delay, s.hang
 	s.mu.Unlock()
 	defer s.closed()
-	var r platform.RateRequest
+	var r dialect.RateRequest
 	if err := json.NewDecoder(http.MaxBytesReader(w, req.Body, maxRateRequest)).Decode(&r); err != nil || r.RequestID == "" {
 		raterError(w, http.StatusBadRequest, "bad_request", "body is not a rating request")
 		return
@@ -175,15 +175,15 @@
 	}
 }
 
-func (s *Rater) judge(r platform.RateRequest) (platform.Rating, bool) {
+func (s *Rater) judge(r dialect.RateRequest) (dialect.Rating, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return platform.Rating{}, false
+		return dialect.Rating{}, false
 	}
 	id := xxhash.Sum64String(r.RequestID + "\x00" + r.Model + "\x00" + r.Version)
 	u := rand.New(rand.NewPCG(s.options.Seed, id)).Float64()
-	rating := platform.Rating{Pass: s.options.Judge(r, u)}
+	rating := dialect.Rating{Pass: s.options.Judge(r, u)}
 	if rating.Pass {
 		rating.Score = 1
 	}
--- a/standin/rater_test.go
+++ b/standin/rater_test.go
@@ -8,15 +8,15 @@
 	"testing"
 	"time"
 
-	"hyssoploom/platform"
+	"hyssoploom/dialect"
 )
 
-func raterPair(t *testing.T, o RaterOptions) (*Rater, *platform.HTTPRater) {
+func raterPair(t *testing.T, o RaterOptions) (*Rater, *dialect.HTTPRater) {
 	t.Helper()
 	s := NewRater(o)
 	server := httptest.NewServer(s.Handler())
 	t.Cleanup(server.Close)
-	client, err := platform.NewHTTPRater(server.URL, 0)
+	client, err := dialect.NewHTTPRater(server.URL, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -28,7 +28,7 @@
 func TestRaterRoundTrip(t *testing.T) {
 	s, client := raterPair(t, RaterOptions{})
 	for answer, pass := range map[string]bool{"fine": true, "this is BAD": false} {
-		got, err := client.Rate(context.Background(), platform.RateRequest{RequestID: "r1", TaskClass: "c", Answer: answer})
+		got, err := client.Rate(context.Background(), dialect.RateRequest{RequestID: "r1", TaskClass: "c", Answer: answer})
 		if err != nil || got.Pass != pass {
 			t.Errorf("Rate(%q) = %v, %v; want pass %v", answer, got, err, pass)
 		}
@@ -45,32 +45,32 @@
 	server := httptest.NewServer(s.Handler())
 	t.Cleanup(server.Close)
 	ask := func(id string, timeout time.Duration) error {
-		client, err := platform.NewHTTPRater(server.URL, timeout)
+		client, err := dialect.NewHTTPRater(server.URL, timeout)
 		if err != nil {
 			t.Fatal(err)
 		}
 		defer client.CloseIdle()
-		_, err = client.Rate(context.Background(), platform.RateRequest{RequestID: id})
+		_, err = client.Rate(context.Background(), dialect.RateRequest{RequestID: id})
 		return err
 	}
 	const long, short = 10 * time.Second, 50 * time.Millisecond
 	s.SetDown(true)
-	if err := ask("r", long); !errors.Is(err, platform.ErrRaterUnavailable) {
+	if err := ask("r", long); !errors.Is(err, dialect.ErrRaterUnavailable) {
 		t.Errorf("down: %v", err)
 	}
 	s.SetDown(false)
 	s.SetHang(true)
-	if err := ask("r", short); !errors.Is(err, platform.ErrRaterTimeout) {
+	if err := ask("r", short); !errors.Is(err, dialect.ErrRaterTimeout) {
 		t.Errorf("hanging: %v", err)
 	}
 	awaitNoOpen(t, s)
 	s.SetHang(false)
 	s.SetDelay(long)
-	if err := ask("r", short); !errors.Is(err, platform.ErrRaterTimeout) {
+	if err := ask("r", short); !errors.Is(err, dialect.ErrRaterTimeout) {
 		t.Errorf("slow: %v", err)
 	}
 	s.SetDelay(0)
-	if err := ask("", long); !errors.Is(err, platform.ErrRaterRejected) {
+	if err := ask("", long); !errors.Is(err, dialect.ErrRaterRejected) {
 		t.Errorf("without request id: %v", err)
 	}
 	if err := ask("r", long); err != nil {
@@ -96,13 +96,13 @@
 func TestRaterSeed(t *testing.T) {
 	var runs [2][]bool
 	for run := range runs {
-		_, client := raterPair(t, RaterOptions{Seed: 7, Judge: func(_ platform.RateRequest, u float64) bool { return u < 0.5 }})
+		_, client := raterPair(t, RaterOptions{Seed: 7, Judge: func(_ dialect.RateRequest, u float64) bool { return u < 0.5 }})
 		ids := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
 		for i := range ids {
 			if run == 1 {
 				i = len(ids) - 1 - i
 			}
-			r, err := client.Rate(context.Background(), platform.RateRequest{RequestID: ids[i], Model: "m"})
+			r, err := client.Rate(context.Background(), dialect.RateRequest{RequestID: ids[i], Model: "m"})
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -123,18 +123,18 @@
 			w.WriteHeader(status)
 			_, _ = w.Write([]byte(body))
 		}))
-		client, err := platform.NewHTTPRater(server.URL, 0)
+		client, err := dialect.NewHTTPRater(server.URL, 0)
 		if err != nil {
 			t.Fatal(err)
 		}
-		_, err = client.Rate(context.Background(), platform.RateRequest{RequestID: "r"})
-		if !errors.Is(err, platform.ErrRaterProtocol) {
+		_, err = client.Rate(context.Background(), dialect.RateRequest{RequestID: "r"})
+		if !errors.Is(err, dialect.ErrRaterProtocol) {
 			t.Errorf("body %s: %v", body, err)
 		}
 		client.CloseIdle()
 		server.Close()
 	}
-	if _, err := platform.NewHTTPRater("localhost:1", 0); err == nil {
+	if _, err := dialect.NewHTTPRater("localhost:1", 0); err == nil {
 		t.Error("NewHTTPRater accepted a URL without scheme")
 	}
 }
--- a/standin/store.go
+++ b/standin/store.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"hyssoploom/platform"
+	"hyssoploom/dialect"
 )
 
 // DefaultHistory is the number of changes that watches can go back.
@@ -24,14 +24,14 @@
 	WaitingWatches int
 }
 
-// Store is an in-memory key-value store. It implements platform.Store directly,
+// Store is an in-memory key-value store. It implements dialect.Store directly,
 // for tests in one process, and through Handler.
 type Store struct {
 	mu       sync.Mutex
-	keys     map[string]platform.KV
-	owners   map[string]platform.Lease // by key
-	leases   map[platform.Lease]*lease
-	events   []platform.Event // oldest first, at most history
+	keys     map[string]dialect.KV
+	owners   map[string]dialect.Lease // by key
+	leases   map[dialect.Lease]*lease
+	events   []dialect.Event // oldest first, at most history
 	history  int
 	revision uint64
 	changed  chan struct{}
@@ -44,12 +44,12 @@
 	timer *time.Timer
 }
 
-var _ platform.Store = (*Store)(nil)
+var _ dialect.Store = (*Store)(nil)
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{keys: map[string]platform.KV{}, owners: map[string]platform.Lease{},
-		leases: map[platform.Lease]*lease{}, history: DefaultHistory, changed: make(chan struct{})}
+	return &Store{keys: map[string]dialect.KV{}, owners: map[string]dialect.Lease{},
+		leases: map[dialect.Lease]*lease{}, history: DefaultHistory, changed: make(chan struct{})}
 }
 
 // Counts returns the call counters.
@@ -67,64 +67,64 @@
 }
 
 // Get reads one key.
-func (s *Store) Get(ctx context.Context, key string) (platform.KV, error) {
+func (s *Store) Get(ctx context.Context, key string) (dialect.KV, error) {
 	if err := s.begin(ctx, false); err != nil {
-		return platform.KV{}, err
+		return dialect.KV{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	kv, ok := s.keys[key]
 	if !ok {
-		return platform.KV{}, platform.ErrNotFound
+		return dialect.KV{}, dialect.ErrNotFound
 	}
 	return kv, nil
 }
 
 // List reads all keys with a prefix, in order.
-func (s *Store) List(ctx context.Context, prefix string) ([]platform.KV, uint64, error) {
+func (s *Store) List(ctx context.Context, prefix string) ([]dialect.KV, uint64, error) {
 	if err := s.begin(ctx, false); err != nil {
 		return nil, 0, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var out []platform.KV
+	var out []dialect.KV
 	for key, kv := range s.keys {
 		if strings.HasPrefix(key, prefix) {
 			out = append(out, kv)
 		}
 	}
-	slices.SortFunc(out, func(a, b platform.KV) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(out, func(a, b dialect.KV) int { return strings.Compare(a.Key, b.Key) })
 	return out, s.revision, nil
 }
 
 // Swap performs a compare-and-swap.
-func (s *Store) Swap(ctx context.Context, w platform.Write) (uint64, error) {
+func (s *Store) Swap(ctx context.Context, w dialect.Write) (uint64, error) {
 	if err := s.begin(ctx, true); err != nil {
 		return 0, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if take(&s.faults.dropRequests) {
-		return 0, fmt.Errorf("%w: request lost", platform.ErrUnknownOutcome)
+		return 0, fmt.Errorf("%w: request lost", dialect.ErrUnknownOutcome)
 	}
 	rev, err := s.swap(w)
 	if take(&s.faults.loseResponses) {
-		return 0, fmt.Errorf("%w: response lost", platform.ErrUnknownOutcome)
+		return 0, fmt.Errorf("%w: response lost", dialect.ErrUnknownOutcome)
 	}
 	return rev, err
 }
 
-func (s *Store) swap(w platform.Write) (uint64, error) {
-	if len(w.Value) > platform.MaxValueBytes {
-		return 0, platform.ErrValueTooLarge
+func (s *Store) swap(w dialect.Write) (uint64, error) {
+	if len(w.Value) > dialect.MaxValueBytes {
+		return 0, dialect.ErrValueTooLarge
 	}
 	if w.Lease != "" && s.leases[w.Lease] == nil {
-		return 0, platform.ErrLeaseEnded
+		return 0, dialect.ErrLeaseEnded
 	}
 	current, exists := s.keys[w.Key]
 	if current.Revision != w.Expect {
 		current.Key = w.Key
-		return 0, &platform.ConflictError{Current: current}
+		return 0, &dialect.ConflictError{Current: current}
 	}
 	if w.Delete {
 		if exists {
@@ -133,13 +133,13 @@
 		return s.revision, nil
 	}
 	s.revision++
-	kv := platform.KV{Key: w.Key, Value: slices.Clone(w.Value), Revision: s.revision}
+	kv := dialect.KV{Key: w.Key, Value: slices.Clone(w.Value), Revision: s.revision}
 	s.keys[w.Key] = kv
 	delete(s.owners, w.Key)
 	if w.Lease != "" {
 		s.owners[w.Key] = w.Lease
 	}
-	s.record(platform.Event{KV: kv})
+	s.record(dialect.Event{KV: kv})
 	return s.revision, nil
 }
 
@@ -148,11 +148,11 @@
 	s.revision++
 	delete(s.keys, key)
 	delete(s.owners, key)
-	s.record(platform.Event{KV: platform.KV{Key: key, Revision: s.revision}, Deleted: true})
+	s.record(dialect.Event{KV: dialect.KV{Key: key, Revision: s.revision}, Deleted: true})
 }
 
 // record adds an event and wakes the watches.
-func (s *Store) record(e platform.Event) {
+func (s *Store) record(e dialect.Event) {
 	s.events = append(s.events, e)
 	if n := len(s.events) - s.history; n > 0 {
 		s.events = slices.Delete(s.events, 0, n)
@@ -167,7 +167,7 @@
 }
 
 // Watch waits for changes after a revision.
-func (s *Store) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]platform.Event, uint64, error) {
+func (s *Store) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]dialect.Event, uint64, error) {
 	if err := s.begin(ctx, false); err != nil {
 		return nil, 0, err
 	}
@@ -202,7 +202,7 @@
 
 // since returns the events after a revision and a channel that is closed by
 // the next change. The channel is nil while watches are silent.
-func (s *Store) since(prefix string, after uint64) ([]platform.Event, uint64, <-chan struct{}, error) {
+func (s *Store) since(prefix string, after uint64) ([]dialect.Event, uint64, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
@@ -211,9 +211,9 @@
 	case s.faults.down:
 		return nil, 0, nil, errDown
 	case len(s.events) == s.history && after+1 < s.events[0].Revision:
-		return nil, 0, nil, platform.ErrCompacted
+		return nil, 0, nil, dialect.ErrCompacted
 	}
-	var out []platform.Event
+	var out []dialect.Event
 	for _, e := range s.events {
 		if e.Revision > after && strings.HasPrefix(e.Key, prefix) {
 			out = append(out, e)
--- a/standin/storehttp.go
+++ b/standin/storehttp.go
@@ -9,11 +9,11 @@
 
 	"github.com/gorilla/mux"
 
-	"hyssoploom/platform"
+	"hyssoploom/dialect"
 )
 
 // maxSwapBytes bounds a request body: a value in base64 and its envelope.
-const maxSwapBytes = platform.MaxValueBytes*4/3 + 64<<10
+const maxSwapBytes = dialect.MaxValueBytes*4/3 + 64<<10
 
 // Handler serves the protocol of docs/platform-protocols.md.
 func (s *Store) Handler() http.Handler {
@@ -35,7 +35,7 @@
 
 func (s *Store) serveList(w http.ResponseWriter, r *http.Request) {
 	kvs, rev, err := s.List(r.Context(), r.FormValue("prefix"))
-	body := platform.ListBody{KVs: make([]platform.KVBody, 0, len(kvs)), Revision: rev}
+	body := dialect.ListBody{KVs: make([]dialect.KVBody, 0, len(kvs)), Revision: rev}
 	for _, kv := range kvs {
 		body.KVs = append(body.KVs, kv.Body())
 	}
@@ -50,7 +50,7 @@
 		return
 	}
 	events, rev, err := s.Watch(r.Context(), r.FormValue("prefix"), after, time.Duration(waitMS)*time.Millisecond)
-	body := platform.WatchBody{Events: make([]platform.KVBody, 0, len(events)), Revision: rev}
+	body := dialect.WatchBody{Events: make([]dialect.KVBody, 0, len(events)), Revision: rev}
 	for _, e := range events {
 		b := e.KV.Body()
 		b.Deleted = e.Deleted
@@ -60,65 +60,65 @@
 }
 
 func (s *Store) serveSwap(w http.ResponseWriter, r *http.Request) {
-	var in platform.SwapBody
+	var in dialect.SwapBody
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxSwapBytes)).Decode(&in); err != nil {
 		badRequest(w, err)
 		return
 	}
-	rev, err := s.Swap(r.Context(), platform.Write(in))
-	respond(w, platform.RevisionBody{Revision: rev}, err)
+	rev, err := s.Swap(r.Context(), dialect.Write(in))
+	respond(w, dialect.RevisionBody{Revision: rev}, err)
 }
 
 func (s *Store) serveGrant(w http.ResponseWriter, r *http.Request) {
-	var in platform.LeaseBody
+	var in dialect.LeaseBody
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxSwapBytes)).Decode(&in); err != nil {
 		badRequest(w, err)
 		return
 	}
 	id, err := s.Grant(r.Context(), time.Duration(in.TTLMS)*time.Millisecond)
-	respond(w, platform.LeaseBody{Lease: id, TTLMS: in.TTLMS}, err)
+	respond(w, dialect.LeaseBody{Lease: id, TTLMS: in.TTLMS}, err)
 }
 
 func (s *Store) serveKeepAlive(w http.ResponseWriter, r *http.Request) {
-	respond(w, struct{}{}, s.KeepAlive(r.Context(), platform.Lease(mux.Vars(r)["lease"])))
+	respond(w, struct{}{}, s.KeepAlive(r.Context(), dialect.Lease(mux.Vars(r)["lease"])))
 }
 
 func (s *Store) serveRevoke(w http.ResponseWriter, r *http.Request) {
-	respond(w, struct{}{}, s.Revoke(r.Context(), platform.Lease(mux.Vars(r)["lease"])))
+	respond(w, struct{}{}, s.Revoke(r.Context(), dialect.Lease(mux.Vars(r)["lease"])))
 }
 
 // respond writes a body or an error. A lost response closes the connection
 // without one.
 func respond(w http.ResponseWriter, body any, err error) {
-	var conflict *platform.ConflictError
+	var conflict *dialect.ConflictError
 	switch {
 	case err == nil:
 		writeJSON(w, http.StatusOK, body)
 	case errors.As(err, &conflict):
 		current := conflict.Current.Body()
-		writeJSON(w, http.StatusConflict, platform.ErrorBody{Code: platform.CodeConflict,
+		writeJSON(w, http.StatusConflict, dialect.ErrorBody{Code: dialect.CodeConflict,
 			Message: err.Error(), Current: &current})
-	case errors.Is(err, platform.ErrNotFound):
-		writeError(w, http.StatusNotFound, platform.CodeNotFound, err)
-	case errors.Is(err, platform.ErrCompacted):
-		writeError(w, http.StatusGone, platform.CodeCompacted, err)
-	case errors.Is(err, platform.ErrLeaseEnded):
-		writeError(w, http.StatusGone, platform.CodeLeaseEnded, err)
-	case errors.Is(err, platform.ErrValueTooLarge):
-		writeError(w, http.StatusRequestEntityTooLarge, platform.CodeTooLarge, err)
-	case errors.Is(err, platform.ErrUnavailable):
-		writeError(w, http.StatusServiceUnavailable, platform.CodeUnavailable, err)
+	case errors.Is(err, dialect.ErrNotFound):
+		writeError(w, http.StatusNotFound, dialect.CodeNotFound, err)
+	case errors.Is(err, dialect.ErrCompacted):
+		writeError(w, http.StatusGone, dialect.CodeCompacted, err)
+	case errors.Is(err, dialect.ErrLeaseEnded):
+		writeError(w, http.StatusGone, dialect.CodeLeaseEnded, err)
+	case errors.Is(err, dialect.ErrValueTooLarge):
+		writeError(w, http.StatusRequestEntityTooLarge, dialect.CodeTooLarge, err)
+	case errors.Is(err, dialect.ErrUnavailable):
+		writeError(w, http.StatusServiceUnavailable, dialect.CodeUnavailable, err)
 	default:
 		panic(http.ErrAbortHandler)
 	}
 }
 
 func badRequest(w http.ResponseWriter, err error) {
-	writeError(w, http.StatusBadRequest, platform.CodeBadRequest, err)
+	writeError(w, http.StatusBadRequest, dialect.CodeBadRequest, err)
 }
 
 func writeError(w http.ResponseWriter, status int, code string, err error) {
-	writeJSON(w, status, platform.ErrorBody{Code: code, Message: err.Error()})
+	writeJSON(w, status, dialect.ErrorBody{Code: code, Message: err.Error()})
 }
 
 func writeJSON(w http.ResponseWriter, status int, body any) {
--- a/standin/vmlist.go
+++ b/standin/vmlist.go
@@ -9,7 +9,7 @@
 
 	"github.com/gorilla/mux"
 
-	"hyssoploom/platform"
+	"hyssoploom/dialect"
 )
 
 // VMList is a fake of the platform's list of VMs.
@@ -22,16 +22,16 @@
 
 type vmVersion struct {
 	at  time.Time
-	vms []platform.VM
+	vms []dialect.VM
 }
 
-var _ platform.VMList = (*VMList)(nil)
+var _ dialect.VMList = (*VMList)(nil)
 
 // NewVMList returns an empty list without lag.
 func NewVMList() *VMList { return &VMList{} }
 
 // Set replaces the list. Readers see it after the lag.
-func (l *VMList) Set(vms ...platform.VM) {
+func (l *VMList) Set(vms ...dialect.VM) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.versions = append(l.versions, vmVersion{at: time.Now(), vms: slices.Clone(vms)})
@@ -52,7 +52,7 @@
 }
 
 // VMs returns the list as it was the lag ago; it is empty before the first one.
-func (l *VMList) VMs(context.Context) ([]platform.VM, error) {
+func (l *VMList) VMs(context.Context) ([]dialect.VM, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
@@ -72,7 +72,7 @@
 	r := mux.NewRouter()
 	r.HandleFunc("/v1/vms", func(w http.ResponseWriter, r *http.Request) {
 		vms, err := l.VMs(r.Context())
-		respond(w, platform.VMsBody{VMs: vms}, err)
+		respond(w, dialect.VMsBody{VMs: vms}, err)
 	}).Methods(http.MethodGet)
 	return r
 }
--- a/standin/vmlist_test.go
+++ b/standin/vmlist_test.go
@@ -5,17 +5,17 @@
 	"testing/synctest"
 	"time"
 
-	"hyssoploom/platform"
+	"hyssoploom/dialect"
 )
 
 // Guards against a lag setting that tests rely on but that has no effect.
 func TestVMListLags(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := NewVMList()
-		l.Set(platform.VM{Name: "a"})
+		l.Set(dialect.VM{Name: "a"})
 		time.Sleep(time.Minute)
 		l.SetLag(10 * time.Second)
-		l.Set(platform.VM{Name: "a", Leaving: true})
+		l.Set(dialect.VM{Name: "a", Leaving: true})
 		time.Sleep(9 * time.Second)
 		if vms, _ := l.VMs(t.Context()); len(vms) != 1 || vms[0].Leaving {
 			t.Fatalf("before the lag: %v", vms)
@@ -32,7 +32,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := NewStore()
 		id, _ := s.Grant(t.Context(), 10*time.Second)
-		if _, err := s.Swap(t.Context(), platform.Write{Key: "k", Lease: id}); err != nil {
+		if _, err := s.Swap(t.Context(), dialect.Write{Key: "k", Lease: id}); err != nil {
 			t.Fatal(err)
 		}
 		for range 3 {
@@ -42,7 +42,7 @@
 			}
 		}
 		time.Sleep(11 * time.Second)
-		if _, err := s.Get(t.Context(), "k"); err != platform.ErrNotFound {
+		if _, err := s.Get(t.Context(), "k"); err != dialect.ErrNotFound {
 			t.Fatalf("key of an expired lease: %v", err)
 		}
 		if c := s.Counts(); c != (Counts{Reads: 1, Writes: 5}) {
