--- a/cmd/hyssoploom/main.go
+++ b/cmd/hyssoploom/main.go
@@ -14,7 +14,7 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	root := cli.New()
-	root.AddCommand(daemon.EntryCommand(), daemon.AgentCommand(), daemon.DemoCommand())
+	root.AddCommand(daemon.EntryCommand(), daemon.AgentCommand(), daemon.GatewayCommand(), daemon.DemoCommand())
 	code := cli.Run(ctx, root, os.Args[1:], os.Stdout, os.Stderr)
 	stop()
 	os.Exit(int(code))
--- /dev/null
+++ b/daemon/gateway.go
@@ -0,0 +1,165 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/phuslu/log"
+	"github.com/spf13/cobra"
+	"github.com/thejerf/suture/v4"
+
+	"hyssoploom/backend"
+	"hyssoploom/cli"
+	"hyssoploom/fleet"
+	"hyssoploom/gateway"
+	"hyssoploom/platform"
+	"hyssoploom/settings"
+	"hyssoploom/supervise"
+	"hyssoploom/telemetry"
+)
+
+// envGatewaySettings holds the path of the settings file on the users' platform.
+const envGatewaySettings = "HYSSOPLOOM_CONFIG"
+
+const (
+	// logQueue is the number of log lines that wait for a slow reader; further
+	// ones are dropped and counted.
+	logQueue = 8192
+	// gcPercent trades processor time for a smaller heap: VMs are small and their
+	// peak memory is paid for.
+	gcPercent = 60
+	// memoryShare is the part of the VM's memory that the heap may fill before
+	// the collector works harder.
+	memoryShare = 0.6
+)
+
+// GatewayCommand returns the command that runs an entry on the users' platform.
+func GatewayCommand() *cobra.Command {
+	var path string
+	cmd := &cobra.Command{
+		Use:     "gateway",
+		Short:   "Run an entry that routes by host and path on the users' platform",
+		Example: "  hyssoploom gateway --settings /etc/hyssoploom/boot.yaml",
+		Args:    cli.Usage(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if path == "" {
+				return cli.Exit(cli.CodeUsage, "no settings: set --settings or %s", envGatewaySettings)
+			}
+			return runGateway(context.WithoutCancel(cmd.Context()), path)
+		},
+	}
+	cmd.Flags().StringVar(&path, "settings", os.Getenv(envGatewaySettings),
+		"path of the TOML settings file (env "+envGatewaySettings+")")
+	return cmd
+}
+
+func runGateway(ctx context.Context, path string) error {
+	s, err := settings.LoadGateway(path)
+	if err != nil {
+		return cli.Exit(cli.CodeUsage, "%w", err)
+	}
+	debug.SetGCPercent(gcPercent)
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(s.MemoryMB<<20) * memoryShare))
+	}
+	out := &log.AsyncWriter{ChannelSize: logQueue, DiscardOnFull: true, Writer: &log.IOWriter{Writer: os.Stdout}}
+	defer out.Close()
+	logger := telemetry.NewLoggerTo(out, s.Log.Level, "gateway")
+	logger.Info("Starting.", "name", s.Name, "data_centre", s.DataCentre, "store", s.StoreAddress)
+	d, err := newGatewayDaemon(path, s, logger)
+	if err != nil {
+		return err
+	}
+	go reportReloads(ctx, path, logger)
+	return supervise.Run(ctx, d, logger)
+}
+
+// reportReloads checks the settings file at each SIGHUP. Settings are fixed while
+// the process runs; a change takes effect at the next start.
+func reportReloads(ctx context.Context, path string, logger *telemetry.Logger) {
+	hups := make(chan os.Signal, 1)
+	signal.Notify(hups, syscall.SIGHUP)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hups:
+		}
+		if _, err := settings.LoadGateway(path); err != nil {
+			logger.Error("The changed settings are not valid.", "error", err.Error())
+			continue
+		}
+		logger.Info("Settings were read again; they apply from the next start.")
+	}
+}
+
+// gatewayDaemon is a gateway with what keeps it informed.
+type gatewayDaemon struct {
+	gateway  *gateway.Gateway
+	tree     *suture.Supervisor
+	listener net.Listener
+}
+
+func newGatewayDaemon(path string, s *settings.Gateway, logger *telemetry.Logger) (*gatewayDaemon, error) {
+	listener, err := listen(path, "listen", s.Listen)
+	if err != nil {
+		return nil, err
+	}
+	ready, err := listen(path, "ready_listen", s.ReadyListen)
+	if err != nil {
+		return nil, err
+	}
+	records := &platform.Records{Regions: s.DataCentres}
+	store := platform.NewStore(s.StoreAddress)
+	state := fleet.NewState(records, time.Now)
+	fresh := fleet.NewFreshness(fleet.BootTime)
+	metrics := telemetry.NewMetrics()
+	pool := backend.NewPool()
+	metrics.Func("backend_dials", func() any { return pool.Dials() })
+	g := gateway.New(s, gateway.Deps{
+		State:    state,
+		Fresh:    fresh,
+		Pool:     pool,
+		Protocol: platform.Protocol{},
+		Log:      logger,
+		Metrics:  metrics,
+		Entries:  func() int { return max(len(state.View().Peers), 1) },
+	})
+	self := fleet.Peer{Name: s.Name, Address: s.PeerListen, DataCentre: s.DataCentre, Region: s.Region}
+	key, value := records.PeerItem(self)
+	tree := supervise.New("gateway", logger.Part("supervisor"))
+	tree.Add(fleet.NewFollower(store, state, fresh, logger.Part("fleet")))
+	tree.Add(fleet.NewPresence(store, key, value, logger.Part("presence")))
+	tree.Add(supervise.HTTP("ready", ready, http.HandlerFunc(g.ServeReady)))
+	if s.MetricsListen != "" {
+		metricsListener, err := listen(path, "metrics_listen", s.MetricsListen)
+		if err != nil {
+			return nil, err
+		}
+		router := mux.NewRouter()
+		router.Handle("/metrics", metrics)
+		tree.Add(supervise.HTTP("metrics", metricsListener, router))
+	}
+	return &gatewayDaemon{gateway: g, tree: tree, listener: listener}, nil
+}
+
+// Serve implements supervise.Daemon.
+func (d *gatewayDaemon) Serve(ctx context.Context) error {
+	stopped := d.tree.ServeBackground(ctx)
+	err := d.gateway.ServeOn(ctx, d.listener)
+	if treeErr := <-stopped; treeErr != nil && !errors.Is(treeErr, context.Canceled) {
+		return errors.Join(err, treeErr)
+	}
+	return err
+}
+
+// Drain implements supervise.Daemon.
+func (d *gatewayDaemon) Drain(ctx context.Context) error { return d.gateway.Drain(ctx) }
--- /dev/null
+++ b/fleet/store.go
@@ -0,0 +1,43 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// Errors of the store. After any other error of a write it is unknown whether
+// the write took effect.
+var (
+	// ErrCompacted means that the store no longer has the changes asked for.
+	ErrCompacted = errors.New("changes since this revision are no longer available")
+	// ErrConflict means that a condition of a write did not hold.
+	ErrConflict = errors.New("a condition of the write does not hold")
+	// ErrLeaseEnded means that the lease does not exist.
+	ErrLeaseEnded = errors.New("lease has ended")
+	// ErrNotApplied means that the store did not carry out the call.
+	ErrNotApplied = errors.New("the store did not carry out the call")
+)
+
+// Condition requires that a key is at a revision; 0 means that it does not exist.
+type Condition struct {
+	Key      string
+	Revision int64
+}
+
+// Put writes a key; Lease 0 keeps it until it is removed.
+type Put struct {
+	Key   string
+	Value []byte
+	Lease int64
+}
+
+// Store is what the fleet needs of the platform's key-value store.
+type Store interface {
+	List(ctx context.Context, prefix string) ([]Item, int64, error)
+	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Item, int64, error)
+	Commit(ctx context.Context, conditions []Condition, puts []Put) (int64, error)
+	Grant(ctx context.Context, ttl time.Duration) (lease int64, err error)
+	Renew(ctx context.Context, lease int64) error
+	Revoke(ctx context.Context, lease int64) error
+}
--- /dev/null
+++ b/gateway/attempt.go
@@ -0,0 +1,370 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"hyssoploom/backend"
+	"hyssoploom/fleet"
+	"hyssoploom/placing"
+)
+
+const (
+	// leastOffer is the least remaining time with which a request is still sent.
+	leastOffer = 20 * time.Millisecond
+	// maxRefusals bounds the servers that are asked after refusals.
+	maxRefusals = 4
+	// regionDetour is the price of a server in another region as time: the bytes
+	// between regions are paid by volume and the way takes 60 ms.
+	regionDetour = 700 * time.Millisecond
+	// centreDetour is the price of another data centre of the same region.
+	centreDetour = 60 * time.Millisecond
+	// keepConfidence is the model's confidence in percent from which the answer of
+	// a smaller model is kept.
+	keepConfidence = 55
+)
+
+// attemptLog is what the log says about one attempt.
+type attemptLog struct {
+	Server     string `json:"server"`
+	Model      string `json:"model,omitempty"`
+	Outcome    string `json:"outcome"`
+	Confidence int    `json:"confidence,omitempty"`
+	// AtMS and TookMS are milliseconds since the request and within the attempt.
+	AtMS   int64  `json:"at_ms"`
+	TookMS int64  `json:"took_ms"`
+	Error  string `json:"error,omitempty"`
+}
+
+// outcome is how an attempt ended.
+type outcome int
+
+const (
+	// delivered: the caller has the answer, or as much as there will be.
+	delivered outcome = iota
+	// notSent: the server cannot have seen the request.
+	notSent
+	// notRun: the server said that it did not run the request.
+	notRun
+	// failed: the server answered with a failure that may be passed on.
+	failed
+	// broken: the answer was lost; the request may have run.
+	broken
+	// unsure: the model has little confidence, and the caller has received nothing.
+	unsure
+	// ended: the caller has left or the time is over.
+	ended
+)
+
+func (o outcome) String() string {
+	return [...]string{"delivered", "not_sent", "not_run", "failed", "broken", "unsure", "ended"}[o]
+}
+
+// run sends the request until it is answered, cannot be sent again, or its time
+// is over. It is the only place that decides what may be sent again.
+func (c *call) run() {
+	c.g.mu.Lock()
+	if c.service != nil {
+		c.g.budget(c.service.Name).Request(c.received)
+	}
+	c.g.mu.Unlock()
+	var failure *savedAnswer
+	for {
+		target, ok := c.choose()
+		if !ok {
+			c.giveUp(failure)
+			return
+		}
+		result, saved := c.attempt(target)
+		if saved != nil {
+			failure = saved
+		}
+		switch result {
+		case delivered:
+			return
+		case ended:
+			c.endEarly(failure)
+			return
+		case notSent, notRun:
+			c.tried[target.server.ID] = true
+			if len(c.tried) >= maxRefusals {
+				c.giveUp(failure)
+				return
+			}
+		case failed, broken:
+			c.tried[target.server.ID] = true
+			if !c.route.Repeatable() || c.ran >= c.route.MaxAttempts {
+				c.giveUp(failure)
+				return
+			}
+		case unsure:
+			c.model = len(c.route.Models) - 1
+		}
+	}
+}
+
+// target is the choice for one attempt.
+type target struct {
+	server *fleet.BackendServer
+	load   *load
+	model  string
+	// final tells that the answer is kept whatever the model's confidence is.
+	final bool
+	work  time.Duration
+}
+
+// choose picks a backend server for the next attempt and counts the request
+// there.
+func (c *call) choose() (target, bool) {
+	if time.Until(c.deadline) < leastOffer || c.service == nil {
+		return target{}, false
+	}
+	c.view = c.g.State.View()
+	g := c.g
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	t := target{final: true}
+	entries := g.Entries()
+	budget := g.budget(c.service.Name)
+	if c.model >= 0 {
+		t.model = c.route.Models[c.model]
+		last := len(c.route.Models) - 1
+		t.final = c.model == last || c.ran+1 >= c.route.MaxAttempts || c.stream.begun || budget.Left(now, entries) <= 1
+	}
+	if c.sends > 0 && !budget.Take(now, entries, 0) {
+		return target{}, false
+	}
+	var servers []*fleet.BackendServer
+	var candidates []placing.Candidate
+	for _, s := range c.view.ByService[c.service.Name] {
+		if !c.allowed(s, now, entries) {
+			continue
+		}
+		servers = append(servers, s)
+		candidates = append(candidates, c.candidate(s, t.model, now))
+	}
+	i := placing.Choose(candidates, c.affinity(), g.rng)
+	if i < 0 {
+		return target{}, false
+	}
+	t.server = servers[i]
+	t.load = g.load(t.server, c.service)
+	t.work = candidates[i].Read
+	t.load.pending += t.work
+	t.load.running++
+	if t.load.cache != nil {
+		t.load.cache.use(c.modelName(t.model), c.meta.Parts)
+	}
+	g.cold.Sent(now, t.server.ID)
+	return t, true
+}
+
+// allowed filters the servers that may take the request.
+func (c *call) allowed(s *fleet.BackendServer, now time.Time, entries int) bool {
+	g := c.g
+	switch {
+	case s.Draining, c.view.Out[s.DataCentre], c.tried[s.ID]:
+		return false
+	case !inRegions(s.Region, c.route.Regions):
+		return false
+	case c.workspace != nil && !inRegions(s.Region, c.workspace.Regions):
+		return false
+	case !c.view.VersionInUse(s):
+		return false
+	case g.load(s, c.service).wrongAddress == s.Address:
+		return false
+	case c.service.ColdRate > 0 && s.ColdAt(now) && !g.cold.Room(now, s.ID, c.service.ColdRate, entries+1):
+		return false
+	}
+	return true
+}
+
+func inRegions(region string, allowed []string) bool {
+	if len(allowed) == 0 {
+		return true
+	}
+	for _, a := range allowed {
+		if a == region {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *call) candidate(s *fleet.BackendServer, model string, now time.Time) placing.Candidate {
+	l := c.g.load(s, c.service)
+	p := placing.Candidate{
+		ID: s.ID, Pending: l.pending, Running: l.running, Slots: s.Slots, Suspect: now.Before(l.suspectUntil),
+	}
+	if l.cache != nil {
+		name := c.modelName(model)
+		unread := c.meta.PromptTokens - l.cache.held(name, c.meta.Parts)
+		p.Read = readTime(c.service, name, max(unread, 0))
+	}
+	switch {
+	case s.Region != c.g.settings.Region:
+		p.Detour = regionDetour
+	case s.DataCentre != c.g.settings.DataCentre:
+		p.Detour = centreDetour
+	}
+	return p
+}
+
+// modelName is the model that an attempt runs on.
+func (c *call) modelName(chosen string) string {
+	if chosen != "" {
+		return chosen
+	}
+	return c.meta.Model
+}
+
+// affinity is the key by which requests with a common prompt meet: the last part
+// that other requests share.
+func (c *call) affinity() string {
+	if n := len(c.meta.Parts); n >= 2 {
+		return c.meta.Parts[n-2].ID
+	}
+	return ""
+}
+
+// attempt sends the request to one server and deals with its answer.
+func (c *call) attempt(t target) (outcome, *savedAnswer) {
+	started := time.Now()
+	entry := attemptLog{Server: t.server.ID, Model: t.model, AtMS: started.Sub(c.received).Milliseconds()}
+	result, saved, err := c.exchange(t, &entry)
+	entry.Outcome = result.String()
+	entry.TookMS = time.Since(started).Milliseconds()
+	if err != nil {
+		entry.Error = err.Error()
+	}
+	c.log = append(c.log, entry)
+	c.g.release(t)
+	if result == delivered {
+		c.finish(http.StatusOK, "")
+	}
+	return result, saved
+}
+
+// release ends the count of an attempt.
+func (g *Gateway) release(t target) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	t.load.running--
+}
+
+// begun notes that the server has read the prompt of an attempt.
+func (g *Gateway) begun(t *target) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	t.load.pending -= t.work
+	t.work = 0
+}
+
+func (g *Gateway) suspect(t target) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	t.load.suspectUntil = time.Now().Add(suspectFor)
+}
+
+func (c *call) exchange(t target, entry *attemptLog) (outcome, *savedAnswer, error) {
+	defer c.g.begun(&t)
+	ctx, cancel := context.WithCancel(c.ctx)
+	defer cancel()
+	limit := 0
+	if c.service.MaxConnections > 0 {
+		limit = max(c.service.MaxConnections/(c.g.Entries()+1), 1)
+	}
+	if c.workspace != nil && !c.g.informed() {
+		return notSent, nil, errStale
+	}
+	answer, err := c.g.Pool.Exchange(ctx, t.server.Address, limit, c.outgoing(t))
+	if err != nil {
+		if errors.Is(err, backend.ErrNotSent) {
+			c.g.suspect(t)
+			return c.unlessEnded(notSent), nil, err
+		}
+		c.sends++
+		c.ran++
+		if c.ctx.Err() == nil {
+			c.g.suspect(t)
+		}
+		return c.unlessEnded(broken), nil, err
+	}
+	c.sends++
+	c.g.begun(&t)
+	defer answer.Body.Close()
+	meta := c.g.Protocol.ReadAnswer(answer.Status, answer.Header, t.server.ID)
+	if meta.NotRun {
+		if meta.WrongServer {
+			c.g.mu.Lock()
+			t.load.wrongAddress = t.server.Address
+			c.g.mu.Unlock()
+		}
+		return notRun, nil, nil
+	}
+	c.ran++
+	return c.deliver(t, answer, meta, entry)
+}
+
+var errStale = errors.New("the configuration is not fresh enough for requests with a key")
+
+// unlessEnded replaces an outcome when the caller has left or the time is over.
+func (c *call) unlessEnded(o outcome) outcome {
+	if c.ctx.Err() != nil {
+		return ended
+	}
+	return o
+}
+
+func (c *call) outgoing(t target) *backend.Request {
+	send := Send{ServerID: t.server.ID, Remaining: time.Until(c.deadline), Model: t.model, LastEvent: c.stream.lastID}
+	if c.workspace != nil {
+		send.Workspace = c.workspace.Name
+	}
+	return &backend.Request{
+		Method: c.r.Method,
+		Target: c.r.RequestURI,
+		Host:   c.r.Host,
+		Header: c.g.Protocol.Outgoing(c.r.Header, send),
+		Body:   c.body,
+		Mine:   func(h http.Header) bool { return c.g.Protocol.Belongs(h, c.meta.ID) },
+	}
+}
+
+// giveUp answers a request for which no further attempt is made.
+func (c *call) giveUp(failure *savedAnswer) {
+	switch {
+	case c.started:
+		c.abort(ReasonBroken)
+	case failure != nil:
+		c.passOn(failure)
+	case c.ran > 0:
+		c.refuse(http.StatusBadGateway, ReasonBroken, 0)
+	case c.sends > 0:
+		c.refuse(http.StatusServiceUnavailable, ReasonRefused, shortRetry)
+	default:
+		c.refuse(http.StatusServiceUnavailable, ReasonNoServer, shortRetry)
+	}
+}
+
+// endEarly ends a request whose caller has left or whose time is over.
+func (c *call) endEarly(failure *savedAnswer) {
+	switch {
+	case c.started:
+		c.abort(ReasonTimeout)
+	case failure != nil:
+		c.passOn(failure)
+	default:
+		c.refuse(http.StatusGatewayTimeout, ReasonTimeout, 0)
+	}
+}
+
+// abort closes the caller's connection, so that an answer that ends early cannot
+// look complete.
+func (c *call) abort(reason Reason) {
+	c.finish(0, reason)
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,186 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"hyssoploom/backend"
+	"hyssoploom/fleet"
+	"hyssoploom/limits"
+	"hyssoploom/settings"
+	"hyssoploom/supervise"
+	"hyssoploom/telemetry"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	// idleTimeout is above the idle limits of configurations, so that callers close
+	// idle connections first.
+	idleTimeout    = 60 * time.Second
+	maxHeaderBytes = 128 << 10
+	// proofLimit is the age of the newest proof of the configuration from which
+	// requests with a key are refused. Together with the second that a watch may
+	// lag and the time on the way it stays under revokeMs.
+	proofLimit = 3200 * time.Millisecond
+	// leaveTime is how long new connections are still taken after SIGTERM, while
+	// the balancer learns that this entry is not ready.
+	leaveTime = 2500 * time.Millisecond
+	// stopMargin is kept between the end of the drain and SIGKILL.
+	stopMargin = 300 * time.Millisecond
+	// cleanInterval is the pause between clean-ups of what is kept per server.
+	cleanInterval = time.Second
+)
+
+// Deps are the parts that a gateway works with.
+type Deps struct {
+	State    *fleet.State
+	Fresh    *fleet.Freshness
+	Pool     *backend.Pool
+	Protocol Protocol
+	Log      *telemetry.Logger
+	Metrics  *telemetry.Metrics
+	// Entries returns the number of entries that share the fleet's limits.
+	Entries func() int
+}
+
+// Gateway serves callers.
+type Gateway struct {
+	settings *settings.Gateway
+	Deps
+
+	draining atomic.Bool
+	inflight supervise.Inflight
+	server   *http.Server
+
+	mu      sync.Mutex
+	loads   map[string]*load // by server id
+	retries map[string]*limits.Retries
+	cold    *limits.Cold
+	rng     *rand.Rand
+}
+
+// New returns a gateway that is ready to serve.
+func New(s *settings.Gateway, deps Deps) *Gateway {
+	g := &Gateway{
+		settings: s,
+		Deps:     deps,
+		loads:    make(map[string]*load),
+		retries:  make(map[string]*limits.Retries),
+		cold:     limits.NewCold(limits.ColdConfig{Overshoot: s.Bounds.ColdOvershoot, Slack: s.Bounds.ColdSlack}),
+		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+	g.server = &http.Server{
+		Handler:           g,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	return g
+}
+
+// ServeOn serves callers on an open listener until ctx ends.
+func (g *Gateway) ServeOn(ctx context.Context, listener net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { g.server.Close() })
+	defer stop()
+	go g.cleanUp(ctx)
+	if err := g.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	<-ctx.Done()
+	return nil
+}
+
+// Drain reports not ready, takes new connections until the balancer has noticed,
+// and waits for running requests within the grace.
+func (g *Gateway) Drain(ctx context.Context) error {
+	deadline := time.Now().Add(g.settings.Bounds.Grace() - stopMargin)
+	g.draining.Store(true)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	wait(ctx, leaveTime)
+	err := g.server.Shutdown(ctx)
+	if errors.Is(err, context.DeadlineExceeded) {
+		g.Log.Warn("Requests were cut at the end of the grace.")
+		return nil
+	}
+	return err
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// Ready tells whether this entry can serve: it knows a configuration that is
+// fresh enough and is not stopping.
+func (g *Gateway) Ready() bool {
+	return !g.draining.Load() && g.State.View().Config != nil && g.informed()
+}
+
+// informed tells whether the configuration is fresh enough to accept keys.
+func (g *Gateway) informed() bool {
+	age, known := g.Fresh.Age()
+	return known && (age < proofLimit || !g.settings.Bounds.StrictRevocation)
+}
+
+// ServeReady answers the balancer's readiness check.
+func (g *Gateway) ServeReady(w http.ResponseWriter, _ *http.Request) {
+	if !g.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// cleanUp forgets what is kept of servers that are gone.
+func (g *Gateway) cleanUp(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait(ctx, cleanInterval)
+		view := g.State.View()
+		addresses := make(map[string]bool)
+		for _, s := range view.Servers {
+			addresses[s.Address] = true
+		}
+		g.Pool.Retain(func(address string) bool { return addresses[address] })
+		g.mu.Lock()
+		g.cold.Retain(func(id string) bool { return view.Servers[id] != nil })
+		for id, l := range g.loads {
+			if view.Servers[id] == nil && l.running == 0 {
+				delete(g.loads, id)
+			}
+		}
+		g.mu.Unlock()
+	}
+}
+
+// budget returns the retry budget of a service. The caller holds g.mu.
+func (g *Gateway) budget(service string) *limits.Retries {
+	r := g.retries[service]
+	if r == nil {
+		b := &g.settings.Bounds
+		r = limits.NewRetries(limits.RetryConfig{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow()})
+		g.retries[service] = r
+	}
+	return r
+}
+
+// load returns what is known of the work at a server. The caller holds g.mu.
+func (g *Gateway) load(server *fleet.BackendServer, service *fleet.Service) *load {
+	l := g.loads[server.ID]
+	if l == nil {
+		l = &load{}
+		if service != nil && service.Engine != nil {
+			l.cache = newPromptCache(int(float64(service.Engine.CacheTokens) * cacheShare))
+		}
+		g.loads[server.ID] = l
+	}
+	return l
+}
--- /dev/null
+++ b/gateway/handler.go
@@ -0,0 +1,214 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"hyssoploom/fleet"
+)
+
+// Reason says why a request was refused or failed; it is part of the answer and
+// of the log.
+type Reason string
+
+// The reasons.
+const (
+	ReasonNoConfig   Reason = "no_configuration"
+	ReasonStale      Reason = "configuration_not_fresh"
+	ReasonNoRoute    Reason = "no_route"
+	ReasonBadKey     Reason = "unknown_key"
+	ReasonBadRequest Reason = "bad_request"
+	ReasonTooLarge   Reason = "body_too_large"
+	ReasonNoServer   Reason = "no_backend_server"
+	ReasonRefused    Reason = "refused_by_backend_servers"
+	ReasonBroken     Reason = "answer_lost"
+	ReasonTimeout    Reason = "timeout"
+)
+
+const (
+	// shortRetry is the Retry-After of refusals whose cause passes soon.
+	shortRetry = 300 * time.Millisecond
+	// defaultTimeout bounds requests on routes without a timeout.
+	defaultTimeout = 60 * time.Second
+)
+
+// call is one request of a caller.
+type call struct {
+	g         *Gateway
+	w         http.ResponseWriter
+	r         *http.Request
+	ctx       context.Context
+	view      *fleet.View
+	route     *fleet.Route
+	service   *fleet.Service
+	workspace *fleet.Workspace // nil on public routes
+	meta      Meta
+	body      []byte
+	received  time.Time
+	deadline  time.Time
+
+	tried   map[string]bool // servers that cannot take the request any more
+	ran     int             // attempts that may have run
+	sends   int             // requests that reached a backend server, or may have
+	model   int             // index of the route's models; -1 when the caller names it
+	started bool            // the head of the answer has been sent
+	stream  streamState
+	log     []attemptLog
+}
+
+// ServeHTTP serves one request of a caller.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer g.inflight.Begin()()
+	c := &call{g: g, w: w, r: r, view: g.State.View(), received: time.Now(), tried: make(map[string]bool), model: -1}
+	g.Metrics.Add("requests", 1)
+	meta, err := g.Protocol.ReadMeta(r.Header)
+	c.meta = meta
+	if c.view.Config == nil {
+		c.refuse(http.StatusServiceUnavailable, ReasonNoConfig, shortRetry)
+		return
+	}
+	if err != nil {
+		c.refuse(http.StatusBadRequest, ReasonBadRequest, 0)
+		return
+	}
+	if !c.admit() || !c.readBody() {
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	c.ctx = ctx
+	c.run()
+}
+
+// admit finds the route and the workspace of the request.
+func (c *call) admit() bool {
+	config := c.view.Config
+	host := c.r.Host
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	c.route = config.Route(host, c.r.URL.EscapedPath())
+	if c.route == nil {
+		c.refuse(http.StatusNotFound, ReasonNoRoute, 0)
+		return false
+	}
+	if config.RequiresKey && !c.route.Public {
+		if !c.g.informed() {
+			c.refuse(http.StatusServiceUnavailable, ReasonStale, shortRetry)
+			return false
+		}
+		if c.workspace = config.Workspace(c.meta.Key); c.workspace == nil {
+			c.refuse(http.StatusUnauthorized, ReasonBadKey, 0)
+			return false
+		}
+	}
+	timeout := c.route.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	if c.meta.Patience > 0 {
+		timeout = min(timeout, c.meta.Patience)
+	}
+	c.deadline = c.received.Add(timeout)
+	c.service = config.Services[c.chooseService()]
+	if c.meta.Model == AnyModel && len(c.route.Models) > 0 {
+		c.model = 0
+	}
+	return true
+}
+
+// chooseService draws one of the route's services by weight.
+func (c *call) chooseService() string {
+	services := c.route.Services
+	if len(services) == 1 {
+		return services[0].Service
+	}
+	total := 0.0
+	for _, s := range services {
+		total += s.Weight
+	}
+	c.g.mu.Lock()
+	draw := c.g.rng.Float64() * total
+	c.g.mu.Unlock()
+	for _, s := range services {
+		if draw -= s.Weight; draw < 0 {
+			return s.Service
+		}
+	}
+	return services[len(services)-1].Service
+}
+
+func (c *call) readBody() bool {
+	limit := c.view.Config.Limits.BodyBytes
+	reader := c.r.Body
+	if limit > 0 {
+		reader = http.MaxBytesReader(c.w, reader, limit)
+	}
+	var err error
+	if c.body, err = io.ReadAll(reader); err == nil {
+		return true
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		c.refuse(http.StatusRequestEntityTooLarge, ReasonTooLarge, 0)
+		return false
+	}
+	c.refuse(http.StatusBadRequest, ReasonBadRequest, 0)
+	return false
+}
+
+// refusal is the body of the gateway's own answers.
+type refusal struct {
+	Error     Reason `json:"error"`
+	RequestID string `json:"request_id"`
+	// Run is "not_run" when no backend server has run the request or will, else
+	// "unknown".
+	Run string `json:"run"`
+}
+
+// refuse answers the request without a backend server's answer. The statuses
+// 429 and 503 promise that the request has not run.
+func (c *call) refuse(status int, reason Reason, retryAfter time.Duration) {
+	run := "not_run"
+	if c.ran > 0 {
+		run = "unknown"
+		if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+			panic("gateway: refusal of a request that may have run")
+		}
+	}
+	c.g.Protocol.Refuse(c.w.Header(), c.meta.ID, retryAfter)
+	c.w.Header().Set("Content-Type", "application/json")
+	c.w.WriteHeader(status)
+	// A caller that has left cannot read the refusal; nothing is left to do.
+	_ = json.NewEncoder(c.w).Encode(refusal{Error: reason, RequestID: c.meta.ID, Run: run})
+	c.finish(status, reason)
+}
+
+// finish logs how the request ended.
+func (c *call) finish(status int, reason Reason) {
+	outcome := "answered"
+	if reason != "" {
+		outcome = string(reason)
+	}
+	c.g.Metrics.Add("outcome_"+outcome, 1)
+	route, workspace := "", ""
+	var version int64
+	if c.route != nil {
+		route = c.route.Name
+	}
+	if c.workspace != nil {
+		workspace = c.workspace.Name
+	}
+	if c.view.Config != nil {
+		version = c.view.Config.Version
+	}
+	age, _ := c.g.Fresh.Age()
+	c.g.Log.Info("Request ended.", "request", c.meta.ID, "route", route, "workspace", workspace,
+		"outcome", outcome, "status", status, "ms", time.Since(c.received).Milliseconds(),
+		"config", version, "config_age_ms", age.Milliseconds(), "attempts", c.log)
+}
--- /dev/null
+++ b/gateway/protocol.go
@@ -0,0 +1,80 @@
+// Package gateway is the front of an entry for routed services: it takes a
+// caller's request, chooses a backend server, sends the request, and passes the
+// answer on. It decides what may be sent again and what a refusal may say.
+package gateway
+
+import (
+	"net/http"
+	"time"
+)
+
+// PromptPart is one part of a prompt. Requests that share leading parts share
+// what an engine has read of them.
+type PromptPart struct {
+	ID     string
+	Tokens int
+}
+
+// Meta is what the headers of a caller's request say.
+type Meta struct {
+	// ID is the caller's id of this attempt.
+	ID string
+	// Key is the workspace's key; empty when there is none.
+	Key string
+	// Patience is how long the caller waits; 0 when it does not say.
+	Patience time.Duration
+	// Model is the model that the caller asks for; AnyModel leaves the choice.
+	Model string
+	// PromptTokens and MaxOutput are the tokens to read and the most to generate.
+	PromptTokens, MaxOutput int
+	// OutputHint is the caller's guess of the tokens to generate; 0 when absent.
+	OutputHint int
+	Parts      []PromptPart
+	// LastEvent is the id of the last event that the caller has of a stream.
+	LastEvent string
+}
+
+// AnyModel is the Meta.Model of a caller that leaves the choice of the model.
+const AnyModel = "*"
+
+// Send is what the gateway adds to a request for one backend server.
+type Send struct {
+	ServerID string
+	// Workspace is the owner of the caller's key; empty when there is none.
+	Workspace string
+	// Remaining is how long the answer is still of use.
+	Remaining time.Duration
+	// Model replaces the caller's; empty keeps it.
+	Model string
+	// LastEvent continues a stream after this event; empty keeps the caller's.
+	LastEvent string
+}
+
+// AnswerMeta is what the head of a backend server's answer says.
+type AnswerMeta struct {
+	// NotRun tells that the server did not run the request.
+	NotRun bool
+	// WrongServer tells that another server has the address now.
+	WrongServer bool
+	// Sealed answers are certainly the server's own.
+	Sealed bool
+	// Confidence is the model's own opinion of its answer, from 0 to 100; -1 when
+	// it has none.
+	Confidence int
+}
+
+// Protocol reads and writes the headers of requests and answers.
+type Protocol interface {
+	// ReadMeta decodes the headers of a caller's request.
+	ReadMeta(h http.Header) (Meta, error)
+	// Outgoing builds the headers for a backend server.
+	Outgoing(h http.Header, s Send) http.Header
+	// Belongs tells whether an answer belongs to the request with this id.
+	Belongs(h http.Header, id string) bool
+	// ReadAnswer decodes the head of an answer of the server with this id.
+	ReadAnswer(status int, h http.Header, serverID string) AnswerMeta
+	// ToCaller builds the headers that the caller gets of an answer.
+	ToCaller(h http.Header) http.Header
+	// Refuse sets the headers of a refusal.
+	Refuse(h http.Header, id string, retryAfter time.Duration)
+}
--- /dev/null
+++ b/limits/cold.go
@@ -0,0 +1,57 @@
+package limits
+
+import "time"
+
+// ColdConfig bounds the requests that cold backend servers get.
+type ColdConfig struct {
+	// Overshoot multiplies the rate that a server bears; Slack is added. The sum is
+	// the most that all entries may send in one second.
+	Overshoot, Slack float64
+}
+
+// coldSpan is the span of the limit, with a margin for the time on the way.
+const coldSpan = 1100 * time.Millisecond
+
+// Cold is the share of one entry in the limits of cold backend servers.
+type Cold struct {
+	config ColdConfig
+	sent   map[string][]time.Time // by server id, oldest first
+}
+
+// NewCold returns shares of which nothing is used.
+func NewCold(c ColdConfig) *Cold { return &Cold{config: c, sent: make(map[string][]time.Time)} }
+
+// Share is the number of requests per second that one of the entries may send to
+// a cold server that bears rate requests per second.
+func (c *Cold) Share(rate float64, entries int) int {
+	return int((rate*c.config.Overshoot + c.config.Slack) / float64(max(entries, 1)))
+}
+
+// Room tells whether a request may go to a cold server now.
+func (c *Cold) Room(now time.Time, server string, rate float64, entries int) bool {
+	return len(c.recent(now, server)) < c.Share(rate, entries)
+}
+
+// Sent counts a request to a server. Warm servers count too, because a server
+// may turn cold right after a request was sent.
+func (c *Cold) Sent(now time.Time, server string) {
+	c.sent[server] = append(c.recent(now, server), now)
+}
+
+// Retain forgets the servers that keep does not accept.
+func (c *Cold) Retain(keep func(server string) bool) {
+	for server := range c.sent {
+		if !keep(server) {
+			delete(c.sent, server)
+		}
+	}
+}
+
+func (c *Cold) recent(now time.Time, server string) []time.Time {
+	sent := c.sent[server]
+	for len(sent) > 0 && now.Sub(sent[0]) >= coldSpan {
+		sent = sent[1:]
+	}
+	c.sent[server] = sent
+	return sent
+}
--- /dev/null
+++ b/placing/placing.go
@@ -0,0 +1,90 @@
+// Package placing chooses the backend server for a request by the time that the
+// request would wait there. It is pure: load, memory and time are arguments.
+package placing
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Candidate is a backend server that may take the request.
+type Candidate struct {
+	ID string
+	// Pending is the work that the server has accepted and not begun.
+	Pending time.Duration
+	// Running is the number of requests that it is working on, of Slots.
+	Running, Slots int
+	// Read is the time that it would need to read what it does not hold of the
+	// prompt.
+	Read time.Duration
+	// Detour is the price of reaching it, as time.
+	Detour time.Duration
+	// Suspect servers have failed recently.
+	Suspect bool
+}
+
+const (
+	// suspectPenalty keeps requests away from a server that failed while others
+	// are left.
+	suspectPenalty = 5 * time.Second
+	// slotPenalty is the wait for a slot when all are taken.
+	slotPenalty = 300 * time.Millisecond
+	// runningCost is the slow-down by each running request.
+	runningCost = 2 * time.Millisecond
+	// tie is the difference in wait below which the affinity decides.
+	tie = 15 * time.Millisecond
+)
+
+// Cost is the expected wait at a candidate.
+func Cost(c *Candidate) time.Duration {
+	cost := c.Pending + c.Read + c.Detour + time.Duration(c.Running)*runningCost
+	if c.Slots > 0 && c.Running >= c.Slots {
+		cost += slotPenalty * time.Duration(1+c.Running-c.Slots) / time.Duration(c.Slots)
+	}
+	if c.Suspect {
+		cost += suspectPenalty
+	}
+	return cost
+}
+
+// Choose returns the index of the candidate with the least cost, or -1 without
+// candidates. Among candidates that differ little, the affinity key decides, so
+// that all entries send requests with a common prompt to the same servers;
+// without a key the choice is random.
+func Choose(candidates []Candidate, affinity string, rng *rand.Rand) int {
+	if len(candidates) == 0 {
+		return -1
+	}
+	best := Cost(&candidates[0])
+	for i := range candidates {
+		best = min(best, Cost(&candidates[i]))
+	}
+	chosen, rank := -1, uint64(0)
+	for i := range candidates {
+		if Cost(&candidates[i]) > best+tie {
+			continue
+		}
+		r := rng.Uint64()
+		if affinity != "" {
+			r = Rank(affinity, candidates[i].ID)
+		}
+		if chosen < 0 || r > rank {
+			chosen, rank = i, r
+		}
+	}
+	return chosen
+}
+
+// Rank is the weight of a server for a key in rendezvous hashing.
+func Rank(key, id string) uint64 { return mix(xxhash.Sum64String(key) ^ mix(xxhash.Sum64String(id))) }
+
+// mix is the finalizer of splitmix64.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
