--- a/backend/pool.go
+++ b/backend/pool.go
@@ -9,10 +9,9 @@
 	"fmt"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"hyssoploom/internal/sockets"
 )
 
 const (
@@ -66,20 +65,11 @@
 			KeepAliveConfig: net.KeepAliveConfig{
 				Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
 			},
-			Control: setUserTimeout,
+			Control: sockets.UserTimeout(silentTimeout),
 		},
 	}
 }
 
-// setUserTimeout makes the kernel give up on unacknowledged bytes.
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var set error
-	err := raw.Control(func(fd uintptr) {
-		set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silentTimeout.Milliseconds()))
-	})
-	return errors.Join(err, set)
-}
-
 // Dials returns the number of connections made so far.
 func (p *Pool) Dials() int64 {
 	p.mu.Lock()
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -124,6 +124,7 @@
 	metrics := telemetry.NewMetrics()
 	pool := backend.NewPool()
 	metrics.Func("backend_dials", func() any { return pool.Dials() })
+	self := fleet.Peer{Name: s.Name, Address: s.PeerListen, DataCentre: s.DataCentre, Region: s.Region}
 	g := gateway.New(s, gateway.Deps{
 		State:    state,
 		Fresh:    fresh,
@@ -131,13 +132,20 @@
 		Protocol: platform.Protocol{},
 		Log:      logger,
 		Metrics:  metrics,
-		Entries:  func() int { return max(len(state.View().Peers), 1) },
+		Store:    store,
+		Records:  records,
+		Self:     self,
 	})
-	self := fleet.Peer{Name: s.Name, Address: s.PeerListen, DataCentre: s.DataCentre, Region: s.Region}
 	key, value := records.PeerItem(self)
 	tree := supervise.New("gateway", logger.Part("supervisor"))
 	tree.Add(fleet.NewFollower(store, state, fresh, logger.Part("fleet")))
 	tree.Add(fleet.NewPresence(store, key, value, logger.Part("presence")))
+	peerListener, err := listen(path, "peer_listen", s.PeerListen)
+	if err != nil {
+		return nil, err
+	}
+	tree.Add(supervise.Func{Name: "peers", Run: func(ctx context.Context) error { return g.ServePeers(ctx, peerListener) }})
+	tree.Add(supervise.Func{Name: "duty", Run: g.ServeDuty})
 	tree.Add(supervise.HTTP("ready", ready, http.HandlerFunc(g.ServeReady)))
 	if s.MetricsListen != "" {
 		metricsListener, err := listen(path, "metrics_listen", s.MetricsListen)
--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -74,6 +74,7 @@
 	f.noteRegained()
 	adopted, rejected := f.state.Replace(items, revision)
 	f.report(rejected)
+	f.state.MarkComplete(revision)
 	f.fresh.Prove(started)
 	f.log.Info("Listed the store.", "revision", revision, "items", len(items), "changed", len(adopted))
 	return revision, nil
@@ -88,6 +89,7 @@
 	f.noteRegained()
 	_, rejected := f.state.Apply(events)
 	f.report(rejected)
+	f.state.MarkComplete(revision)
 	proven := started
 	if len(events) == 0 && f.fresh.Now()-started >= watchWait {
 		proven += watchWait // the store waited this long and saw no change
--- a/fleet/records.go
+++ b/fleet/records.go
@@ -53,16 +53,15 @@
 	Revision int64
 }
 
-// Plan is how far a roll-out has come. It is written by the entry that holds the
-// duty and followed by all entries.
+// Plan is how far a roll-out has come, for entries that did not see the order.
 type Plan struct {
 	Service string `json:"service"`
 	// Order is the revision of the order that the plan carries out.
 	Order int64 `json:"order"`
-	// Share is the part of the sessions, from 0 to 1, that may use the target.
-	Share float64 `json:"share"`
 	// ElapsedMS is the time since the order at which the plan was written.
 	ElapsedMS int64 `json:"elapsed_ms"`
+	// Seen is when this process learned of the plan.
+	Seen time.Time `json:"-"`
 }
 
 // Peer is another entry of the fleet.
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -29,6 +29,7 @@
 	published *View // nil when view has changed since
 	lapsed    map[string]time.Time
 	recovered time.Time // end of the last store outage
+	complete  int64     // revision up to which all changes are known
 	changed   chan struct{}
 }
 
@@ -48,6 +49,8 @@
 	Peers    map[string]Peer
 	// Revision is the highest store revision that was seen.
 	Revision int64
+
+	small map[string]bool // ids of the servers preferred for small models
 }
 
 // NewState returns an empty state.
@@ -222,11 +225,31 @@
 	s.recovered = s.now()
 }
 
-// Items returns all live items, for a peer that cannot read the store.
-func (s *State) Items() []Item {
+// Complete returns the revision up to which all changes are known.
+func (s *State) Complete() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.complete
+}
+
+// MarkComplete notes that all changes up to a revision have been applied.
+func (s *State) MarkComplete(revision int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.Collect(maps.Values(s.items))
+	s.complete = max(s.complete, revision)
+}
+
+// Since returns the newest item of each key that changed after a revision,
+// tombstones included, and the revision up to which they are complete.
+func (s *State) Since(revision int64) (items []Item, complete int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, item := range s.items {
+		if item.Revision > revision {
+			items = append(items, item)
+		}
+	}
+	return items, s.complete
 }
 
 // Item returns the newest item of a key; ok is false when it is unknown or deleted.
@@ -253,5 +276,6 @@
 		server := v.Servers[id]
 		c.ByService[server.Service] = append(c.ByService[server.Service], server)
 	}
+	c.small = smallPools(c.ByService)
 	return c
 }
--- a/fleet/versions.go
+++ b/fleet/versions.go
@@ -1,14 +1,22 @@
 package fleet
 
-// VersionInUse tells whether requests without a session may go to a server's
-// version: the old one while a roll-out is under way or after it was rolled back,
-// the new one when it is completed.
-func (v *View) VersionInUse(s *BackendServer) bool {
-	order, ok := v.Orders[s.Service]
+// RollOut is the state of an order.
+type RollOut struct {
+	Order
+	// Outcome is InProgress until the fleet has published another for this order.
+	Outcome Outcome
+}
+
+// RollOut returns the order for a service, if there is one.
+func (v *View) RollOut(service string) (RollOut, bool) {
+	order, ok := v.Orders[service]
 	if !ok {
-		return true
+		return RollOut{}, false
+	}
+	r := RollOut{Order: order, Outcome: InProgress}
+	// A status from before the order belongs to an earlier one.
+	if s := v.Statuses[service]; s.Target == order.Target && s.Revision > order.Revision && s.Outcome != "" {
+		r.Outcome = s.Outcome
 	}
-	status := v.Statuses[s.Service]
-	done := status.Target == order.Target && status.Outcome == Completed
-	return done == (s.Version == order.Target)
+	return r, true
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -21,6 +21,9 @@
 	regionDetour = 700 * time.Millisecond
 	// centreDetour is the price of another data centre of the same region.
 	centreDetour = 60 * time.Millisecond
+	// poolDetour is the price of mixing models on one engine: the prompts of a
+	// large model hold up every token of the requests beside them.
+	poolDetour = 250 * time.Millisecond
 	// keepConfidence is the model's confidence in percent from which the answer of
 	// a smaller model is kept.
 	keepConfidence = 55
@@ -137,31 +140,35 @@
 	if c.sends > 0 && !budget.Take(now, entries, 0) {
 		return target{}, false
 	}
-	var servers []*fleet.BackendServer
-	var candidates []placing.Candidate
-	for _, s := range c.view.ByService[c.service.Name] {
-		if !c.allowed(s, now, entries) {
-			continue
-		}
-		servers = append(servers, s)
-		candidates = append(candidates, c.candidate(s, t.model, now))
-	}
+	servers, candidates := c.candidates(t.model, now, entries)
 	i := placing.Choose(candidates, c.affinity(), g.rng)
 	if i < 0 {
 		return target{}, false
 	}
-	t.server = servers[i]
+	t.server, t.work = servers[i], candidates[i].Read
 	t.load = g.load(t.server, c.service)
-	t.work = candidates[i].Read
-	t.load.pending += t.work
-	t.load.running++
-	if t.load.cache != nil {
-		t.load.cache.use(c.modelName(t.model), c.meta.Parts)
-	}
 	g.cold.Sent(now, t.server.ID)
+	g.placed(c, &t)
 	return t, true
 }
 
+// candidates returns the servers that may take the request, of the version that
+// a roll-out gives it. When none of that version is left, the other serves.
+func (c *call) candidates(model string, now time.Time, entries int) ([]*fleet.BackendServer, []placing.Candidate) {
+	var servers []*fleet.BackendServer
+	for _, s := range c.view.ByService[c.service.Name] {
+		if c.allowed(s, now, entries) {
+			servers = append(servers, s)
+		}
+	}
+	servers = c.ofVersion(servers, now, entries)
+	candidates := make([]placing.Candidate, len(servers))
+	for i, s := range servers {
+		candidates[i] = c.candidate(s, model, now)
+	}
+	return servers, candidates
+}
+
 // allowed filters the servers that may take the request.
 func (c *call) allowed(s *fleet.BackendServer, now time.Time, entries int) bool {
 	g := c.g
@@ -172,8 +179,6 @@
 		return false
 	case c.workspace != nil && !inRegions(s.Region, c.workspace.Regions):
 		return false
-	case !c.view.VersionInUse(s):
-		return false
 	case g.load(s, c.service).wrongAddress == s.Address:
 		return false
 	case c.service.ColdRate > 0 && s.ColdAt(now) && !g.cold.Room(now, s.ID, c.service.ColdRate, entries+1):
@@ -197,11 +202,12 @@
 func (c *call) candidate(s *fleet.BackendServer, model string, now time.Time) placing.Candidate {
 	l := c.g.load(s, c.service)
 	p := placing.Candidate{
-		ID: s.ID, Pending: l.pending, Running: l.running, Slots: s.Slots, Suspect: now.Before(l.suspectUntil),
+		ID: s.ID, Pending: l.pending + l.remotePending, Running: l.running + l.remoteRunning,
+		Slots: s.Slots, Suspect: now.Before(l.suspectUntil),
 	}
 	if l.cache != nil {
 		name := c.modelName(model)
-		unread := c.meta.PromptTokens - l.cache.held(name, c.meta.Parts)
+		unread := c.meta.PromptTokens - l.cache.held(name, c.prompt)
 		p.Read = readTime(c.service, name, max(unread, 0))
 	}
 	switch {
@@ -210,6 +216,9 @@
 	case s.DataCentre != c.g.settings.DataCentre:
 		p.Detour = centreDetour
 	}
+	if c.model >= 0 && c.view.SmallModels(s) != (c.model == 0) {
+		p.Detour += poolDetour
+	}
 	return p
 }
 
@@ -222,12 +231,12 @@
 }
 
 // affinity is the key by which requests with a common prompt meet: the last part
-// that other requests share.
-func (c *call) affinity() string {
-	if n := len(c.meta.Parts); n >= 2 {
-		return c.meta.Parts[n-2].ID
+// that other requests share; 0 when there is none.
+func (c *call) affinity() uint64 {
+	if parts := shared(c.prompt); len(parts) > 0 {
+		return parts[len(parts)-1].Key
 	}
-	return ""
+	return 0
 }
 
 // attempt sends the request to one server and deals with its answer.
@@ -241,26 +250,45 @@
 		entry.Error = err.Error()
 	}
 	c.log = append(c.log, entry)
-	c.g.release(t)
+	c.g.release(c, t, result)
 	if result == delivered {
 		c.finish(http.StatusOK, "")
 	}
 	return result, saved
 }
 
+// placed counts a request at its server and tells the peers.
+func (g *Gateway) placed(c *call, t *target) {
+	t.load.pending += t.work
+	t.load.running++
+	if t.load.cache != nil {
+		model := c.modelName(t.model)
+		t.load.cache.use(model, c.prompt)
+		g.tellRead(t.server, model, shared(c.prompt), c.model > 0)
+	}
+	g.tellLoad(t.server, t.load)
+	g.beginUse(c, t.server)
+}
+
 // release ends the count of an attempt.
-func (g *Gateway) release(t target) {
+func (g *Gateway) release(c *call, t target, result outcome) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	t.load.running--
+	g.tellLoad(t.server, t.load)
+	g.endUse(c, t.server, result)
 }
 
 // begun notes that the server has read the prompt of an attempt.
 func (g *Gateway) begun(t *target) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if t.work == 0 {
+		return
+	}
 	t.load.pending -= t.work
 	t.work = 0
+	g.tellLoad(t.server, t.load)
 }
 
 func (g *Gateway) suspect(t target) {
--- /dev/null
+++ b/gateway/duty.go
@@ -0,0 +1,143 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"hyssoploom/fleet"
+	"hyssoploom/release"
+)
+
+const (
+	// dutyInterval is the pause between looks at the roll-outs.
+	dutyInterval = 100 * time.Millisecond
+	// dutyStagger is how much longer each further entry waits before it publishes
+	// a state that the entries before it have not.
+	dutyStagger = 600 * time.Millisecond
+	// dutyRetry is the pause after a write of unknown outcome.
+	dutyRetry = 500 * time.Millisecond
+	// planSteps is the number of times that the elapsed time of a roll-out is
+	// written, for entries that start in the middle of it.
+	planSteps = 6
+)
+
+// dutyState is what an entry has done to publish a roll-out.
+type dutyState struct {
+	wanted fleet.Outcome
+	since  time.Time
+	// next is the earliest time of the next write.
+	next time.Time
+	step int // of planSteps, last written
+}
+
+// ServeDuty publishes the states of roll-outs until ctx ends. All entries come to
+// the same conclusions; each write is conditional on the state that it replaces.
+func (g *Gateway) ServeDuty(ctx context.Context) error {
+	asked := time.Time{}
+	for ctx.Err() == nil {
+		wait(ctx, dutyInterval)
+		if now := time.Now(); now.Sub(asked) >= askInterval {
+			g.askPeers()
+			asked = now
+		}
+		for _, write := range g.dueWrites() {
+			g.publish(ctx, write)
+		}
+	}
+	return ctx.Err()
+}
+
+// statusWrite is a state or a plan to publish.
+type statusWrite struct {
+	release *releaseState
+	key     string
+	value   []byte
+	what    string
+}
+
+func (g *Gateway) dueWrites() []statusWrite {
+	view := g.State.View()
+	now := time.Now()
+	rank := g.rank(view)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var writes []statusWrite
+	for service := range view.Orders {
+		r := g.releaseOf(view, service)
+		if r == nil || r.Outcome == fleet.Completed || r.Outcome == fleet.RolledBack {
+			continue
+		}
+		progress := g.progress(view, r, now)
+		if w, due := g.dueStatus(view, r, &progress, rank, now); due {
+			writes = append(writes, w)
+		} else if w, due := g.duePlan(view, r, &progress, rank, now); due {
+			writes = append(writes, w)
+		}
+	}
+	return writes
+}
+
+// rank is the number of entries that go before this one in duties.
+func (g *Gateway) rank(view *fleet.View) int {
+	var names []string
+	for name := range view.Peers {
+		if name != g.Self.Name && g.hub.Heard(name) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	rank, _ := slices.BinarySearch(names, g.Self.Name)
+	return rank
+}
+
+func (g *Gateway) dueStatus(view *fleet.View, r *releaseState, p *release.Progress, rank int, now time.Time) (statusWrite, bool) {
+	wanted := fleet.InProgress
+	switch {
+	case r.bad:
+		wanted = fleet.RolledBack
+	case p.Complete():
+		wanted = fleet.Completed
+	}
+	if wanted == fleet.InProgress && view.Statuses[r.Service].Revision > r.Revision {
+		return statusWrite{}, false // published already
+	}
+	if r.duty.wanted != wanted {
+		r.duty.wanted, r.duty.since = wanted, now
+	}
+	if now.Sub(r.duty.since) < time.Duration(rank)*dutyStagger || now.Before(r.duty.next) {
+		return statusWrite{}, false
+	}
+	r.duty.next = now.Add(dutyRetry)
+	key, value := g.Records.StatusItem(fleet.Status{Service: r.Service, Target: r.Target, Outcome: wanted})
+	return statusWrite{r, key, value, string(wanted)}, true
+}
+
+func (g *Gateway) duePlan(view *fleet.View, r *releaseState, p *release.Progress, rank int, now time.Time) (statusWrite, bool) {
+	step := int(p.Elapsed * planSteps / r.Duration)
+	plan := view.Plans[r.Service]
+	if plan.Order == r.Revision {
+		r.duty.step = max(r.duty.step, int(time.Duration(plan.ElapsedMS)*time.Millisecond*planSteps/r.Duration))
+	}
+	if rank > 0 || step <= r.duty.step || now.Before(r.duty.next) {
+		return statusWrite{}, false
+	}
+	r.duty.next = now.Add(dutyRetry)
+	key, value := g.Records.PlanItem(fleet.Plan{Service: r.Service, Order: r.Revision, ElapsedMS: p.Elapsed.Milliseconds()})
+	return statusWrite{r, key, value, "plan"}, true
+}
+
+// publish writes a state unless another entry has published one since.
+func (g *Gateway) publish(ctx context.Context, w statusWrite) {
+	item, _ := g.State.Item(w.key)
+	_, err := g.Store.Commit(ctx, []fleet.Condition{{Key: w.key, Revision: item.Revision}}, []fleet.Put{{Key: w.key, Value: w.value}})
+	switch {
+	case err == nil:
+		g.Log.Info("Published the state of a roll-out.", "service", w.release.Service, "what", w.what)
+	case errors.Is(err, fleet.ErrConflict):
+		g.Log.Info("Another entry published first.", "service", w.release.Service, "what", w.what)
+	default:
+		g.Log.Warn("Could not publish the state of a roll-out.", "service", w.release.Service, "what", w.what, "error", err.Error())
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,6 +13,8 @@
 	"hyssoploom/backend"
 	"hyssoploom/fleet"
 	"hyssoploom/limits"
+	"hyssoploom/peers"
+	"hyssoploom/release"
 	"hyssoploom/settings"
 	"hyssoploom/supervise"
 	"hyssoploom/telemetry"
@@ -45,8 +47,18 @@
 	Protocol Protocol
 	Log      *telemetry.Logger
 	Metrics  *telemetry.Metrics
-	// Entries returns the number of entries that share the fleet's limits.
-	Entries func() int
+	// Store takes the status of roll-outs.
+	Store fleet.Store
+	// Records encodes what is written to the store.
+	Records Records
+	// Self is this entry.
+	Self fleet.Peer
+}
+
+// Records encodes records for the store.
+type Records interface {
+	StatusItem(fleet.Status) (key string, value []byte)
+	PlanItem(fleet.Plan) (key string, value []byte)
 }
 
 // Gateway serves callers.
@@ -63,6 +75,11 @@
 	retries map[string]*limits.Retries
 	cold    *limits.Cold
 	rng     *rand.Rand
+	// sessions and releases are the state of roll-outs; releases is by service.
+	sessions *release.Sessions
+	releases map[string]*releaseState
+
+	hub *peers.Hub
 }
 
 // New returns a gateway that is ready to serve.
@@ -73,8 +90,12 @@
 		loads:    make(map[string]*load),
 		retries:  make(map[string]*limits.Retries),
 		cold:     limits.NewCold(limits.ColdConfig{Overshoot: s.Bounds.ColdOvershoot, Slack: s.Bounds.ColdSlack}),
+		sessions: release.NewSessions(s.Bounds.Session()),
+		releases: make(map[string]*releaseState),
 		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
+	g.hub = peers.New(deps.Self, s.Seeds, g, func() map[string]fleet.Peer { return deps.State.View().Peers },
+		deps.Log.Part("peers"))
 	g.server = &http.Server{
 		Handler:           g,
 		ReadHeaderTimeout: readHeaderTimeout,
@@ -96,6 +117,14 @@
 	return nil
 }
 
+// ServePeers talks to the other entries until ctx ends.
+func (g *Gateway) ServePeers(ctx context.Context, listener net.Listener) error {
+	return g.hub.Serve(ctx, listener)
+}
+
+// Entries returns the number of entries that share the fleet's limits.
+func (g *Gateway) Entries() int { return g.hub.Count() }
+
 // Drain reports not ready, takes new connections until the balancer has noticed,
 // and waits for running requests within the grace.
 func (g *Gateway) Drain(ctx context.Context) error {
@@ -152,7 +181,14 @@
 		g.Pool.Retain(func(address string) bool { return addresses[address] })
 		g.mu.Lock()
 		g.cold.Retain(func(id string) bool { return view.Servers[id] != nil })
+		g.sessions.Forget(time.Now())
 		for id, l := range g.loads {
+			for peer := range l.remote {
+				if !g.hub.Heard(peer) {
+					l.setRemote(peer, peers.Load{})
+					delete(l.remote, peer)
+				}
+			}
 			if view.Servers[id] == nil && l.running == 0 {
 				delete(g.loads, id)
 			}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"hyssoploom/fleet"
+	"hyssoploom/peers"
 )
 
 // Reason says why a request was refused or failed; it is part of the answer and
@@ -48,23 +49,27 @@
 	service   *fleet.Service
 	workspace *fleet.Workspace // nil on public routes
 	meta      Meta
+	prompt    []peers.Part // of meta.Parts
 	body      []byte
 	received  time.Time
 	deadline  time.Time
 
-	tried   map[string]bool // servers that cannot take the request any more
-	ran     int             // attempts that may have run
-	sends   int             // requests that reached a backend server, or may have
-	model   int             // index of the route's models; -1 when the caller names it
-	started bool            // the head of the answer has been sent
-	stream  streamState
-	log     []attemptLog
+	tried map[string]bool // servers that cannot take the request any more
+	ran   int             // attempts that may have run
+	sends int             // requests that reached a backend server, or may have
+	model int             // index of the route's models; -1 when the caller names it
+	// position places a request without a session in [0, 1) for roll-outs; -1 until
+	// it is drawn.
+	position float64
+	started  bool // the head of the answer has been sent
+	stream   streamState
+	log      []attemptLog
 }
 
 // ServeHTTP serves one request of a caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer g.inflight.Begin()()
-	c := &call{g: g, w: w, r: r, view: g.State.View(), received: time.Now(), tried: make(map[string]bool), model: -1}
+	c := &call{g: g, w: w, r: r, view: g.State.View(), received: time.Now(), tried: make(map[string]bool), model: -1, position: -1}
 	g.Metrics.Add("requests", 1)
 	meta, err := g.Protocol.ReadMeta(r.Header)
 	c.meta = meta
@@ -116,6 +121,7 @@
 	}
 	c.deadline = c.received.Add(timeout)
 	c.service = config.Services[c.chooseService()]
+	c.prompt = chain(c.meta.Parts)
 	if c.meta.Model == AnyModel && len(c.route.Models) > 0 {
 		c.model = 0
 	}
--- a/gateway/load.go
+++ b/gateway/load.go
@@ -2,9 +2,13 @@
 
 import (
 	"container/list"
+	"encoding/binary"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"hyssoploom/fleet"
+	"hyssoploom/peers"
 )
 
 const (
@@ -23,6 +27,10 @@
 type load struct {
 	pending time.Duration // work of requests whose answer has not begun
 	running int           // requests that are not finished
+	// remote is the work of the other entries by their names; its sum is kept.
+	remote        map[string]peers.Load
+	remotePending time.Duration
+	remoteRunning int
 	// suspectUntil is set by failed connections.
 	suspectUntil time.Time
 	// wrongAddress is the address at which another server answered.
@@ -35,24 +43,29 @@
 type promptCache struct {
 	capacity int // tokens
 	tokens   int
-	parts    map[string]*list.Element
+	parts    map[cacheKey]*list.Element
 	order    *list.List // of cachedPart, most recently used first
 }
 
+type cacheKey struct {
+	model string
+	part  uint64
+}
+
 type cachedPart struct {
-	key    string
+	key    cacheKey
 	tokens int
 }
 
 func newPromptCache(capacity int) *promptCache {
-	return &promptCache{capacity: capacity, parts: make(map[string]*list.Element), order: list.New()}
+	return &promptCache{capacity: capacity, parts: make(map[cacheKey]*list.Element), order: list.New()}
 }
 
 // held returns the number of leading tokens of a prompt that are held for a model.
-func (c *promptCache) held(model string, parts []PromptPart) int {
+func (c *promptCache) held(model string, parts []peers.Part) int {
 	tokens := 0
 	for _, p := range parts {
-		if c.parts[model+"/"+p.ID] == nil {
+		if c.parts[cacheKey{model, p.Key}] == nil {
 			break
 		}
 		tokens += p.Tokens
@@ -61,9 +74,9 @@
 }
 
 // use notes that a prompt is read by a model.
-func (c *promptCache) use(model string, parts []PromptPart) {
+func (c *promptCache) use(model string, parts []peers.Part) {
 	for _, p := range parts {
-		key := model + "/" + p.ID
+		key := cacheKey{model, p.Key}
 		if e := c.parts[key]; e != nil {
 			c.order.MoveToFront(e)
 			continue
@@ -78,6 +91,37 @@
 	}
 }
 
+// chain gives each part of a prompt a key that stands for it and all before it.
+func chain(parts []PromptPart) []peers.Part {
+	out := make([]peers.Part, len(parts))
+	var key uint64
+	for i, p := range parts {
+		key = xxhash.Sum64(append(binary.BigEndian.AppendUint64(nil, key), p.ID...))
+		out[i] = peers.Part{Key: key, Tokens: p.Tokens}
+	}
+	return out
+}
+
+// shared returns the parts of a prompt that other requests have too: the last
+// part belongs to the request itself.
+func shared(parts []peers.Part) []peers.Part {
+	if len(parts) < 2 {
+		return parts
+	}
+	return parts[:len(parts)-1]
+}
+
+// setRemote replaces what is known of another entry's work at a server.
+func (l *load) setRemote(peer string, work peers.Load) {
+	if l.remote == nil {
+		l.remote = make(map[string]peers.Load)
+	}
+	old := l.remote[peer]
+	l.remote[peer] = work
+	l.remotePending += time.Duration(work.PendingMS-old.PendingMS) * time.Millisecond
+	l.remoteRunning += work.Running - old.Running
+}
+
 // readTime is the time in which an engine reads tokens with a model.
 func readTime(service *fleet.Service, model string, tokens int) time.Duration {
 	rate := largestReadRate / pace(service, model)
--- /dev/null
+++ b/gateway/releases.go
@@ -0,0 +1,270 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"hyssoploom/fleet"
+	"hyssoploom/peers"
+	"hyssoploom/release"
+)
+
+// releaseState is what an entry knows of one roll-out.
+type releaseState struct {
+	fleet.RollOut
+	// started is when the order was given, by the steady clock.
+	started time.Time
+	own     release.Evidence
+	peers   map[string]release.Evidence
+	// bad is set for good once the new version has been found to fail.
+	bad  bool
+	duty dutyState
+}
+
+// releaseOf returns the state of a service's roll-out, or nil without an order.
+// The caller holds g.mu.
+func (g *Gateway) releaseOf(view *fleet.View, service string) *releaseState {
+	current, ok := view.RollOut(service)
+	if !ok {
+		delete(g.releases, service)
+		return nil
+	}
+	r := g.releases[service]
+	if r == nil || r.Revision != current.Revision {
+		r = &releaseState{started: time.Now(), peers: make(map[string]release.Evidence)}
+		g.releases[service] = r
+		g.Log.Info("A roll-out was ordered.", "service", service, "target", current.Target,
+			"duration", current.Duration.String(), "revision", current.Revision)
+		g.tellSessions(service)
+	}
+	if r.Outcome != current.Outcome {
+		g.Log.Info("A roll-out has a new state.", "service", service, "state", string(current.Outcome))
+	}
+	r.RollOut = current
+	if plan := view.Plans[service]; plan.Order == current.Revision {
+		// The plan of an entry that saw the order earlier sets the time.
+		elapsed := time.Duration(plan.ElapsedMS) * time.Millisecond
+		if started := plan.Seen.Add(-elapsed); started.Before(r.started) {
+			r.started = started
+		}
+	}
+	return r
+}
+
+// evidence is that of the whole fleet.
+func (r *releaseState) evidence() release.Evidence {
+	total := r.own
+	for _, e := range r.peers {
+		total.Old = total.Old.Add(e.Old)
+		total.Target = total.Target.Add(e.Target)
+	}
+	return total
+}
+
+// progress describes how far a roll-out has come. The caller holds g.mu.
+func (g *Gateway) progress(view *fleet.View, r *releaseState, now time.Time) release.Progress {
+	p := release.Progress{Elapsed: now.Sub(r.started), Duration: r.Duration, Evidence: r.evidence(), Own: r.own}
+	for _, s := range view.ByService[r.Service] {
+		switch {
+		case s.Version == r.Target:
+			p.TargetReady = p.TargetReady || !s.Draining
+		case g.loads[s.ID] != nil:
+			p.OldRunning += g.loads[s.ID].running + g.loads[s.ID].remoteRunning
+		}
+	}
+	return p
+}
+
+// ofVersion keeps the servers of the version that serves the request.
+func (c *call) ofVersion(servers []*fleet.BackendServer, now time.Time, entries int) []*fleet.BackendServer {
+	g := c.g
+	r := g.releaseOf(c.view, c.service.Name)
+	if r == nil {
+		return servers
+	}
+	var old, target []*fleet.BackendServer
+	for _, s := range servers {
+		if s.Version == r.Target {
+			target = append(target, s)
+		} else {
+			old = append(old, s)
+		}
+	}
+	switch {
+	case r.Outcome == fleet.Completed:
+		return target
+	case r.Outcome == fleet.RolledBack, r.bad:
+		return old
+	}
+	progress := g.progress(c.view, r, now)
+	useTarget := release.UseTarget(c.assignment(r, progress, now, entries))
+	switch {
+	case useTarget && len(target) > 0:
+		return target
+	case len(old) > 0 || !progress.Ramping():
+		return old
+	}
+	return target
+}
+
+func (c *call) assignment(r *releaseState, p release.Progress, now time.Time, entries int) release.Assignment {
+	a := release.Assignment{
+		Progress: p,
+		Limits:   release.Limits{Share: c.g.settings.Bounds.ExposureShare, Slack: c.g.settings.Bounds.ExposureSlack},
+		Entries:  entries,
+	}
+	key, ok := c.sessionKey()
+	if !ok {
+		if c.position < 0 {
+			c.position = rand.Float64()
+		}
+		a.Position = c.position
+		return a
+	}
+	a.Position = position(key.ID, r.Revision)
+	version, bound := c.g.sessions.Bound(now, key)
+	a.Bound, a.OnTarget = bound, version == r.Target
+	return a
+}
+
+// position places a session in [0, 1), differently for each roll-out.
+func position(session uint64, order int64) float64 {
+	h := session ^ uint64(order)*0x9e3779b97f4a7c15
+	h ^= h >> 29
+	h *= 0xbf58476d1ce4e5b9
+	h ^= h >> 32
+	return float64(h>>11) / (1 << 53)
+}
+
+// sessionKey is the session of the request: the last part of its prompt that
+// other requests share.
+func (c *call) sessionKey() (release.SessionKey, bool) {
+	id := c.affinity()
+	return release.SessionKey{Service: c.service.Name, ID: id}, id != 0
+}
+
+// beginUse counts a send in sessions and roll-outs. The caller holds g.mu.
+func (g *Gateway) beginUse(c *call, s *fleet.BackendServer) {
+	r := g.releases[c.service.Name]
+	if key, ok := c.sessionKey(); ok {
+		g.sessions.Begin(time.Now(), key, s.Version)
+		g.tellUse(r, key, s.Version, true)
+	}
+	if r == nil || r.Outcome != fleet.InProgress {
+		return
+	}
+	r.tally(s.Version).Sent++
+	g.tellEvidence(r)
+}
+
+// endUse counts the outcome of a send. The caller holds g.mu.
+func (g *Gateway) endUse(c *call, s *fleet.BackendServer, result outcome) {
+	r := g.releases[c.service.Name]
+	if key, ok := c.sessionKey(); ok {
+		g.sessions.End(time.Now(), key)
+		g.tellUse(r, key, s.Version, false)
+	}
+	if r == nil || r.Outcome != fleet.InProgress {
+		return
+	}
+	switch result {
+	case delivered, unsure:
+		r.tally(s.Version).Good++
+	case failed, broken:
+		r.tally(s.Version).Bad++
+	default:
+		return
+	}
+	g.judge(r)
+	g.tellEvidence(r)
+}
+
+func (r *releaseState) tally(version string) *release.Tally {
+	if version == r.Target {
+		return &r.own.Target
+	}
+	return &r.own.Old
+}
+
+// judge notes when the fleet's evidence speaks against the new version.
+func (g *Gateway) judge(r *releaseState) {
+	e := r.evidence()
+	if r.bad || !e.Bad() {
+		return
+	}
+	r.bad = true
+	g.Log.Warn("The new version fails too often.", "service", r.Service, "target", r.Target,
+		"target_good", e.Target.Good, "target_bad", e.Target.Bad, "old_good", e.Old.Good, "old_bad", e.Old.Bad)
+}
+
+// tellUse tells the peers of a session's use while a roll-out is under way.
+func (g *Gateway) tellUse(r *releaseState, key release.SessionKey, version string, running bool) {
+	if r == nil || r.Outcome != fleet.InProgress {
+		return
+	}
+	use := peers.SessionUse{Service: key.Service, Session: key.ID, Version: version, Running: running}
+	g.hub.Broadcast(func(_ fleet.Peer, m *peers.Message) { m.Sessions = append(m.Sessions, use) })
+}
+
+// tellSessions tells the peers of all sessions in use.
+func (g *Gateway) tellSessions(service string) {
+	uses := g.sessionUses(service)
+	g.hub.Broadcast(func(_ fleet.Peer, m *peers.Message) { m.Sessions = append(m.Sessions, uses...) })
+}
+
+func (g *Gateway) sessionUses(service string) []peers.SessionUse {
+	var uses []peers.SessionUse
+	g.sessions.Live(time.Now(), func(key release.SessionKey, version string) {
+		if key.Service == service {
+			uses = append(uses,
+				peers.SessionUse{Service: service, Session: key.ID, Version: version, Running: true},
+				peers.SessionUse{Service: service, Session: key.ID, Version: version})
+		}
+	})
+	return uses
+}
+
+// tellEvidence tells the peers this entry's counts.
+func (g *Gateway) tellEvidence(r *releaseState) {
+	old := evidenceOf(r, "", r.own.Old)
+	target := evidenceOf(r, r.Target, r.own.Target)
+	g.hub.Broadcast(func(_ fleet.Peer, m *peers.Message) {
+		m.Evidence = append(m.Evidence[:0:0], old, target)
+	})
+}
+
+// evidenceOf builds the message of one tally; all versions but the target count
+// as one, with an empty name.
+func evidenceOf(r *releaseState, version string, t release.Tally) peers.Evidence {
+	return peers.Evidence{
+		Service: r.Service, Order: r.Revision, Version: version, Sent: t.Sent, Good: t.Good, Bad: t.Bad,
+	}
+}
+
+// adoptEvidence takes over a peer's counts. The caller holds g.mu.
+func (g *Gateway) adoptEvidence(from string, e peers.Evidence) {
+	r := g.releases[e.Service]
+	if r == nil || r.Revision != e.Order {
+		return // the peer repeats its counts with each change
+	}
+	evidence := r.peers[from]
+	tally := release.Tally{Sent: e.Sent, Good: e.Good, Bad: e.Bad}
+	if e.Version == r.Target {
+		evidence.Target = tally
+	} else {
+		evidence.Old = tally
+	}
+	r.peers[from] = evidence
+	g.judge(r)
+}
+
+// greetReleases adds what a new peer has to know of roll-outs.
+func (g *Gateway) greetReleases(m *peers.Message) {
+	for service, r := range g.releases {
+		if r.Outcome != fleet.InProgress {
+			continue
+		}
+		m.Sessions = append(m.Sessions, g.sessionUses(service)...)
+		m.Evidence = append(m.Evidence, evidenceOf(r, "", r.own.Old), evidenceOf(r, r.Target, r.own.Target))
+	}
+}
--- /dev/null
+++ b/internal/sockets/sockets.go
@@ -0,0 +1,23 @@
+// Package sockets sets options of TCP sockets.
+package sockets
+
+import (
+	"errors"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// UserTimeout returns a control function for net.Dialer and net.ListenConfig
+// that makes the kernel give up on a connection whose sent bytes stay
+// unacknowledged for d.
+func UserTimeout(d time.Duration) func(network, address string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		var set error
+		err := raw.Control(func(fd uintptr) {
+			set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+		})
+		return errors.Join(err, set)
+	}
+}
--- /dev/null
+++ b/peers/hub.go
@@ -0,0 +1,338 @@
+package peers
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"hyssoploom/fleet"
+	"hyssoploom/internal/sockets"
+	"hyssoploom/telemetry"
+)
+
+const (
+	// nearFlush and farFlush are the pauses between batches within a region and
+	// between regions, where bytes are paid for.
+	nearFlush = 40 * time.Millisecond
+	farFlush  = 120 * time.Millisecond
+	// heartbeat is the longest pause between messages.
+	heartbeat = 500 * time.Millisecond
+	// silentAfter is the silence after which a peer's news no longer counts.
+	silentAfter = 2 * time.Second
+	// dialTimeout and redialPause bound the attempts to reach a peer.
+	dialTimeout = 700 * time.Millisecond
+	redialPause = 400 * time.Millisecond
+	// writeTimeout bounds one write to a peer that does not read.
+	writeTimeout = 2 * time.Second
+	// maxQueued bounds each kind of news that waits for a peer; older ones are
+	// dropped first.
+	maxQueued = 2000
+	// forgetAfter is how long a peer that is not in the store is still dialled
+	// after its last message.
+	forgetAfter = 10 * time.Second
+)
+
+// Handler takes the messages of peers. Receive may be called concurrently.
+type Handler interface {
+	Receive(m *Message)
+	// Greeting is what a peer has to be told first on a new connection.
+	Greeting() *Message
+}
+
+// Hub sends to all peers and receives from them. It is safe for concurrent use.
+type Hub struct {
+	self    fleet.Peer
+	seeds   []string
+	handler Handler
+	listed  func() map[string]fleet.Peer
+	log     *telemetry.Logger
+
+	mu    sync.Mutex
+	links map[string]*link      // by address
+	heard map[string]heardPeer  // by name
+	conns map[net.Conn]struct{} // accepted
+}
+
+type heardPeer struct {
+	peer fleet.Peer
+	at   time.Time
+}
+
+// New returns a hub. listed returns the entries that the store names.
+func New(self fleet.Peer, seeds []string, handler Handler, listed func() map[string]fleet.Peer,
+	log *telemetry.Logger) *Hub {
+	return &Hub{
+		self: self, seeds: seeds, handler: handler, listed: listed, log: log,
+		links: make(map[string]*link), heard: make(map[string]heardPeer), conns: make(map[net.Conn]struct{}),
+	}
+}
+
+// Serve connects to the peers and accepts their connections until ctx ends.
+func (h *Hub) Serve(ctx context.Context, listener net.Listener) error {
+	stop := context.AfterFunc(ctx, func() {
+		listener.Close()
+		h.closeAccepted()
+	})
+	defer stop()
+	go h.dialPeers(ctx)
+	for {
+		raw, err := listener.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			return err
+		}
+		go h.receive(ctx, raw)
+	}
+}
+
+func (h *Hub) closeAccepted() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for raw := range h.conns {
+		raw.Close()
+	}
+}
+
+// receive reads the messages of one peer.
+func (h *Hub) receive(ctx context.Context, raw net.Conn) {
+	defer raw.Close()
+	h.mu.Lock()
+	h.conns[raw] = struct{}{}
+	h.mu.Unlock()
+	defer func() {
+		h.mu.Lock()
+		delete(h.conns, raw)
+		h.mu.Unlock()
+	}()
+	reader := bufio.NewReader(raw)
+	for ctx.Err() == nil {
+		if err := raw.SetReadDeadline(time.Now().Add(silentAfter + heartbeat)); err != nil {
+			return
+		}
+		m, err := readMessage(reader)
+		if err != nil {
+			return // the peer's own side of the link logs the loss
+		}
+		h.note(m.From)
+		h.handler.Receive(m)
+	}
+}
+
+func (h *Hub) note(peer fleet.Peer) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if old, ok := h.heard[peer.Name]; !ok || time.Since(old.at) > silentAfter {
+		h.log.Info("Heard from a peer.", "peer", peer.Name)
+	}
+	h.heard[peer.Name] = heardPeer{peer, time.Now()}
+}
+
+// Heard tells whether a peer has sent something lately.
+func (h *Hub) Heard(name string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	p, ok := h.heard[name]
+	return ok && time.Since(p.at) < silentAfter
+}
+
+// Count returns the number of entries, this one included, that the store names
+// or that have been heard of lately.
+func (h *Hub) Count() int {
+	names := map[string]bool{h.self.Name: true}
+	for name := range h.listed() {
+		names[name] = true
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for name, p := range h.heard {
+		if time.Since(p.at) < forgetAfter {
+			names[name] = true
+		}
+	}
+	return len(names)
+}
+
+// Broadcast queues news for all peers; add puts it into the message for one.
+func (h *Hub) Broadcast(add func(to fleet.Peer, m *Message)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, l := range h.links {
+		l.queue(add)
+	}
+}
+
+// Send queues news for one peer.
+func (h *Hub) Send(address string, add func(to fleet.Peer, m *Message)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if l := h.links[address]; l != nil {
+		l.queue(add)
+	}
+}
+
+// dialPeers keeps one link to each peer.
+func (h *Hub) dialPeers(ctx context.Context) {
+	ticker := time.NewTicker(heartbeat)
+	defer ticker.Stop()
+	for {
+		h.updateLinks(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (h *Hub) updateLinks(ctx context.Context) {
+	wanted := make(map[string]fleet.Peer)
+	for _, p := range h.listed() {
+		wanted[p.Address] = p
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, p := range h.heard {
+		if time.Since(p.at) < forgetAfter {
+			wanted[p.peer.Address] = p.peer
+		}
+	}
+	if len(wanted) <= 1 {
+		for _, address := range h.seeds {
+			if _, ok := wanted[address]; !ok {
+				wanted[address] = fleet.Peer{Address: address}
+			}
+		}
+	}
+	delete(wanted, h.self.Address)
+	for address, p := range wanted {
+		if h.links[address] == nil {
+			l := &link{hub: h, peer: p, done: make(chan struct{})}
+			h.links[address] = l
+			go l.run(ctx)
+		}
+	}
+	for address, l := range h.links {
+		if _, ok := wanted[address]; !ok {
+			close(l.done)
+			delete(h.links, address)
+		}
+	}
+}
+
+// link sends to one peer.
+type link struct {
+	hub  *Hub
+	peer fleet.Peer
+	done chan struct{}
+
+	mu      sync.Mutex
+	pending Message
+	up      bool
+}
+
+// queue adds news to the next batch. News for a peer that is not connected is
+// dropped: the greeting of the next connection replaces it.
+func (l *link) queue(add func(to fleet.Peer, m *Message)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.up {
+		return
+	}
+	add(l.peer, &l.pending)
+	l.pending.Loads = newest(l.pending.Loads)
+	l.pending.Reads = newest(l.pending.Reads)
+	l.pending.Sessions = newest(l.pending.Sessions)
+}
+
+func newest[T any](list []T) []T {
+	if len(list) > maxQueued {
+		return slices.Delete(list, 0, len(list)-maxQueued)
+	}
+	return list
+}
+
+func (l *link) run(ctx context.Context) {
+	for {
+		if err := l.connect(ctx); err != nil && ctx.Err() == nil {
+			l.hub.log.Debug("Link to a peer ended.", "peer", l.peer.Name, "address", l.peer.Address, "error", err.Error())
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.done:
+			return
+		case <-time.After(redialPause):
+		}
+	}
+}
+
+// connect dials the peer and sends batches until the connection fails.
+func (l *link) connect(ctx context.Context) error {
+	dialer := net.Dialer{Timeout: dialTimeout, Control: sockets.UserTimeout(silentAfter)}
+	raw, err := dialer.DialContext(ctx, "tcp", l.peer.Address)
+	if err != nil {
+		return err
+	}
+	defer raw.Close()
+	l.setUp(true)
+	greeting := l.hub.handler.Greeting() // takes locks under which news is queued
+	greeting.From = l.hub.self
+	if err := l.write(raw, greeting); err != nil {
+		return err
+	}
+	defer l.setUp(false)
+	pause := farFlush
+	if l.peer.Region == l.hub.self.Region {
+		pause = nearFlush
+	}
+	ticker := time.NewTicker(pause)
+	defer ticker.Stop()
+	sent := time.Time{}
+	for {
+		if m := l.batch(time.Since(sent) >= heartbeat); m != nil {
+			if err := l.write(raw, m); err != nil {
+				return err
+			}
+			sent = time.Now()
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-l.done:
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+func (l *link) write(raw net.Conn, m *Message) error {
+	if err := raw.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	return writeMessage(raw, m)
+}
+
+// setUp starts or stops the queueing of news.
+func (l *link) setUp(up bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pending, l.up = Message{}, up
+}
+
+// batch takes what is queued; nil when there is nothing to send.
+func (l *link) batch(due bool) *Message {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.pending.empty() && !due {
+		return nil
+	}
+	m := l.pending
+	m.From = l.hub.self
+	l.pending = Message{}
+	return &m
+}
--- a/placing/placing.go
+++ b/placing/placing.go
@@ -52,8 +52,8 @@
 // Choose returns the index of the candidate with the least cost, or -1 without
 // candidates. Among candidates that differ little, the affinity key decides, so
 // that all entries send requests with a common prompt to the same servers;
-// without a key the choice is random.
-func Choose(candidates []Candidate, affinity string, rng *rand.Rand) int {
+// without a key (0) the choice is random.
+func Choose(candidates []Candidate, affinity uint64, rng *rand.Rand) int {
 	if len(candidates) == 0 {
 		return -1
 	}
@@ -67,7 +67,7 @@
 			continue
 		}
 		r := rng.Uint64()
-		if affinity != "" {
+		if affinity != 0 {
 			r = Rank(affinity, candidates[i].ID)
 		}
 		if chosen < 0 || r > rank {
@@ -78,7 +78,7 @@
 }
 
 // Rank is the weight of a server for a key in rendezvous hashing.
-func Rank(key, id string) uint64 { return mix(xxhash.Sum64String(key) ^ mix(xxhash.Sum64String(id))) }
+func Rank(key uint64, id string) uint64 { return mix(key ^ mix(xxhash.Sum64String(id))) }
 
 // mix is the finalizer of splitmix64.
 func mix(x uint64) uint64 {
--- /dev/null
+++ b/release/plan.go
@@ -0,0 +1,141 @@
+package release
+
+import (
+	"time"
+
+	"hyssoploom/rollout"
+)
+
+const (
+	// settleTime passes before the first session moves, so that all entries know
+	// the order and the sessions of their peers.
+	settleTime = 1200 * time.Millisecond
+	// canaryShare is the part of the sessions that may use the new version in the
+	// first half, as a part of the exposure that the deployment allows.
+	canaryShare = 0.8
+	// budgetShare is the part of the exposure limit that an entry uses itself.
+	budgetShare = 0.85
+	// latestCompletion is the part of the duration after which a good version is
+	// completed although requests still run on the old one.
+	latestCompletion = 0.92
+	// leastEvidence is the number of answers of the new version that the fleet
+	// needs before more sessions move to it.
+	leastEvidence = 15
+)
+
+// ramp are the shares of the sessions that use the new version, by the part of
+// the roll-out's duration that has passed. During the first half, sessions must
+// stay where they are.
+var ramp = []struct{ from, share float64 }{{0.53, 0.25}, {0.60, 0.5}, {0.66, 1}}
+
+// Tally counts the answers of one version.
+type Tally struct{ Sent, Good, Bad int }
+
+// Add returns the sum of two tallies.
+func (t Tally) Add(o Tally) Tally { return Tally{t.Sent + o.Sent, t.Good + o.Good, t.Bad + o.Bad} }
+
+func (t Tally) counts() rollout.Counts {
+	return rollout.Counts{
+		Answers: uint64(t.Good + t.Bad), Rated: uint64(t.Good + t.Bad), Passed: uint64(t.Good),
+	}
+}
+
+// Evidence is what the fleet has seen of a roll-out.
+type Evidence struct {
+	// Old and Target are the answers of both versions since the order.
+	Old, Target Tally
+}
+
+// Bad tells whether the new version fails more often than the old one. It uses
+// the sequential test of package rollout, so that it may be asked after every
+// answer.
+func (e Evidence) Bad() bool {
+	return rollout.Judge(e.Target.counts(), e.Old.counts(), rollout.TestConfig{}) == rollout.Bad
+}
+
+// Limits bound the requests that a version gets before it is known to be good.
+type Limits struct {
+	// Share of all requests of the service; Slack is added, over all entries.
+	Share float64
+	Slack int
+}
+
+// Progress is how far a roll-out has come.
+type Progress struct {
+	Elapsed, Duration time.Duration
+	// Evidence is that of the whole fleet, Own that of this entry.
+	Evidence, Own Evidence
+	// OldRunning is the number of requests that still run on the old version.
+	OldRunning int
+	// TargetReady tells that backend servers of the new version are there.
+	TargetReady bool
+}
+
+func (p *Progress) part() float64 { return p.Elapsed.Seconds() / p.Duration.Seconds() }
+
+// share is the part of the sessions that may use the new version.
+func (p *Progress) share(l Limits) float64 {
+	if p.Elapsed < settleTime || !p.TargetReady {
+		return 0
+	}
+	share := l.Share * canaryShare
+	if p.Evidence.Target.Good < leastEvidence {
+		return share
+	}
+	for _, step := range ramp {
+		if p.part() >= step.from {
+			share = step.share
+		}
+	}
+	return share
+}
+
+// Ramping tells whether sessions may change their version.
+func (p *Progress) Ramping() bool {
+	return p.part() >= ramp[0].from && p.Evidence.Target.Good >= leastEvidence
+}
+
+// withinBudget tells whether this entry may send another request to the new
+// version while little is known of it.
+func (p *Progress) withinBudget(l Limits, entries int) bool {
+	sent := p.Own.Old.Sent + p.Own.Target.Sent
+	allowed := l.Share*budgetShare*float64(sent) + float64(l.Slack)*budgetShare/float64(entries+1)
+	return float64(p.Own.Target.Sent) < allowed
+}
+
+// Assignment is the input of UseTarget.
+type Assignment struct {
+	Progress
+	Limits  Limits
+	Entries int
+	// Position is the place of the session, or of a request without one, in [0, 1).
+	// It is the same on all entries.
+	Position float64
+	// Bound tells that the session is in use; OnTarget tells on which version.
+	Bound, OnTarget bool
+}
+
+// UseTarget tells whether a request goes to the new version of a roll-out in
+// progress. A session stays on its version, but moves to the new one in the
+// second half.
+func UseTarget(a Assignment) bool {
+	if a.Bound && a.OnTarget {
+		return true
+	}
+	if a.Position >= a.share(a.Limits) {
+		return false
+	}
+	if a.Ramping() {
+		return true
+	}
+	return !a.Bound && a.withinBudget(a.Limits, a.Entries)
+}
+
+// Complete tells whether a roll-out is finished: all sessions use the new
+// version and the old one is idle, or the time runs out.
+func (p *Progress) Complete() bool {
+	if !p.TargetReady || p.Evidence.Target.Good < leastEvidence || p.part() < ramp[len(ramp)-1].from {
+		return false
+	}
+	return p.OldRunning == 0 || p.part() >= latestCompletion
+}
