--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -24,9 +24,6 @@
 	// poolDetour is the price of mixing models on one engine: the prompts of a
 	// large model hold up every token of the requests beside them.
 	poolDetour = 250 * time.Millisecond
-	// keepConfidence is the model's confidence in percent from which the answer of
-	// a smaller model is kept.
-	keepConfidence = 55
 )
 
 // attemptLog is what the log says about one attempt.
@@ -216,7 +213,7 @@
 	case s.DataCentre != c.g.settings.DataCentre:
 		p.Detour = centreDetour
 	}
-	if c.model >= 0 && c.view.SmallModels(s) != (c.model == 0) {
+	if c.model >= 0 && c.view.SmallModels(s) != (model == c.route.Models[0]) {
 		p.Detour += poolDetour
 	}
 	return p
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -8,9 +8,12 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"hyssoploom/backend"
+	"hyssoploom/cascade"
 	"hyssoploom/fleet"
+	"hyssoploom/placing"
 )
 
 const (
@@ -48,7 +51,7 @@
 		return c.unlessEnded(broken), nil, errUnsealed
 	case success && c.route.Kind == fleet.Stream:
 		entry.Confidence = max(meta.Confidence, 0)
-		if !t.final && meta.Confidence >= 0 && meta.Confidence < keepConfidence {
+		if !t.final && meta.Confidence >= 0 && c.escalate(meta.Confidence) {
 			return unsure, nil, nil
 		}
 		return c.relayStream(answer)
@@ -71,6 +74,26 @@
 	return delivered, nil, nil
 }
 
+// escalate tells whether the largest model is asked instead of keeping an answer.
+func (c *call) escalate(confidence int) bool {
+	now := time.Now()
+	largest := c.route.Models[len(c.route.Models)-1]
+	c.g.mu.Lock()
+	defer c.g.mu.Unlock()
+	_, candidates := c.candidates(largest, now, c.g.Entries())
+	best := placing.Best(candidates)
+	if best < 0 {
+		return false
+	}
+	return cascade.Escalate(cascade.Doubt{
+		Confidence: confidence,
+		Elapsed:    now.Sub(c.received),
+		Pending:    placing.Wait(&candidates[best]),
+		Read:       candidates[best].Read,
+		Target:     c.route.LatencyTarget,
+	})
+}
+
 // promisesNotRun tells whether callers take a status as the promise that a
 // request has not run. A backend server makes that promise in another way.
 func promisesNotRun(status int) bool {
--- a/placing/placing.go
+++ b/placing/placing.go
@@ -49,6 +49,20 @@
 	return cost
 }
 
+// Wait is the expected time until a candidate begins to read the prompt.
+func Wait(c *Candidate) time.Duration { return Cost(c) - c.Read - c.Detour }
+
+// Best returns the index of the candidate with the least cost, or -1.
+func Best(candidates []Candidate) int {
+	best := -1
+	for i := range candidates {
+		if best < 0 || Cost(&candidates[i]) < Cost(&candidates[best]) {
+			best = i
+		}
+	}
+	return best
+}
+
 // Choose returns the index of the candidate with the least cost, or -1 without
 // candidates. Among candidates that differ little, the affinity key decides, so
 // that all entries send requests with a common prompt to the same servers;
@@ -57,10 +71,7 @@
 	if len(candidates) == 0 {
 		return -1
 	}
-	best := Cost(&candidates[0])
-	for i := range candidates {
-		best = min(best, Cost(&candidates[i]))
-	}
+	best := Cost(&candidates[Best(candidates)])
 	chosen, rank := -1, uint64(0)
 	for i := range candidates {
 		if Cost(&candidates[i]) > best+tie {
