--- a/fleet/pools.go
+++ b/fleet/pools.go
@@ -10,7 +10,7 @@
 // smallPoolShare is the part of the engines of a data centre that is preferred
 // for the smallest model of a cascade. It reads every prompt first, but in about
 // a tenth of the time that the largest model takes for those that it gets.
-const smallPoolShare = 1.0 / 3
+const smallPoolShare = 1.0 / 5.5
 
 // SmallModels tells whether a server is preferred for the smallest model of a
 // cascade rather than for larger ones.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -24,6 +24,9 @@
 	// poolDetour is the price of mixing models on one engine: the prompts of a
 	// large model hold up every token of the requests beside them.
 	poolDetour = 250 * time.Millisecond
+	// largeDetour is the same for a large model among small ones, whose tokens it
+	// would hold up for as long as it reads.
+	largeDetour = 2 * time.Second
 )
 
 // attemptLog is what the log says about one attempt.
@@ -213,12 +216,23 @@
 	case s.DataCentre != c.g.settings.DataCentre:
 		p.Detour = centreDetour
 	}
-	if c.model >= 0 && c.view.SmallModels(s) != (model == c.route.Models[0]) {
-		p.Detour += poolDetour
+	if c.model >= 0 {
+		p.Detour += poolPrice(c.view.SmallModels(s), model == c.route.Models[0])
 	}
 	return p
 }
 
+// poolPrice is the price of a model on an engine of the other pool.
+func poolPrice(smallPool, smallModel bool) time.Duration {
+	switch {
+	case smallPool == smallModel:
+		return 0
+	case smallModel:
+		return poolDetour
+	}
+	return largeDetour
+}
+
 // modelName is the model that an attempt runs on.
 func (c *call) modelName(chosen string) string {
 	if chosen != "" {
