--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -18,7 +18,7 @@
 	maxRefusals = 4
 	// regionDetour is the price of a server in another region as time: the bytes
 	// between regions are paid by volume and the way takes 60 ms.
-	regionDetour = 700 * time.Millisecond
+	regionDetour = 250 * time.Millisecond
 	// centreDetour is the price of another data centre of the same region.
 	centreDetour = 60 * time.Millisecond
 	// poolDetour is the price of mixing models on one engine: the prompts of a
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -23,9 +23,6 @@
 func (g *Gateway) tellLoad(server *fleet.BackendServer, l *load) {
 	work := peers.Load{Server: server.ID, PendingMS: l.pending.Milliseconds(), Running: l.running}
 	g.hub.Broadcast(func(to fleet.Peer, m *peers.Message) {
-		if !g.near(to) {
-			return
-		}
 		for i := range m.Loads {
 			if m.Loads[i].Server == work.Server {
 				m.Loads[i] = work
