Read times are corrected by observation; no separate engines for small models

Cause: the smallest model reads 1.6 times slower than its cost suggests, so the work on its engines was underrated.

--- a/cascade/confidence.go
+++ b/cascade/confidence.go
@@ -6,7 +6,7 @@
 	// keepConfidence is the confidence in percent from which the answer of a small
 	// model is kept while larger models are idle. About half of the answers of the
 	// smallest model lie below it.
-	keepConfidence = 45
+	keepConfidence = 50
 	// waitShare is the wait for a larger model, as a part of the latency target, at
 	// which only answers without any confidence are asked for again.
 	waitShare = 0.35
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -49,8 +49,6 @@
 	Peers    map[string]Peer
 	// Revision is the highest store revision that was seen.
 	Revision int64
-
-	small map[string]bool // ids of the servers preferred for small models
 }
 
 // NewState returns an empty state.
@@ -276,6 +274,5 @@
 		server := v.Servers[id]
 		c.ByService[server.Service] = append(c.ByService[server.Service], server)
 	}
-	c.small = smallPools(c.ByService)
 	return c
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -21,12 +21,6 @@
 	regionDetour = 250 * time.Millisecond
 	// centreDetour is the price of another data centre of the same region.
 	centreDetour = 60 * time.Millisecond
-	// poolDetour is the price of mixing models on one engine: the prompts of a
-	// large model hold up every token of the requests beside them.
-	poolDetour = 250 * time.Millisecond
-	// largeDetour is the same for a large model among small ones, whose tokens it
-	// would hold up for as long as it reads.
-	largeDetour = 2 * time.Second
 )
 
 // attemptLog is what the log says about one attempt.
@@ -35,6 +29,14 @@
 	Model      string `json:"model,omitempty"`
 	Outcome    string `json:"outcome"`
 	Confidence int    `json:"confidence,omitempty"`
+	// FirstMS is the time to the head of the answer; Events counts the events that
+	// were passed on.
+	FirstMS int64 `json:"first_ms,omitempty"`
+	Events  int   `json:"events,omitempty"`
+	// WaitMS and ReadMS are the expected wait at the server and the time to read the
+	// prompt there, by which the server was chosen.
+	WaitMS int64 `json:"wait_ms"`
+	ReadMS int64 `json:"read_ms"`
 	// AtMS and TookMS are milliseconds since the request and within the attempt.
 	AtMS   int64  `json:"at_ms"`
 	TookMS int64  `json:"took_ms"`
@@ -115,7 +117,8 @@
 	model  string
 	// final tells that the answer is kept whatever the model's confidence is.
 	final bool
-	work  time.Duration
+	work  time.Duration // to read the prompt, until the answer begins
+	wait  time.Duration // expected before that
 }
 
 // choose picks a backend server for the next attempt and counts the request
@@ -145,7 +148,7 @@
 	if i < 0 {
 		return target{}, false
 	}
-	t.server, t.work = servers[i], candidates[i].Read
+	t.server, t.work, t.wait = servers[i], candidates[i].Read, placing.Wait(&candidates[i])
 	t.load = g.load(t.server, c.service)
 	g.cold.Sent(now, t.server.ID)
 	g.placed(c, &t)
@@ -208,7 +211,7 @@
 	if l.cache != nil {
 		name := c.modelName(model)
 		unread := c.meta.PromptTokens - l.cache.held(name, c.prompt)
-		p.Read = readTime(c.service, name, max(unread, 0))
+		p.Read = time.Duration(float64(readTime(c.service, name, max(unread, 0))) * c.g.ratios.of(name))
 	}
 	switch {
 	case s.Region != c.g.settings.Region:
@@ -216,23 +219,9 @@
 	case s.DataCentre != c.g.settings.DataCentre:
 		p.Detour = centreDetour
 	}
-	if c.model >= 0 {
-		p.Detour += poolPrice(c.view.SmallModels(s), model == c.route.Models[0])
-	}
 	return p
 }
 
-// poolPrice is the price of a model on an engine of the other pool.
-func poolPrice(smallPool, smallModel bool) time.Duration {
-	switch {
-	case smallPool == smallModel:
-		return 0
-	case smallModel:
-		return poolDetour
-	}
-	return largeDetour
-}
-
 // modelName is the model that an attempt runs on.
 func (c *call) modelName(chosen string) string {
 	if chosen != "" {
@@ -253,7 +242,10 @@
 // attempt sends the request to one server and deals with its answer.
 func (c *call) attempt(t target) (outcome, *savedAnswer) {
 	started := time.Now()
-	entry := attemptLog{Server: t.server.ID, Model: t.model, AtMS: started.Sub(c.received).Milliseconds()}
+	entry := attemptLog{
+		Server: t.server.ID, Model: t.model, AtMS: started.Sub(c.received).Milliseconds(),
+		WaitMS: t.wait.Milliseconds(), ReadMS: t.work.Milliseconds(),
+	}
 	result, saved, err := c.exchange(t, &entry)
 	entry.Outcome = result.String()
 	entry.TookMS = time.Since(started).Milliseconds()
@@ -302,6 +294,12 @@
 	g.tellLoad(t.server, t.load)
 }
 
+func (g *Gateway) observeRead(model string, expected, observed time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ratios.observe(model, expected, observed)
+}
+
 func (g *Gateway) suspect(t target) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -310,6 +308,7 @@
 
 func (c *call) exchange(t target, entry *attemptLog) (outcome, *savedAnswer, error) {
 	defer c.g.begun(&t)
+	started := time.Now()
 	ctx, cancel := context.WithCancel(c.ctx)
 	defer cancel()
 	limit := 0
@@ -333,6 +332,11 @@
 		return c.unlessEnded(broken), nil, err
 	}
 	c.sends++
+	first := time.Since(started)
+	entry.FirstMS = first.Milliseconds()
+	if t.wait < idleWait && answer.Status == http.StatusOK {
+		c.g.observeRead(c.modelName(t.model), t.work, first)
+	}
 	c.g.begun(&t)
 	defer answer.Body.Close()
 	meta := c.g.Protocol.ReadAnswer(answer.Status, answer.Header, t.server.ID)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -74,6 +74,7 @@
 	loads   map[string]*load // by server id
 	retries map[string]*limits.Retries
 	cold    *limits.Cold
+	ratios  readRatios
 	rng     *rand.Rand
 	// sessions and releases are the state of roll-outs; releases is by service.
 	sessions *release.Sessions
@@ -88,6 +89,7 @@
 		settings: s,
 		Deps:     deps,
 		loads:    make(map[string]*load),
+		ratios:   make(readRatios),
 		retries:  make(map[string]*limits.Retries),
 		cold:     limits.NewCold(limits.ColdConfig{Overshoot: s.Bounds.ColdOvershoot, Slack: s.Bounds.ColdSlack}),
 		sessions: release.NewSessions(s.Bounds.Session()),
--- a/gateway/load.go
+++ b/gateway/load.go
@@ -122,7 +122,8 @@
 	l.remoteRunning += work.Running - old.Running
 }
 
-// readTime is the time in which an engine reads tokens with a model.
+// readTime is the time in which an engine reads tokens with a model, before any
+// observation.
 func readTime(service *fleet.Service, model string, tokens int) time.Duration {
 	rate := largestReadRate / pace(service, model)
 	return time.Duration(float64(tokens) / rate * float64(time.Millisecond))
@@ -145,3 +146,43 @@
 	}
 	return max(own/largest, smallestPace)
 }
+
+const (
+	// ratioStep is the relative change of a ratio by one observation.
+	ratioStep = 0.03
+	// ratioQuantile is the part of the observations that lie below the ratio. It is
+	// low because requests that arrive later lengthen what is observed.
+	ratioQuantile = 0.3
+	// leastRead is the shortest reading that tells something about the rate.
+	leastRead = 20 * time.Millisecond
+	// idleWait is the expected wait up to which an engine counts as idle.
+	idleWait = 5 * time.Millisecond
+	// maxRatio bounds a ratio on both sides.
+	maxRatio = 10
+)
+
+// readRatios tracks how much longer engines take to read prompts than readTime
+// says, by model.
+type readRatios map[string]float64
+
+func (r readRatios) of(model string) float64 {
+	if ratio, ok := r[model]; ok {
+		return ratio
+	}
+	return 1
+}
+
+// observe compares the time to the head of an answer with what was expected of an
+// idle engine.
+func (r readRatios) observe(model string, expected, observed time.Duration) {
+	if expected < leastRead {
+		return
+	}
+	ratio := r.of(model)
+	if observed > expected {
+		ratio *= 1 + ratioStep*(1-ratioQuantile)
+	} else {
+		ratio *= 1 - ratioStep*ratioQuantile
+	}
+	r[model] = min(max(ratio, 1.0/maxRatio), maxRatio)
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -54,7 +54,7 @@
 		if !t.final && meta.Confidence >= 0 && c.escalate(meta.Confidence) {
 			return unsure, nil, nil
 		}
-		return c.relayStream(answer)
+		return c.relayStream(answer, entry)
 	}
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBuffered+1))
 	if err != nil {
@@ -125,7 +125,7 @@
 
 // relayStream passes the events of a stream on as they come. Only whole events
 // are passed on, each once.
-func (c *call) relayStream(answer *backend.Answer) (outcome, *savedAnswer, error) {
+func (c *call) relayStream(answer *backend.Answer, entry *attemptLog) (outcome, *savedAnswer, error) {
 	if !c.started {
 		c.started = true
 		h := c.w.Header()
@@ -150,6 +150,7 @@
 		if !c.stream.accept(event) {
 			continue
 		}
+		entry.Events++
 		if _, err := c.w.Write(event); err != nil {
 			return ended, nil, err
 		}
