--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"math/bits"
 	"slices"
 	"strings"
 	"sync"
@@ -117,19 +118,21 @@
 		return r, s.adoptOlder(sl, r)
 	}
 	h := decodeHeld(r)
-	if known {
-		s.digest ^= sl.latest.digest()
-	}
-	s.digest ^= h.digest()
 	s.revision = max(s.revision, r.Revision)
-	sl.latest = h
+	next := slot{latest: h, good: sl.good}
 	if h.usable() {
-		sl.good = h
+		next.good = h
 	}
-	s.slots[r.Key] = sl
+	s.replace(r.Key, next)
 	return r, true
 }
 
+// replace changes the state of a key and the digest with it.
+func (s *Snapshot) replace(key string, next slot) {
+	s.digest ^= s.slots[key].digest() ^ next.digest()
+	s.slots[key] = next
+}
+
 // adoptOlder keeps a record that is older than the newest one of its key if the
 // newest cannot be decoded and this one is the best known substitute.
 func (s *Snapshot) adoptOlder(sl slot, r Record) bool {
@@ -141,7 +144,7 @@
 		return false
 	}
 	sl.good = h
-	s.slots[r.Key] = sl
+	s.replace(r.Key, sl)
 	return true
 }
 
@@ -151,7 +154,20 @@
 	return h
 }
 
-// digest is the record's share of the snapshot digest. Keys that the store no
+// digest is the key's share of the snapshot digest. The substitute of a record
+// that cannot be decoded counts, so that a process without it is noticed.
+func (s slot) digest() uint64 {
+	if s.latest == nil {
+		return 0
+	}
+	d := s.latest.digest()
+	if s.good != nil && s.good != s.latest {
+		d ^= bits.RotateLeft64(s.good.digest(), 1)
+	}
+	return d
+}
+
+// digest is the record's share of its key's digest. Keys that the store no
 // longer has do not count, because processes may have noticed their absence at
 // different list revisions.
 func (h *held) digest() uint64 {
@@ -177,8 +193,8 @@
 // do not count, because writes to other keys of the store raise them.
 func (s *Snapshot) Revision() uint64 { return s.View().Revision }
 
-// Digest returns an order-independent digest of the newest records: equal
-// digests mean equal keys and revisions.
+// Digest returns an order-independent digest of the records held: equal digests
+// mean equal keys and revisions, of newest records and of their substitutes.
 func (s *Snapshot) Digest() uint64 { return s.View().Digest }
 
 // View returns the records in force.
