--- a/standin/engine_http.go
+++ b/standin/engine_http.go
@@ -43,21 +43,45 @@
 	return strings.Join(parts, "\n")
 }
 
-// AnswerTokens returns the answer of a model version to a prompt: count tokens,
-// or 8 to 39 as a function of the prompt when count is 0.
-func AnswerTokens(model, version, prompt string, count int, bad bool) []string {
+// answer is the answer of a model version to a prompt. Its tokens are made when
+// they are asked for, so that a very long answer begins at once.
+type answer struct {
+	seed  uint64
+	count int
+	bad   bool
+}
+
+// newAnswer returns an answer of count tokens, or of 8 to 39 as a function of the
+// prompt when count is 0.
+func newAnswer(model, version, prompt string, count int, bad bool) answer {
 	seed := xxhash.Sum64String(model + "\x00" + version + "\x00" + prompt)
 	if count <= 0 {
 		count = 8 + int(seed%32)
 	}
-	tokens := make([]string, count)
-	for i := range tokens {
-		tokens[i] = fmt.Sprintf("w%03x ", xxhash.Sum64String(fmt.Sprint(seed, i))%4096)
+	return answer{seed: seed, count: count, bad: bad}
+}
+
+func (a answer) token(i int) string {
+	if a.bad && i == min(1, a.count-1) {
+		return badWord + " "
 	}
-	if bad {
-		tokens[min(1, count-1)] = badWord + " "
+	return fmt.Sprintf("w%03x ", xxhash.Sum64String(fmt.Sprint(a.seed, i))%4096)
+}
+
+// tokens returns the first n tokens.
+func (a answer) tokens(n int) []string {
+	out := make([]string, n)
+	for i := range out {
+		out[i] = a.token(i)
 	}
-	return tokens
+	return out
+}
+
+// AnswerTokens returns the answer of a model version to a prompt: count tokens,
+// or 8 to 39 as a function of the prompt when count is 0.
+func AnswerTokens(model, version, prompt string, count int, bad bool) []string {
+	a := newAnswer(model, version, prompt, count, bad)
+	return a.tokens(a.count)
 }
 
 func (e *Engine) serveChat(w http.ResponseWriter, r *http.Request) {
@@ -78,8 +102,8 @@
 	if count <= 0 {
 		count = e.config.Tokens
 	}
-	tokens := AnswerTokens(model, version, c.prompt(), count, slices.Contains(f.Bad, c.Model))
-	if problem := e.resumeProblem(c, tokens); problem != "" {
+	answer := newAnswer(model, version, c.prompt(), count, slices.Contains(f.Bad, c.Model))
+	if problem := e.resumeProblem(c, answer); problem != "" {
 		engineError(w, http.StatusBadRequest, problem)
 		return
 	}
@@ -92,23 +116,23 @@
 	}
 	s := &engineStream{engine: e, w: w, caller: r.Context().Done(), stop: stop, faults: f, run: run,
 		prompt: int64(len(strings.Fields(c.prompt()))), model: c.Model}
-	complete := s.send(tokens[c.ResumeFrom:])
-	e.end(run, s.sent, s.sent < len(tokens)-c.ResumeFrom)
+	complete := s.send(answer, c.ResumeFrom)
+	e.end(run, s.sent, s.sent < answer.count-c.ResumeFrom)
 	if !complete {
 		panic(http.ErrAbortHandler) // closes the connection without an end mark
 	}
 	s.finish()
 }
 
-func (e *Engine) resumeProblem(c chatRequest, tokens []string) string {
+func (e *Engine) resumeProblem(c chatRequest, a answer) string {
 	switch {
 	case c.ResumeFrom == 0:
 		return ""
 	case !e.config.Resumes:
 		return "this engine does not resume"
-	case c.ResumeFrom < 0 || c.ResumeFrom > len(tokens):
+	case c.ResumeFrom < 0 || c.ResumeFrom > a.count:
 		return "resume_from is out of range"
-	case c.ResumeText != strings.Join(tokens[:c.ResumeFrom], ""):
+	case c.ResumeText != strings.Join(a.tokens(c.ResumeFrom), ""):
 		return "resume_text is not the beginning of the answer"
 	}
 	return ""
@@ -127,10 +151,11 @@
 	sent   int
 }
 
-// send sends the tokens and tells whether the answer may get its end mark.
-func (s *engineStream) send(tokens []string) bool {
+// send sends the tokens from a position on and tells whether the answer may get
+// its end mark.
+func (s *engineStream) send(a answer, from int) bool {
 	s.w.Header().Set("Content-Type", "text/event-stream")
-	for i, t := range tokens {
+	for i := range a.count - from {
 		if s.faults.Hang || s.faults.HangAfter > 0 && i == s.faults.HangAfter {
 			s.wait(time.Hour)
 			return false
@@ -143,7 +168,7 @@
 		}
 		s.sent++
 		s.engine.progress(s.run, s.sent)
-		if s.chunk(t, nil) != nil {
+		if s.chunk(a.token(from+i), nil) != nil {
 			return false
 		}
 	}
