Roll-outs: sessions in use move in the second half; a race in publishing mended

Cause: when every session is in use all the time, the new version got no request, so there was no evidence and a good version was never completed. Found by TestGoodRollOut; the race by the race detector.

--- a/gateway/duty.go
+++ b/gateway/duty.go
@@ -51,7 +51,7 @@
 
 // statusWrite is a state or a plan to publish.
 type statusWrite struct {
-	release *releaseState
+	service string
 	key     string
 	value   []byte
 	what    string
@@ -111,7 +111,7 @@
 	}
 	r.duty.next = now.Add(dutyRetry)
 	key, value := g.Records.StatusItem(fleet.Status{Service: r.Service, Target: r.Target, Outcome: wanted})
-	return statusWrite{r, key, value, string(wanted)}, true
+	return statusWrite{r.Service, key, value, string(wanted)}, true
 }
 
 func (g *Gateway) duePlan(view *fleet.View, r *releaseState, p *release.Progress, rank int, now time.Time) (statusWrite, bool) {
@@ -125,7 +125,7 @@
 	}
 	r.duty.next = now.Add(dutyRetry)
 	key, value := g.Records.PlanItem(fleet.Plan{Service: r.Service, Order: r.Revision, ElapsedMS: p.Elapsed.Milliseconds()})
-	return statusWrite{r, key, value, "plan"}, true
+	return statusWrite{r.Service, key, value, "plan"}, true
 }
 
 // publish writes a state unless another entry has published one since.
@@ -134,10 +134,10 @@
 	_, err := g.Store.Commit(ctx, []fleet.Condition{{Key: w.key, Revision: item.Revision}}, []fleet.Put{{Key: w.key, Value: w.value}})
 	switch {
 	case err == nil:
-		g.Log.Info("Published the state of a roll-out.", "service", w.release.Service, "what", w.what)
+		g.Log.Info("Published the state of a roll-out.", "service", w.service, "what", w.what)
 	case errors.Is(err, fleet.ErrConflict):
-		g.Log.Info("Another entry published first.", "service", w.release.Service, "what", w.what)
+		g.Log.Info("Another entry published first.", "service", w.service, "what", w.what)
 	default:
-		g.Log.Warn("Could not publish the state of a roll-out.", "service", w.release.Service, "what", w.what, "error", err.Error())
+		g.Log.Warn("Could not publish the state of a roll-out.", "service", w.service, "what", w.what, "error", err.Error())
 	}
 }
--- /dev/null
+++ b/gateway/release_test.go
@@ -0,0 +1,125 @@
+package gateway_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"hyssoploom/platform/fake"
+)
+
+// prompt returns the headers of a request of one session.
+func prompt(session int) []string {
+	return []string{"X-Model", "small", "X-Token-Counts", "100,20", "X-Prompt-Prefix", fmt.Sprintf("%x:60,ff:40", session)}
+}
+
+// startRollOut starts one old and one new runner and orders a roll-out.
+func startRollOut(t *testing.T, target fake.Behaviour, duration time.Duration) (store *fake.Store, old, new *fake.Runner, e *entry) {
+	t.Helper()
+	store = newStore(t)
+	old = fake.NewRunner(t, "i-old", fake.Stream(1, true, 0))
+	new = fake.NewRunner(t, "i-new", target)
+	register(store, "llm", near, old)
+	e = start(t, store, "e1")
+	e.awaitServers(1)
+	store.Put("op/rollout/llm", map[string]any{"service": "llm", "target": "v2", "durationS": duration.Seconds()})
+	newEntry := new.Entry("llm", near)
+	newEntry["version"] = "v2"
+	store.Put("servers/i-new", newEntry)
+	e.awaitServers(2)
+	return store, old, new, e
+}
+
+func status(store *fake.Store) string { return string(store.Get("status/rollout/llm")) }
+
+// Guards against a good version that is never completed, sessions that move in
+// the first half or back, and an old version that serves on after the end.
+func TestGoodRollOut(t *testing.T) {
+	const duration = 8 * time.Second
+	store, old, new, e := startRollOut(t, fake.Stream(1, true, 0), duration)
+	begun := time.Now()
+	pinned := prompt(1)
+	onNew := make(map[int]bool)
+	for n := 2; !strings.Contains(status(store), `"completed"`); n++ {
+		if time.Since(begun) > duration {
+			t.Fatalf("not completed in time: %s", status(store))
+		}
+		before := len(new.Arrivals())
+		e.send("POST", "/draft/a", "prompt", pinned...)
+		if time.Since(begun) < duration/2 && len(new.Arrivals()) > before {
+			t.Fatal("a session in use moved in the first half")
+		}
+		before = len(new.Arrivals())
+		session := n % 40
+		e.send("POST", "/draft/a", "prompt", prompt(session)...)
+		if moved := len(new.Arrivals()) > before; onNew[session] && !moved {
+			t.Fatal("a session went back to the old version")
+		} else if moved {
+			onNew[session] = true
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if time.Since(begun) < duration/2 {
+		t.Error("completed in the first half")
+	}
+	eventually(t, "the entry knows of the completion", func() bool {
+		before := len(old.Arrivals())
+		e.send("POST", "/draft/a", "prompt", pinned...)
+		return len(old.Arrivals()) == before
+	})
+	if len(onNew) == 0 || !strings.Contains(status(store), `"target":"v2"`) {
+		t.Errorf("%d sessions moved; status %s", len(onNew), status(store))
+	}
+}
+
+// Guards against a bad version that keeps getting requests, and callers that see
+// its failures although the old version could answer.
+func TestBadRollOut(t *testing.T) {
+	store, old, new, e := startRollOut(t, fake.Answer(500, "broken"), 30*time.Second)
+	session := 100
+	eventually(t, "the new version gets requests", func() bool {
+		for range 60 {
+			session++ // a session in use would stay on the old version
+			if a := e.send("POST", "/draft/a", "prompt", prompt(session)...); a.status != 200 {
+				t.Fatalf("a caller saw the failure of the new version: %d", a.status)
+			}
+		}
+		return strings.Contains(status(store), `"rolled_back"`)
+	})
+	arrivals := len(new.Arrivals())
+	if arrivals > 30 {
+		t.Errorf("the bad version got %d requests", arrivals)
+	}
+	for range 60 {
+		session++
+		e.send("POST", "/draft/a", "prompt", prompt(session)...)
+	}
+	if n := len(new.Arrivals()); n != arrivals {
+		t.Errorf("%d requests after the roll-back", n-arrivals)
+	}
+	if len(old.Arrivals()) == 0 {
+		t.Error("the old version served nothing")
+	}
+}
+
+// Guards against an entry that restarts and forgets what was decided.
+func TestRestartAfterCompletion(t *testing.T) {
+	store := newStore(t)
+	old := fake.NewRunner(t, "i-old", fake.Stream(1, true, 0))
+	new := fake.NewRunner(t, "i-new", fake.Stream(1, true, 0))
+	register(store, "llm", near, old)
+	newEntry := new.Entry("llm", near)
+	newEntry["version"] = "v2"
+	store.Put("servers/i-new", newEntry)
+	store.Put("op/rollout/llm", map[string]any{"service": "llm", "target": "v2", "durationS": 5})
+	store.Put("status/rollout/llm", map[string]any{"service": "llm", "target": "v2", "state": "completed"})
+	e := start(t, store, "e1")
+	e.awaitServers(2)
+	for session := range 10 {
+		e.send("POST", "/draft/a", "prompt", prompt(session)...)
+	}
+	if len(old.Arrivals()) > 0 || len(new.Arrivals()) != 10 {
+		t.Errorf("old %d, new %d requests", len(old.Arrivals()), len(new.Arrivals()))
+	}
+}
--- a/gateway/releases.go
+++ b/gateway/releases.go
@@ -101,7 +101,7 @@
 	switch {
 	case useTarget && len(target) > 0:
 		return target
-	case len(old) > 0 || !progress.Ramping():
+	case len(old) > 0 || !progress.Movable():
 		return old
 	}
 	return target
--- a/release/plan.go
+++ b/release/plan.go
@@ -21,6 +21,10 @@
 	// leastEvidence is the number of answers of the new version that the fleet
 	// needs before more sessions move to it.
 	leastEvidence = 15
+	// latePart is the part of the duration after which lateEvidence answers are
+	// enough: a service with few requests would never be completed otherwise.
+	latePart     = 0.72
+	lateEvidence = 3
 )
 
 // ramp are the shares of the sessions that use the new version, by the part of
@@ -79,7 +83,7 @@
 		return 0
 	}
 	share := l.Share * canaryShare
-	if p.Evidence.Target.Good < leastEvidence {
+	if !p.trusted() {
 		return share
 	}
 	for _, step := range ramp {
@@ -90,9 +94,14 @@
 	return share
 }
 
-// Ramping tells whether sessions may change their version.
-func (p *Progress) Ramping() bool {
-	return p.part() >= ramp[0].from && p.Evidence.Target.Good >= leastEvidence
+// Movable tells whether sessions in use may change to the new version.
+func (p *Progress) Movable() bool { return p.part() >= ramp[0].from }
+
+// trusted tells whether the new version has answered often enough to get more
+// than the exposure that the deployment allows for unknown versions.
+func (p *Progress) trusted() bool {
+	good := p.Evidence.Target.Good
+	return good >= leastEvidence || p.part() >= latePart && good >= lateEvidence
 }
 
 // withinBudget tells whether this entry may send another request to the new
@@ -125,16 +134,16 @@
 	if a.Position >= a.share(a.Limits) {
 		return false
 	}
-	if a.Ramping() {
-		return true
+	if a.Bound && !a.Movable() {
+		return false
 	}
-	return !a.Bound && a.withinBudget(a.Limits, a.Entries)
+	return a.Movable() && a.trusted() || a.withinBudget(a.Limits, a.Entries)
 }
 
 // Complete tells whether a roll-out is finished: all sessions use the new
 // version and the old one is idle, or the time runs out.
 func (p *Progress) Complete() bool {
-	if !p.TargetReady || p.Evidence.Target.Good < leastEvidence || p.part() < ramp[len(ramp)-1].from {
+	if !p.TargetReady || !p.trusted() || p.part() < ramp[len(ramp)-1].from {
 		return false
 	}
 	return p.OldRunning == 0 || p.part() >= latestCompletion
