--- /dev/null
+++ b/cascade/confidence_test.go
@@ -0,0 +1,62 @@
+package cascade
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against answers without confidence that are kept on an idle day, and
+// against a large model that gets work it cannot begin in time.
+func TestEscalate(t *testing.T) {
+	const target = 2 * time.Second
+	for _, c := range []struct {
+		name string
+		d    Doubt
+		want bool
+	}{
+		{"no confidence, idle", Doubt{Confidence: 0, Target: target}, true},
+		{"full confidence, idle", Doubt{Confidence: 100, Target: target}, false},
+		{"some confidence, idle", Doubt{Confidence: 40, Target: target}, true},
+		{"some confidence, busy", Doubt{Confidence: 40, Pending: 500 * time.Millisecond, Target: target}, false},
+		{"little confidence, busy", Doubt{Confidence: 5, Pending: 500 * time.Millisecond, Target: target}, true},
+		{"no confidence, overloaded", Doubt{Confidence: 0, Pending: time.Second, Target: target}, false},
+		{"would be late", Doubt{Confidence: 0, Elapsed: 1500 * time.Millisecond, Read: 600 * time.Millisecond, Target: target}, false},
+		{"long prompt, in time", Doubt{Confidence: 0, Elapsed: 300 * time.Millisecond, Read: 900 * time.Millisecond, Target: target}, true},
+	} {
+		if got := Escalate(c.d); got != c.want {
+			t.Errorf("%s: %v", c.name, got)
+		}
+	}
+}
+
+// Plays a load that the large model cannot carry: answers with evenly spread
+// confidence every 20 ms, 100 ms of work each on an engine of the large model.
+// Guards against a queue that grows until all answers are late, and checks that
+// the engine's time goes to the least confident answers.
+func TestEscalateUnderOverload(t *testing.T) {
+	const target, read = 2 * time.Second, 100 * time.Millisecond
+	var free time.Duration
+	late, escalated, confidence := 0, 0, 0
+	for n := range 2000 {
+		now := time.Duration(n) * 20 * time.Millisecond
+		d := Doubt{Confidence: n * 37 % 101, Pending: max(free-now, 0), Read: read, Target: target}
+		if !Escalate(d) {
+			continue
+		}
+		free = max(free, now) + read
+		escalated++
+		confidence += d.Confidence
+		if free-now > target {
+			late++
+		}
+	}
+	if late > 0 {
+		t.Errorf("%d answers of the large model began late", late)
+	}
+	if escalated < 350 {
+		t.Errorf("%d answers of the large model; its engine could make 400", escalated)
+	}
+	if mean := confidence / escalated; mean > 20 {
+		t.Errorf("the mean confidence of answers that were asked again is %d", mean)
+	}
+}
--- /dev/null
+++ b/fleet/state_test.go
@@ -0,0 +1,269 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"hyssoploom/telemetry"
+)
+
+// testDecoder reads "s/ID" as a server, "c" as a configuration whose version is
+// the value, and anything else as nothing.
+type testDecoder struct{}
+
+func (testDecoder) Decode(item Item, now time.Time) (Update, error) {
+	id, isServer := strings.CutPrefix(item.Key, "s/")
+	switch {
+	case isServer && item.Deleted:
+		return ServerRemoved{id}, nil
+	case isServer && string(item.Value) == "bad":
+		return ServerRemoved{id}, errors.New("bad")
+	case isServer:
+		s := BackendServer{ID: id, Service: "x", Seen: now, Draining: string(item.Value) == "draining"}
+		if string(item.Value) == "cold" {
+			s.Cold = 3 * time.Second
+		}
+		return ServerUpdate{s}, nil
+	case item.Key == "c" && !item.Deleted:
+		var version int64
+		if err := json.Unmarshal(item.Value, &version); err != nil {
+			return nil, err
+		}
+		return ConfigUpdate{NewConfig(version, nil, nil, nil, Limits{})}, nil
+	}
+	return nil, nil
+}
+
+// clock is a clock that tests set.
+type clock struct {
+	mu  sync.Mutex
+	now time.Time
+}
+
+func (c *clock) Now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+func (c *clock) Add(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = c.now.Add(d)
+}
+
+func newTestState() (*State, *clock) {
+	c := &clock{now: time.Unix(1000, 0)}
+	return NewState(testDecoder{}, c.Now), c
+}
+
+func item(key, value string, revision int64) Item {
+	return Item{Key: key, Value: []byte(value), Revision: revision}
+}
+
+// Guards against a key or a configuration that turns back, whatever the order in
+// which news arrives from the store and from peers.
+func TestNeverBack(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(7)
+	properties := gopter.NewProperties(parameters)
+	properties.Property("the newest item of each key wins and the version never falls", prop.ForAll(
+		func(order []int) bool {
+			s, _ := newTestState()
+			highest := int64(0)
+			for _, n := range order {
+				revision := int64(n%20 + 1)
+				version, _ := json.Marshal(100 - revision/2) // versions fall as revisions rise
+				s.Apply([]Item{item("c", string(version), revision)})
+				v := s.View().Config.Version
+				if v < highest {
+					return false
+				}
+				highest = v
+				known, _ := s.Item("c")
+				if known.Revision < revision {
+					return false
+				}
+			}
+			return true
+		}, gen.SliceOf(gen.IntRange(0, 1000))))
+	properties.TestingRun(t)
+}
+
+// Guards against servers that stay after a listing without them, and a listing
+// that undoes a later change.
+func TestReplace(t *testing.T) {
+	s, _ := newTestState()
+	s.Apply([]Item{item("s/a", "ready", 3), item("s/b", "ready", 4), item("s/late", "ready", 9)})
+	s.Replace([]Item{item("s/b", "ready", 4), item("s/c", "ready", 6)}, 7)
+	v := s.View()
+	if v.Servers["a"] != nil || v.Servers["b"] == nil || v.Servers["c"] == nil || v.Servers["late"] == nil {
+		t.Errorf("servers %v", v.Servers)
+	}
+	if len(v.ByService["x"]) != 3 {
+		t.Errorf("by service: %v", v.ByService["x"])
+	}
+	s.Apply([]Item{item("s/a", "ready", 2)})
+	if s.View().Servers["a"] != nil {
+		t.Error("a stale peer brought back a server that is gone")
+	}
+}
+
+// Guards against servers lost to a lapse during a store outage, and against
+// servers that are kept although they left.
+func TestLapsedServers(t *testing.T) {
+	s, c := newTestState()
+	s.Apply([]Item{item("s/a", "ready", 3), item("s/b", "ready", 4), item("s/c", "draining", 5)})
+	s.StoreRecovered()
+	s.Apply([]Item{{Key: "s/a", Revision: 10, Deleted: true}, {Key: "s/b", Revision: 11, Deleted: true}, {Key: "s/c", Revision: 12, Deleted: true}})
+	if v := s.View(); v.Servers["a"] == nil || v.Servers["b"] == nil || v.Servers["c"] != nil {
+		t.Fatalf("right after an outage: %v", v.Servers)
+	}
+	c.Add(lapseGrace / 2)
+	s.Apply([]Item{item("s/a", "ready", 13)})
+	c.Add(lapseGrace)
+	if v := s.View(); v.Servers["a"] == nil || v.Servers["b"] != nil {
+		t.Errorf("after the grace: %v", v.Servers)
+	}
+	s.Apply([]Item{{Key: "s/a", Revision: 20, Deleted: true}})
+	if s.View().Servers["a"] != nil {
+		t.Error("a server that left long after the outage is kept")
+	}
+}
+
+// Guards against an entry of a foreign writer that leaves the old one in use.
+func TestUndecodableServer(t *testing.T) {
+	s, _ := newTestState()
+	s.Apply([]Item{item("s/a", "ready", 3)})
+	_, rejected := s.Apply([]Item{item("s/a", "bad", 4)})
+	if s.View().Servers["a"] != nil || len(rejected) != 1 {
+		t.Errorf("%v, rejected %v", s.View().Servers, rejected)
+	}
+}
+
+// Guards against a cold time that starts anew with each heartbeat.
+func TestColdTimeRuns(t *testing.T) {
+	s, c := newTestState()
+	s.Apply([]Item{item("s/a", "cold", 3)})
+	c.Add(2 * time.Second)
+	s.Apply([]Item{item("s/a", "cold", 4)})
+	c.Add(1500 * time.Millisecond)
+	if s.View().Servers["a"].ColdAt(c.Now()) {
+		t.Error("still cold after its cold time")
+	}
+}
+
+// Guards against changes that a peer in need does not get.
+func TestSince(t *testing.T) {
+	s, _ := newTestState()
+	s.Apply([]Item{item("s/a", "ready", 3), item("s/b", "ready", 5), {Key: "s/c", Revision: 6, Deleted: true}})
+	s.MarkComplete(6)
+	s.MarkComplete(4)
+	items, complete := s.Since(3)
+	if len(items) != 2 || complete != 6 {
+		t.Errorf("%v up to %d", items, complete)
+	}
+}
+
+// Guards against a status of an earlier order that ends a later one.
+func TestRollOutOfOrder(t *testing.T) {
+	order := Order{Service: "x", Target: "v2", Revision: 10}
+	v := &View{Orders: map[string]Order{"x": order}, Statuses: map[string]Status{"x": {Target: "v2", Outcome: Completed, Revision: 8}}}
+	if r, ok := v.RollOut("x"); !ok || r.Outcome != InProgress {
+		t.Errorf("with an older status: %+v", r)
+	}
+	v.Statuses["x"] = Status{Target: "v2", Outcome: Completed, Revision: 12}
+	if r, _ := v.RollOut("x"); r.Outcome != Completed {
+		t.Errorf("with its own status: %+v", r)
+	}
+	v.Statuses["x"] = Status{Target: "v1", Outcome: RolledBack, Revision: 12}
+	if r, _ := v.RollOut("x"); r.Outcome != InProgress {
+		t.Errorf("with the status of another target: %+v", r)
+	}
+	if _, ok := v.RollOut("y"); ok {
+		t.Error("a roll-out without an order")
+	}
+}
+
+// scriptedStore answers calls from functions.
+type scriptedStore struct {
+	Store
+	list  func() ([]Item, int64, error)
+	watch func(after int64) ([]Item, int64, error)
+}
+
+func (s *scriptedStore) List(context.Context, string) ([]Item, int64, error) { return s.list() }
+
+func (s *scriptedStore) Watch(_ context.Context, _ string, after int64, _ time.Duration) ([]Item, int64, error) {
+	return s.watch(after)
+}
+
+// Guards against a follower that trusts its copy after lost history or an outage.
+func TestFollower(t *testing.T) {
+	state, _ := newTestState()
+	var boot time.Duration
+	fresh := NewFreshness(func() time.Duration { return boot })
+	ctx, cancel := context.WithCancel(t.Context())
+	lists, watches := 0, 0
+	store := &scriptedStore{
+		list: func() ([]Item, int64, error) {
+			lists++
+			boot += time.Second
+			if lists == 1 {
+				return []Item{item("s/a", "ready", 3), item("s/b", "ready", 4)}, 5, nil
+			}
+			return []Item{item("s/b", "ready", 4)}, 50, nil
+		},
+	}
+	store.watch = func(after int64) ([]Item, int64, error) {
+		watches++
+		boot += time.Second
+		switch watches {
+		case 1:
+			if after != 5 {
+				t.Errorf("the watch continues from %d", after)
+			}
+			return []Item{item("s/c", "ready", 7)}, 7, nil
+		case 2:
+			return nil, 0, ErrCompacted
+		case 3:
+			if after != 50 {
+				t.Errorf("after a new list the watch continues from %d", after)
+			}
+			return nil, 0, ErrNotApplied
+		}
+		cancel()
+		return nil, 50, nil
+	}
+	NewFollower(store, state, fresh, telemetry.Discard()).Serve(ctx)
+	if v := state.View(); lists != 2 || v.Servers["a"] != nil || v.Servers["b"] == nil || v.Servers["c"] != nil {
+		t.Errorf("%d lists, servers %v", lists, v.Servers)
+	}
+	// The last watch began a second before the present and returned at once.
+	if age, ok := fresh.Age(); !ok || age != time.Second {
+		t.Errorf("age %v, %v", age, ok)
+	}
+}
+
+// Guards against proofs that make a copy look older or younger than it is.
+func TestFreshness(t *testing.T) {
+	var boot time.Duration
+	f := NewFreshness(func() time.Duration { return boot })
+	if _, known := f.Age(); known {
+		t.Error("fresh without a proof")
+	}
+	boot = 10 * time.Second
+	f.Prove(8 * time.Second)
+	f.Prove(7 * time.Second)
+	if age, known := f.Age(); !known || age != 2*time.Second {
+		t.Errorf("age %v", age)
+	}
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -133,7 +133,7 @@
 	defer g.mu.Unlock()
 	now := time.Now()
 	t := target{final: true}
-	entries := g.Entries()
+	entries := g.Entries() + 1 // one more may have joined that the others do not know
 	budget := g.budget(c.service.Name)
 	if c.model >= 0 {
 		t.model = c.route.Models[c.model]
@@ -184,7 +184,7 @@
 		return false
 	case g.load(s, c.service).wrongAddress == s.Address:
 		return false
-	case c.service.ColdRate > 0 && s.ColdAt(now) && !g.cold.Room(now, s.ID, c.service.ColdRate, entries+1):
+	case c.service.ColdRate > 0 && s.ColdAt(now) && !g.cold.Room(now, s.ID, c.service.ColdRate, entries):
 		return false
 	}
 	return true
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -80,7 +80,7 @@
 	largest := c.route.Models[len(c.route.Models)-1]
 	c.g.mu.Lock()
 	defer c.g.mu.Unlock()
-	_, candidates := c.candidates(largest, now, c.g.Entries())
+	_, candidates := c.candidates(largest, now, c.g.Entries()+1)
 	best := placing.Best(candidates)
 	if best < 0 {
 		return false
--- /dev/null
+++ b/limits/limits_test.go
@@ -0,0 +1,153 @@
+package limits
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// Guards against windows that count too much or too little.
+func TestWindow(t *testing.T) {
+	w := NewWindow(10 * time.Second)
+	w.Add(start, 3)
+	w.Add(start.Add(4*time.Second), 2)
+	for _, c := range []struct {
+		at              time.Duration
+		atLeast, atMost int
+	}{
+		{4 * time.Second, 5, 5},
+		{9 * time.Second, 5, 5},
+		{10 * time.Second, 2, 5}, // the first events may just lie outside
+		{11 * time.Second, 2, 2},
+		{30 * time.Second, 0, 0},
+	} {
+		now := start.Add(c.at)
+		if got := w.AtLeast(now); got != c.atLeast {
+			t.Errorf("at %v: at least %d, want %d", c.at, got, c.atLeast)
+		}
+		if got := w.AtMost(now); got != c.atMost {
+			t.Errorf("at %v: at most %d, want %d", c.at, got, c.atMost)
+		}
+	}
+}
+
+// Guards against entries that together repeat more than the fleet's budget
+// allows, in any window and whatever the load.
+func TestRetriesOfAllEntries(t *testing.T) {
+	const entries = 5
+	config := RetryConfig{Ratio: 0.5, Slack: 20, Window: 10 * time.Second}
+	parameters := gopter.DefaultTestParametersWithSeed(3)
+	parameters.MinSuccessfulTests = 30 // each plays 40 s of five entries
+	properties := gopter.NewProperties(parameters)
+	properties.Property("the sum of all entries stays within the budget", prop.ForAll(
+		func(seed uint64) bool {
+			rng := rand.New(rand.NewPCG(seed, 1))
+			var budgets [entries]*Retries
+			for i := range budgets {
+				budgets[i] = NewRetries(config)
+			}
+			var requests, repeats []time.Time
+			for now := start; now.Before(start.Add(40 * time.Second)); now = now.Add(50 * time.Millisecond) {
+				for i := range budgets {
+					if rng.IntN(3) == 0 {
+						budgets[i].Request(now)
+						requests = append(requests, now)
+					}
+					for rng.IntN(2) == 0 && budgets[i].Take(now, entries, 0) {
+						repeats = append(repeats, now)
+					}
+				}
+				if float64(within(repeats, now)) > 0.5*float64(within(requests, now))+20 {
+					return false
+				}
+			}
+			return len(repeats) > 0
+		}, gen.UInt64()))
+	properties.TestingRun(t)
+}
+
+// within counts the times in the 10 s before now.
+func within(times []time.Time, now time.Time) int {
+	n := 0
+	for i := len(times) - 1; i >= 0 && now.Sub(times[i]) < 10*time.Second; i-- {
+		n++
+	}
+	return n
+}
+
+// Guards against a budget that is not used although there is need.
+func TestRetriesAreUsed(t *testing.T) {
+	r := NewRetries(RetryConfig{Ratio: 0.5, Slack: 10, Window: 10 * time.Second})
+	taken := 0
+	for now := start; now.Before(start.Add(10 * time.Second)); now = now.Add(100 * time.Millisecond) {
+		r.Request(now)
+		if r.Take(now, 1, 0) {
+			taken++
+		}
+	}
+	if taken < 45 {
+		t.Errorf("%d of 100 requests were repeated, allowed are 60", taken)
+	}
+	if NewRetries(RetryConfig{Ratio: 0.5, Slack: 10, Window: time.Second}).Take(start, 1, 10) {
+		t.Error("a repeat was taken from what has to be kept")
+	}
+}
+
+// Guards against a cold server that gets more than it bears from all entries
+// together, also while one more joins that the others do not know yet.
+func TestColdSharesOfAllEntries(t *testing.T) {
+	const rate = 8.8
+	config := ColdConfig{Overshoot: 1.5, Slack: 5}
+	for entries := 1; entries <= 12; entries++ {
+		t.Run(fmt.Sprint(entries), func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(uint64(entries), 2))
+			shares := make([]*Cold, entries+1) // the last has just joined
+			for i := range shares {
+				shares[i] = NewCold(config)
+			}
+			var sent []time.Time
+			for now := start; now.Before(start.Add(5 * time.Second)); now = now.Add(10 * time.Millisecond) {
+				for i, c := range shares {
+					known := entries
+					if i == entries {
+						known++
+					}
+					if rng.IntN(2) == 0 && c.Room(now, "s", rate, known+1) {
+						c.Sent(now, "s")
+						sent = append(sent, now)
+					}
+				}
+				recent := 0
+				for _, at := range sent {
+					if now.Sub(at) < time.Second {
+						recent++
+					}
+				}
+				if limit := rate*config.Overshoot + config.Slack; float64(recent) > limit {
+					t.Fatalf("%d requests in a second, allowed are %.1f", recent, limit)
+				}
+			}
+			if len(sent) == 0 {
+				t.Error("a cold server gets nothing")
+			}
+		})
+	}
+}
+
+// Guards against state that grows with the servers that ever were.
+func TestColdRetain(t *testing.T) {
+	c := NewCold(ColdConfig{Overshoot: 1})
+	c.Sent(start, "a")
+	c.Sent(start, "b")
+	c.Retain(func(s string) bool { return s == "b" })
+	if len(c.sent) != 1 {
+		t.Errorf("%v", c.sent)
+	}
+}
--- /dev/null
+++ b/placing/placing_test.go
@@ -0,0 +1,98 @@
+package placing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// Guards against a choice that ignores part of the wait.
+func TestChoose(t *testing.T) {
+	const ms = time.Millisecond
+	rng := rand.New(rand.NewPCG(1, 1))
+	for _, c := range []struct {
+		name string
+		a, b Candidate
+	}{
+		{"less work", Candidate{Pending: 100 * ms}, Candidate{Pending: 200 * ms}},
+		{"the prompt is held", Candidate{Pending: 300 * ms, Read: 50 * ms}, Candidate{Read: 700 * ms}},
+		{"near", Candidate{Pending: 100 * ms}, Candidate{Detour: 250 * ms}},
+		{"a far one that is idle", Candidate{Detour: 250 * ms}, Candidate{Pending: 900 * ms}},
+		{"no failure", Candidate{Pending: 2 * time.Second}, Candidate{Suspect: true}},
+		{"a free slot", Candidate{Running: 3, Slots: 4}, Candidate{Running: 8, Slots: 4}},
+		{"fewer running", Candidate{Running: 2, Slots: 64}, Candidate{Running: 40, Slots: 64}},
+	} {
+		c.a.ID, c.b.ID = "a", "b"
+		for range 10 {
+			if i := Choose([]Candidate{c.b, c.a}, 0, rng); i != 1 {
+				t.Errorf("%s: the other was chosen", c.name)
+			}
+		}
+	}
+	if Choose(nil, 0, rng) != -1 || Best(nil) != -1 {
+		t.Error("a choice without candidates")
+	}
+}
+
+// Guards against entries that send one prompt to different servers, and prompts
+// that all go to the same.
+func TestAffinity(t *testing.T) {
+	var candidates []Candidate
+	for i := range 6 {
+		candidates = append(candidates, Candidate{ID: fmt.Sprint("i-", i)})
+	}
+	used := make(map[int]int)
+	for key := range uint64(600) {
+		first := Choose(candidates, key+1, rand.New(rand.NewPCG(1, key)))
+		if second := Choose(candidates, key+1, rand.New(rand.NewPCG(2, key))); second != first {
+			t.Fatalf("key %d: %d and %d", key, first, second)
+		}
+		used[first]++
+	}
+	for i := range candidates {
+		if used[i] < 60 || used[i] > 140 {
+			t.Errorf("server %d gets %d of 600 prompts", i, used[i])
+		}
+	}
+	counts := make(map[int]int)
+	rng := rand.New(rand.NewPCG(3, 3))
+	for range 600 {
+		counts[Choose(candidates, 0, rng)]++
+	}
+	if len(counts) != 6 {
+		t.Errorf("requests without a prompt use %d servers", len(counts))
+	}
+}
+
+// Plays a burst of prompts of unequal length on six engines, the load of the
+// heaviest days: half of the prompts take 50 ms to read, some 800 ms. Guards
+// against requests that wait behind long prompts while other engines are idle.
+func TestBurstOfUnequalPrompts(t *testing.T) {
+	waits := func(choose func([]Candidate, *rand.Rand) int) (late int) {
+		rng := rand.New(rand.NewPCG(4, 4))
+		free := make([]time.Duration, 6)
+		for n := range 400 {
+			now := time.Duration(n) * 40 * time.Millisecond
+			read := 50 * time.Millisecond
+			if n%5 == 0 {
+				read = 800 * time.Millisecond
+			}
+			candidates := make([]Candidate, len(free))
+			for i := range free {
+				candidates[i] = Candidate{ID: fmt.Sprint(i), Pending: max(free[i]-now, 0), Read: read}
+			}
+			i := choose(candidates, rng)
+			free[i] = max(free[i], now) + read
+			if free[i]-now-read > 500*time.Millisecond {
+				late++
+			}
+		}
+		return late
+	}
+	random := waits(func(c []Candidate, rng *rand.Rand) int { return rng.IntN(len(c)) })
+	chosen := waits(func(c []Candidate, rng *rand.Rand) int { return Choose(c, 0, rng) })
+	if chosen > 4 || chosen*10 > random {
+		t.Errorf("%d of 400 requests waited over 500 ms, at random %d", chosen, random)
+	}
+}
--- a/release/plan.go
+++ b/release/plan.go
@@ -108,7 +108,7 @@
 // version while little is known of it.
 func (p *Progress) withinBudget(l Limits, entries int) bool {
 	sent := p.Own.Old.Sent + p.Own.Target.Sent
-	allowed := l.Share*budgetShare*float64(sent) + float64(l.Slack)*budgetShare/float64(entries+1)
+	allowed := l.Share*budgetShare*float64(sent) + float64(l.Slack)*budgetShare/float64(entries)
 	return float64(p.Own.Target.Sent) < allowed
 }
 
--- /dev/null
+++ b/release/release_test.go
@@ -0,0 +1,192 @@
+package release
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// Guards against sessions that are forgotten while they run or within their
+// pause, and against ones that stay bound for good.
+func TestSessions(t *testing.T) {
+	s := NewSessions(5 * time.Second)
+	key := SessionKey{"x", 7}
+	bound := func(at time.Duration) string {
+		version, ok := s.Bound(start.Add(at), key)
+		if !ok {
+			return ""
+		}
+		return version
+	}
+	if bound(0) != "" {
+		t.Error("an unknown session is bound")
+	}
+	s.Begin(start, key, "v1")
+	s.Begin(start, key, "v1")
+	s.End(start.Add(time.Second), key)
+	if bound(15*time.Second) != "v1" {
+		t.Error("a session with a running request is not bound")
+	}
+	s.End(start.Add(16*time.Second), key)
+	if bound(21*time.Second) != "v1" || bound(23*time.Second) != "" {
+		t.Error("the pause is not kept")
+	}
+	s.Forget(start.Add(30 * time.Second))
+	if len(s.byKey) != 0 {
+		t.Error("an ended session is kept")
+	}
+	s.End(start, SessionKey{"y", 1}) // an end without a beginning
+	s.Begin(start, key, "v2")
+	live := 0
+	s.Live(start, func(SessionKey, string) { live++ })
+	if live != 1 {
+		t.Errorf("%d live sessions", live)
+	}
+}
+
+func progress(elapsed time.Duration, good int) Progress {
+	return Progress{
+		Elapsed: elapsed, Duration: 20 * time.Second, TargetReady: true,
+		Evidence: Evidence{Old: Tally{Sent: 500, Good: 500}, Target: Tally{Sent: good, Good: good}},
+		Own:      Evidence{Old: Tally{Sent: 100}, Target: Tally{Sent: 1}},
+	}
+}
+
+// Guards against sessions that move when they must not, and that do not when
+// they have to.
+func TestUseTarget(t *testing.T) {
+	limits := Limits{Share: 0.15, Slack: 30}
+	for _, c := range []struct {
+		name            string
+		p               Progress
+		position        float64
+		bound, onTarget bool
+		want            bool
+	}{
+		{"before all entries know", progress(500*time.Millisecond, 0), 0, false, false, false},
+		{"first of the canaries", progress(3*time.Second, 0), 0.01, false, false, true},
+		{"not a canary", progress(3*time.Second, 100), 0.2, false, false, false},
+		{"canary in use on the old version", progress(9*time.Second, 100), 0.01, true, false, false},
+		{"in use on the new version", progress(9*time.Second, 100), 0.9, true, true, true},
+		{"second half, in use, within the step", progress(11*time.Second, 100), 0.2, true, false, true},
+		{"second half, beyond the step", progress(11*time.Second, 100), 0.4, true, false, false},
+		{"second half without evidence", progress(11*time.Second, 2), 0.2, true, false, false},
+		{"second half without evidence, canary", progress(11*time.Second, 2), 0.01, true, false, true},
+		{"all move", progress(14*time.Second, 100), 0.999, true, false, true},
+		{"late with little evidence", progress(15*time.Second, 3), 0.999, true, false, true},
+		{"late with none", progress(15*time.Second, 2), 0.999, true, false, false},
+	} {
+		a := Assignment{Progress: c.p, Limits: limits, Entries: 7, Position: c.position, Bound: c.bound, OnTarget: c.onTarget}
+		if got := UseTarget(a); got != c.want {
+			t.Errorf("%s: %v", c.name, got)
+		}
+		a.TargetReady = false
+		if got := UseTarget(a); got && !c.onTarget {
+			t.Errorf("%s: moved without a server of the new version", c.name)
+		}
+	}
+}
+
+// Guards against a bad version that gets more than its exposure, however the
+// sessions are spread: one session may make up most of the load.
+func TestExposure(t *testing.T) {
+	const entries = 6
+	limits := Limits{Share: 0.15, Slack: 30}
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 5))
+		var own [entries]Evidence
+		total, exposed := 0, 0
+		for now := time.Duration(0); now < 10*time.Second; now += 10 * time.Millisecond {
+			i := rng.IntN(entries)
+			hot := rng.Float64() < 0.5 // one canary session is half of the load
+			position := rng.Float64()
+			if hot {
+				position = 0
+			}
+			a := Assignment{
+				Progress: Progress{Elapsed: now, Duration: 20 * time.Second, TargetReady: true, Own: own[i]},
+				Limits:   limits, Entries: entries + 1, Position: position,
+			}
+			total++
+			if UseTarget(a) {
+				exposed++
+				own[i].Target.Sent++
+			} else {
+				own[i].Old.Sent++
+			}
+		}
+		if allowed := 0.15*float64(total) + 30; float64(exposed) > allowed {
+			t.Errorf("seed %d: %d of %d requests, allowed are %.0f", seed, exposed, total, allowed)
+		}
+		if exposed == 0 {
+			t.Errorf("seed %d: the new version gets nothing", seed)
+		}
+	}
+}
+
+// Guards against bad versions that are found late, and good ones that are rolled
+// back because both versions fail now and then.
+func TestBad(t *testing.T) {
+	if (Evidence{Old: Tally{Good: 100}, Target: Tally{Good: 5, Bad: 0}}).Bad() {
+		t.Error("a version without failures is bad")
+	}
+	if !(Evidence{Old: Tally{Good: 100}, Target: Tally{Good: 4, Bad: 8}}).Bad() {
+		t.Error("a version that fails two times in three is not found")
+	}
+	for seed := range uint64(50) {
+		rng := rand.New(rand.NewPCG(seed, 9))
+		var good, bad Evidence
+		foundAt := -1
+		for n := range 300 {
+			draw := func(t *Tally, p float64) {
+				if rng.Float64() < p {
+					t.Bad++
+				} else {
+					t.Good++
+				}
+			}
+			draw(&good.Old, 0.14)
+			draw(&good.Target, 0.14)
+			draw(&bad.Old, 0.02)
+			draw(&bad.Target, 0.45)
+			if good.Bad() {
+				t.Fatalf("seed %d: a version as good as the old one was found bad after %d answers", seed, n)
+			}
+			if foundAt < 0 && bad.Bad() {
+				foundAt = bad.Target.Bad
+			}
+		}
+		// The deployments count from the 50th bad answer.
+		if foundAt < 0 || foundAt >= 50 {
+			t.Errorf("seed %d: a bad version was found after %d bad answers", seed, foundAt)
+		}
+	}
+}
+
+// Guards against a completion while requests run on the old version or without
+// evidence, and against one that never comes.
+func TestComplete(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		elapsed    time.Duration
+		good, runs int
+		ready      bool
+		want       bool
+	}{
+		{"first half", 9 * time.Second, 100, 0, true, false},
+		{"sessions still move", 12 * time.Second, 100, 0, true, false},
+		{"all moved", 14 * time.Second, 100, 0, true, true},
+		{"old requests run", 14 * time.Second, 100, 3, true, false},
+		{"time runs out", 19 * time.Second, 100, 3, true, true},
+		{"no evidence", 19 * time.Second, 0, 0, true, false},
+		{"no server", 19 * time.Second, 100, 0, false, false},
+	} {
+		p := progress(c.elapsed, c.good)
+		p.OldRunning, p.TargetReady = c.runs, c.ready
+		if got := p.Complete(); got != c.want {
+			t.Errorf("%s: %v", c.name, got)
+		}
+	}
+}
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -1,14 +1,6 @@
 package settings
 
-import (
-	"errors"
-	"fmt"
-	"net/netip"
-	"os"
-	"time"
-
-	"github.com/pelletier/go-toml/v2"
-)
+import "time"
 
 // Gateway holds the settings of an entry on the users' platform. The platform
 // writes the file from deploy/gateway.toml.
@@ -83,45 +75,50 @@
 	ExposureShare: 0.1, ExposureSlack: 10, RollbackMS: 5000, ColdOvershoot: 1, SessionS: 10,
 }
 
-// LoadGateway reads and checks the settings of a gateway. Unknown keys are
-// ignored.
+// LoadGateway reads the settings of a gateway. Its error joins one *Error for
+// each problem.
 func LoadGateway(path string) (*Gateway, error) {
-	content, err := os.ReadFile(path)
+	g := &Gateway{Bounds: defaultBounds, Log: Log{Level: "info"}}
+	f, err := load(path, g)
 	if err != nil {
-		return nil, fmt.Errorf("settings: %w", err)
+		return nil, err
+	}
+	f.required("name", g.Name)
+	f.required("data_centre", g.DataCentre)
+	f.required("region", g.Region)
+	f.hostPort("listen", g.Listen)
+	f.hostPort("ready_listen", g.ReadyListen)
+	f.hostPort("peer_listen", g.PeerListen)
+	f.hostPort("store_address", g.StoreAddress)
+	if g.MetricsListen != "" {
+		f.hostPort("metrics_listen", g.MetricsListen)
 	}
-	g := &Gateway{Bounds: defaultBounds}
-	if err := toml.Unmarshal(content, g); err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
+	if region := g.DataCentres[g.DataCentre]; region != g.Region {
+		f.fail("data_centres", "%q is in region %q, not in %q", g.DataCentre, region, g.Region)
 	}
-	if err := g.check(); err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
+	f.oneOf("log.level", g.Log.Level, "debug", "info", "warn", "error")
+	f.bounds(&g.Bounds)
+	if err := f.err(); err != nil {
+		return nil, err
 	}
 	return g, nil
 }
 
-func (g *Gateway) check() error {
-	for _, required := range []struct{ key, value string }{
-		{"name", g.Name}, {"data_centre", g.DataCentre}, {"region", g.Region},
+func (f *file) bounds(b *Bounds) {
+	for key, value := range map[string]float64{
+		"bounds.grace_s": b.GraceS, "bounds.revoke_ms": b.RevokeMS, "bounds.retry_window_s": b.RetryWindowS,
 	} {
-		if required.value == "" {
-			return fmt.Errorf("%s is required", required.key)
+		if value <= 0 {
+			f.fail(key, "must be greater than 0")
 		}
 	}
-	for _, address := range []struct{ key, value string }{
-		{"listen", g.Listen}, {"ready_listen", g.ReadyListen},
-		{"peer_listen", g.PeerListen}, {"store_address", g.StoreAddress},
+	for key, value := range map[string]float64{
+		"bounds.retry_ratio": b.RetryRatio, "bounds.retry_slack": float64(b.RetrySlack),
+		"bounds.exposure_share": b.ExposureShare, "bounds.exposure_slack": float64(b.ExposureSlack),
+		"bounds.cold_overshoot": b.ColdOvershoot, "bounds.cold_slack": b.ColdSlack, "bounds.session_s": b.SessionS,
 	} {
-		if _, err := netip.ParseAddrPort(address.value); err != nil {
-			return fmt.Errorf("%s: %w", address.key, err)
+		if value < 0 {
+			f.fail(key, "must not be negative")
 		}
 	}
-	if g.DataCentres[g.DataCentre] != g.Region {
-		return fmt.Errorf("data_centres: %s is not in region %s", g.DataCentre, g.Region)
-	}
-	b := &g.Bounds
-	if b.GraceS <= 0 || b.RevokeMS <= 0 || b.RetryWindowS <= 0 || b.SessionS < 0 {
-		return errors.New("bounds: a time is not positive")
-	}
-	return nil
 }
--- /dev/null
+++ b/settings/gateway_test.go
@@ -0,0 +1,96 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+)
+
+const goodGateway = `
+name = "e1"
+data_centre = "fyn-a"
+region = "fyn"
+listen = "10.0.0.1:80"
+ready_listen = "10.0.0.1:81"
+peer_listen = "10.0.0.1:82"
+store_address = "10.0.0.9:83"
+seeds = ["10.0.0.2:82"]
+[data_centres]
+"fyn-a" = "fyn"
+[bounds]
+grace_s = 8
+revoke_ms = 5000
+strict_revocation = true
+session_s = 6.5
+`
+
+func loadGateway(t *testing.T, content string) (*Gateway, error) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "gateway.toml")
+	if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return LoadGateway(path)
+}
+
+// Guards against settings that are read wrongly.
+func TestLoadGateway(t *testing.T) {
+	g, err := loadGateway(t, goodGateway)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if g.Bounds.Grace() != 8*time.Second || g.Bounds.Session() != 6500*time.Millisecond || !g.Bounds.StrictRevocation ||
+		g.Bounds.RetryRatio != defaultBounds.RetryRatio || len(g.Seeds) != 1 {
+		t.Errorf("%+v", g)
+	}
+}
+
+// Guards against bad settings that are only noticed when a request fails. Each
+// error names its key in one line.
+func TestLoadGatewayErrors(t *testing.T) {
+	for key, change := range map[string][2]string{
+		"name":          {`name = "e1"`, ``},
+		"region":        {`region = "fyn"`, `region = ""`},
+		"listen":        {`"10.0.0.1:80"`, `"10.0.0.1"`},
+		"ready_listen":  {`ready_listen = "10.0.0.1:81"`, ``},
+		"store_address": {`"10.0.0.9:83"`, `"store:83"`},
+		"data_centres":  {`"fyn-a" = "fyn"`, `"fyn-a" = "jylland"`},
+		"bounds":        {`grace_s = 8`, `grace_s = 0`},
+		"nmae":          {`name = "e1"`, "nmae = 1\nname = 2"},
+		"seeds":         {`["10.0.0.2:82"]`, `7`},
+		"bounds.retry":  {`grace_s = 8`, `retry_slack = -1`},
+	} {
+		_, err := loadGateway(t, strings.Replace(goodGateway, change[0], change[1], 1))
+		if err == nil || !strings.Contains(err.Error(), key) {
+			t.Errorf("%s: error %v", key, err)
+		}
+	}
+	if _, err := LoadGateway("/does/not/exist"); err == nil {
+		t.Error("a missing file is no error")
+	}
+}
+
+// Guards against a template whose keys the settings do not know: the platform
+// would fill in values that nobody reads.
+func TestTemplateKeys(t *testing.T) {
+	content, err := os.ReadFile("../deploy/gateway.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	source, err := os.ReadFile("gateway.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	keys := regexp.MustCompile(`(?m)^(?:\{\{#[^}]*\}\})?([a-z_]+) = `).FindAllStringSubmatch(string(content), -1)
+	if len(keys) < 15 {
+		t.Fatalf("only %d keys found in the template", len(keys))
+	}
+	for _, key := range keys {
+		if !strings.Contains(string(source), "`toml:\""+key[1]+"\"`") {
+			t.Errorf("the settings have no key %s", key[1])
+		}
+	}
+}
