--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -10,10 +10,10 @@
 )
 
 const (
-	// watchWait is how long a watch waits for changes. A watch that ends with a
-	// change only proves the copy of its start, so two waits and a round trip stay
-	// under the 3.8 s after which keyed requests are refused.
-	watchWait = 1600 * time.Millisecond
+	// watchWait is how long a watch waits for changes. The shorter it is, the later
+	// after a loss of the store keyed requests have to be refused; each watch is
+	// paid for.
+	watchWait = 1100 * time.Millisecond
 	// watchSpacing is the pause after a watch with changes; each call is paid for,
 	// and changes often come in groups.
 	watchSpacing = 80 * time.Millisecond
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -28,7 +28,7 @@
 	maxHeaderBytes = 128 << 10
 	// watchLag is the time by which a watch may be behind the store although it
 	// answers: around a compaction it hears nothing for a second.
-	watchLag = 1200 * time.Millisecond
+	watchLag = 1100 * time.Millisecond
 	// leaveTime is how long new connections are still taken after SIGTERM, while
 	// the balancer learns that this entry is not ready.
 	leaveTime = 2500 * time.Millisecond
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -11,7 +11,7 @@
 const (
 	// askAfter is the age of the own proof from which peers are asked for theirs;
 	// an undisturbed watch proves the copy more often.
-	askAfter = 2400 * time.Millisecond
+	askAfter = 2300 * time.Millisecond
 	// askInterval is the pause between two questions.
 	askInterval = 300 * time.Millisecond
 )
