One entry reads the store for its data centre; smaller news for peers

Cause: on the grown sites every change made 31 processes call the store, and loads, sessions and evidence went to all peers in full.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -138,7 +138,9 @@
 	})
 	key, value := records.PeerItem(self)
 	tree := supervise.New("gateway", logger.Part("supervisor"))
-	tree.Add(fleet.NewFollower(store, state, fresh, logger.Part("fleet")))
+	follower := fleet.NewFollower(store, state, fresh, logger.Part("fleet"))
+	follower.Covered, follower.OnChange = g.Covered, g.PassOn
+	tree.Add(follower)
 	tree.Add(fleet.NewPresence(store, key, value, logger.Part("presence")))
 	peerListener, err := listen(path, "peer_listen", s.PeerListen)
 	if err != nil {
--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -29,12 +29,20 @@
 // in 80 times as long while it is slow.
 var answerTimes = []time.Duration{600 * time.Millisecond, 500 * time.Millisecond, 900 * time.Millisecond, 1500 * time.Millisecond}
 
+// coveredPause is the pause between looks at whether a peer still covers.
+const coveredPause = 100 * time.Millisecond
+
 // Follower keeps a State equal to the store.
 type Follower struct {
 	store Store
 	state *State
 	fresh *Freshness
 	log   *telemetry.Logger
+	// Covered, when set, tells that a peer passes on what it reads, so that this
+	// process need not call the store itself.
+	Covered func() bool
+	// OnChange, when set, is called with the items that the store changed.
+	OnChange func([]Item)
 
 	lost   bool // the last call failed
 	lostAt time.Duration
@@ -50,6 +58,11 @@
 	revision, listed := int64(0), false
 	failures := 0
 	for ctx.Err() == nil {
+		if listed && f.Covered != nil && f.Covered() {
+			sleep(ctx, coveredPause)
+			revision = max(revision, f.state.Complete())
+			continue
+		}
 		wait := watchWait
 		if failures > 0 {
 			wait = probeWait
@@ -106,9 +119,12 @@
 		return after, err
 	}
 	f.noteRegained()
-	_, rejected := f.state.Apply(events)
+	adopted, rejected := f.state.Apply(events)
 	f.report(rejected)
 	f.state.MarkComplete(revision)
+	if f.OnChange != nil && len(adopted) > 0 {
+		f.OnChange(adopted)
+	}
 	proven := started
 	if len(events) == 0 && f.fresh.Now()-started >= wait {
 		proven += wait // the store waited this long and saw no change
--- a/gateway/duty.go
+++ b/gateway/duty.go
@@ -18,6 +18,9 @@
 	dutyStagger = 600 * time.Millisecond
 	// dutyRetry is the pause after a write of unknown outcome.
 	dutyRetry = 500 * time.Millisecond
+	// evidenceInterval is the pause between counts without a new failure; failures
+	// are told at once.
+	evidenceInterval = 400 * time.Millisecond
 	// planSteps is the number of times that the elapsed time of a roll-out is
 	// written, for entries that start in the middle of it.
 	planSteps = 6
@@ -69,6 +72,10 @@
 		if r == nil || r.Outcome == fleet.Completed || r.Outcome == fleet.RolledBack {
 			continue
 		}
+		if r.untold && now.Sub(r.told) >= evidenceInterval {
+			g.tellEvidence(r)
+			r.told = now
+		}
 		progress := g.progress(view, r, now)
 		if w, due := g.dueStatus(view, r, &progress, rank, now); due {
 			writes = append(writes, w)
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -111,7 +111,9 @@
 	e.Stop = cancel
 	k, v := records.PeerItem(e.Peer)
 	store.Put(k, v)
-	background(t, func() { fleet.NewFollower(kv, e.State, fresh, log).Serve(ctx) })
+	follower := fleet.NewFollower(kv, e.State, fresh, log)
+	follower.Covered, follower.OnChange = e.Gateway.Covered, e.Gateway.PassOn
+	background(t, func() { follower.Serve(ctx) })
 	background(t, func() { e.Gateway.ServePeers(ctx, peers) })
 	background(t, func() { e.Gateway.ServeDuty(ctx) })
 	background(t, func() { e.Gateway.ServeOn(ctx, client) })
--- a/gateway/load.go
+++ b/gateway/load.go
@@ -31,6 +31,8 @@
 	remote        map[string]peers.Load
 	remotePending time.Duration
 	remoteRunning int
+	// toldFar is the pending work that peers of other regions know of.
+	toldFar time.Duration
 	// suspectUntil is set by failed connections.
 	suspectUntil time.Time
 	// wrongAddress is the address at which another server answered.
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"hyssoploom/fleet"
@@ -13,16 +14,31 @@
 	// an undisturbed watch proves the copy more often.
 	askAfter = 2300 * time.Millisecond
 	// askInterval is the pause between two questions.
-	askInterval = 300 * time.Millisecond
+	askInterval = 250 * time.Millisecond
+	// coverLimit is the age of the copy up to which an entry relies on the reader of
+	// its data centre.
+	coverLimit = 1900 * time.Millisecond
+	// farAsked is the number of peers of other regions that are asked at once.
+	farAsked = 2
+	// farPending is the change of pending work at a server that peers of other
+	// regions are told of; the way costs more than a smaller difference.
+	farPending = 150 * time.Millisecond
 )
 
 // near tells whether a peer is in the same region, to which bytes are free.
 func (g *Gateway) near(p fleet.Peer) bool { return p.Region == g.Self.Region }
 
-// tellLoad tells the peers of the region how much work this entry has at a server.
+// tellLoad tells the peers how much work this entry has at a server.
 func (g *Gateway) tellLoad(server *fleet.BackendServer, l *load) {
 	work := peers.Load{Server: server.ID, PendingMS: l.pending.Milliseconds(), Running: l.running}
+	far := (l.pending - l.toldFar).Abs() >= farPending
+	if far {
+		l.toldFar = l.pending
+	}
 	g.hub.Broadcast(func(to fleet.Peer, m *peers.Message) {
+		if !far && !g.near(to) {
+			return
+		}
 		for i := range m.Loads {
 			if m.Loads[i].Server == work.Server {
 				m.Loads[i] = work
@@ -114,7 +130,12 @@
 	}
 	items, complete := g.State.Since(ask.Revision)
 	reply := &peers.Reply{Asked: ask.At, AgeMS: age.Milliseconds() + 1, Revision: complete, Items: items}
-	g.hub.Send(to.Address, func(_ fleet.Peer, m *peers.Message) { m.Reply = reply })
+	g.hub.Send(to.Address, func(_ fleet.Peer, m *peers.Message) {
+		if m.Reply != nil { // changes that wait to be passed on
+			reply.Items = append(reply.Items, m.Reply.Items...)
+		}
+		m.Reply = reply
+	})
 }
 
 // adopt takes over a peer's newer copy of the store.
@@ -126,6 +147,9 @@
 	if g.State.Complete() > r.Revision && len(r.Items) == 0 {
 		return // the peer is behind
 	}
+	if r.Asked == 0 {
+		return // changes alone prove nothing
+	}
 	g.State.MarkComplete(r.Revision)
 	g.Fresh.Prove(time.Duration(r.Asked) - time.Duration(r.AgeMS)*time.Millisecond)
 	if len(adopted) > 0 {
@@ -134,12 +158,58 @@
 	}
 }
 
-// askPeers asks for changes while this entry cannot read the store itself.
-func (g *Gateway) askPeers() {
+// reader returns the entry that reads the store for its data centre: the first by
+// name of those that are heard.
+func (g *Gateway) reader() fleet.Peer {
+	for _, p := range g.hub.Live() {
+		if p.DataCentre == g.Self.DataCentre && p.Name < g.Self.Name {
+			return p
+		}
+	}
+	return g.Self
+}
+
+// Covered tells whether the reader of the data centre keeps this entry informed,
+// so that it need not call the store itself.
+func (g *Gateway) Covered() bool {
 	age, known := g.Fresh.Age()
-	if known && age < askAfter {
+	return known && age < coverLimit && g.reader().Name != g.Self.Name
+}
+
+// PassOn sends changes that this entry read from the store to the others of its
+// data centre.
+func (g *Gateway) PassOn(items []fleet.Item) {
+	g.hub.Broadcast(func(to fleet.Peer, m *peers.Message) {
+		if to.DataCentre != g.Self.DataCentre {
+			return
+		}
+		if m.Reply == nil {
+			m.Reply = &peers.Reply{}
+		}
+		m.Reply.Items = append(m.Reply.Items, items...)
+	})
+}
+
+// askPeers asks the reader of the data centre for its copy of the store, and
+// other peers too while the own copy is old.
+func (g *Gateway) askPeers() {
+	ask := &peers.Ask{At: int64(g.Fresh.Now()), Revision: g.State.Complete()}
+	put := func(_ fleet.Peer, m *peers.Message) { m.Ask = ask }
+	if reader := g.reader(); reader.Name != g.Self.Name {
+		g.hub.Send(reader.Address, put)
+	}
+	if age, known := g.Fresh.Age(); known && age < askAfter {
 		return
 	}
-	ask := &peers.Ask{At: int64(g.Fresh.Now()), Revision: g.State.Complete()}
-	g.hub.Broadcast(func(_ fleet.Peer, m *peers.Message) { m.Ask = ask })
+	live := g.hub.Live()
+	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	far := 0
+	for _, p := range live {
+		if !g.near(p) {
+			if far++; far > farAsked {
+				continue
+			}
+		}
+		g.hub.Send(p.Address, put)
+	}
 }
--- a/gateway/releases.go
+++ b/gateway/releases.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"hyssoploom/fleet"
@@ -19,6 +20,9 @@
 	// bad is set for good once the new version has been found to fail.
 	bad  bool
 	duty dutyState
+	// untold is set by counts that the peers do not have yet.
+	untold bool
+	told   time.Time // of the last regular message
 }
 
 // releaseOf returns the state of a service's roll-out, or nil without an order.
@@ -31,11 +35,11 @@
 	}
 	r := g.releases[service]
 	if r == nil || r.Revision != current.Revision {
-		r = &releaseState{started: time.Now(), peers: make(map[string]release.Evidence)}
+		r = &releaseState{RollOut: current, started: time.Now(), peers: make(map[string]release.Evidence)}
 		g.releases[service] = r
 		g.Log.Info("A roll-out was ordered.", "service", service, "target", current.Target,
 			"duration", current.Duration.String(), "revision", current.Revision)
-		g.tellSessions(service)
+		g.tellSessions(r)
 	}
 	if r.Outcome != current.Outcome {
 		g.Log.Info("A roll-out has a new state.", "service", service, "state", string(current.Outcome))
@@ -154,7 +158,7 @@
 		return
 	}
 	r.tally(s.Version).Sent++
-	g.tellEvidence(r)
+	r.untold = true
 }
 
 // endUse counts the outcome of a send. The caller holds g.mu.
@@ -172,11 +176,12 @@
 		r.tally(s.Version).Good++
 	case failed, broken:
 		r.tally(s.Version).Bad++
+		g.tellEvidence(r)
 	default:
 		return
 	}
+	r.untold = true
 	g.judge(r)
-	g.tellEvidence(r)
 }
 
 func (r *releaseState) tally(version string) *release.Tally {
@@ -197,28 +202,34 @@
 		"target_good", e.Target.Good, "target_bad", e.Target.Bad, "old_good", e.Old.Good, "old_bad", e.Old.Bad)
 }
 
-// tellUse tells the peers of a session's use while a roll-out is under way.
+// tellUse tells the peers of the use of a session that may move to the new version
+// of a roll-out once it pauses.
 func (g *Gateway) tellUse(r *releaseState, key release.SessionKey, version string, running bool) {
-	if r == nil || r.Outcome != fleet.InProgress {
+	if r == nil || r.Outcome != fleet.InProgress || !g.canary(r, key) {
 		return
 	}
 	use := peers.SessionUse{Service: key.Service, Session: key.ID, Version: version, Running: running}
 	g.hub.Broadcast(func(_ fleet.Peer, m *peers.Message) { m.Sessions = append(m.Sessions, use) })
 }
 
-// tellSessions tells the peers of all sessions in use.
-func (g *Gateway) tellSessions(service string) {
-	uses := g.sessionUses(service)
+// canary tells whether a session may move in the first half of a roll-out.
+func (g *Gateway) canary(r *releaseState, key release.SessionKey) bool {
+	return position(key.ID, r.Revision) < g.settings.Bounds.ExposureShare
+}
+
+// tellSessions tells the peers of the sessions in use that may move.
+func (g *Gateway) tellSessions(r *releaseState) {
+	uses := g.sessionUses(r)
 	g.hub.Broadcast(func(_ fleet.Peer, m *peers.Message) { m.Sessions = append(m.Sessions, uses...) })
 }
 
-func (g *Gateway) sessionUses(service string) []peers.SessionUse {
+func (g *Gateway) sessionUses(r *releaseState) []peers.SessionUse {
 	var uses []peers.SessionUse
 	g.sessions.Live(time.Now(), func(key release.SessionKey, version string) {
-		if key.Service == service {
+		if key.Service == r.Service && g.canary(r, key) {
 			uses = append(uses,
-				peers.SessionUse{Service: service, Session: key.ID, Version: version, Running: true},
-				peers.SessionUse{Service: service, Session: key.ID, Version: version})
+				peers.SessionUse{Service: r.Service, Session: key.ID, Version: version, Running: true},
+				peers.SessionUse{Service: r.Service, Session: key.ID, Version: version})
 		}
 	})
 	return uses
@@ -226,10 +237,12 @@
 
 // tellEvidence tells the peers this entry's counts.
 func (g *Gateway) tellEvidence(r *releaseState) {
+	r.untold = false
 	old := evidenceOf(r, "", r.own.Old)
 	target := evidenceOf(r, r.Target, r.own.Target)
 	g.hub.Broadcast(func(_ fleet.Peer, m *peers.Message) {
-		m.Evidence = append(m.Evidence[:0:0], old, target)
+		m.Evidence = slices.DeleteFunc(m.Evidence, func(e peers.Evidence) bool { return e.Service == r.Service })
+		m.Evidence = append(m.Evidence, old, target)
 	})
 }
 
@@ -260,11 +273,11 @@
 
 // greetReleases adds what a new peer has to know of roll-outs.
 func (g *Gateway) greetReleases(m *peers.Message) {
-	for service, r := range g.releases {
+	for _, r := range g.releases {
 		if r.Outcome != fleet.InProgress {
 			continue
 		}
-		m.Sessions = append(m.Sessions, g.sessionUses(service)...)
+		m.Sessions = append(m.Sessions, g.sessionUses(r)...)
 		m.Evidence = append(m.Evidence, evidenceOf(r, "", r.own.Old), evidenceOf(r, r.Target, r.own.Target))
 	}
 }
--- a/peers/hub.go
+++ b/peers/hub.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -110,6 +111,7 @@
 		h.mu.Unlock()
 	}()
 	reader := bufio.NewReader(raw)
+	var from fleet.Peer
 	for ctx.Err() == nil {
 		if err := raw.SetReadDeadline(time.Now().Add(silentAfter + heartbeat)); err != nil {
 			return
@@ -118,7 +120,11 @@
 		if err != nil {
 			return // the peer's own side of the link logs the loss
 		}
-		h.note(m.From)
+		if m.From.Name != "" {
+			from = m.From
+		}
+		m.From = from
+		h.note(from)
 		h.handler.Receive(m)
 	}
 }
@@ -140,6 +146,20 @@
 	return ok && time.Since(p.at) < silentAfter
 }
 
+// Live returns the peers that have been heard of lately, in order of their names.
+func (h *Hub) Live() []fleet.Peer {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var live []fleet.Peer
+	for _, p := range h.heard {
+		if time.Since(p.at) < silentAfter {
+			live = append(live, p.peer)
+		}
+	}
+	slices.SortFunc(live, func(a, b fleet.Peer) int { return strings.Compare(a.Name, b.Name) })
+	return live
+}
+
 // Count returns the number of entries, this one included, that the store names
 // or that have been heard of lately.
 func (h *Hub) Count() int {
@@ -329,10 +349,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.pending.empty() && !due {
-		return nil
+		return nil // a message without news is a heartbeat
 	}
 	m := l.pending
-	m.From = l.hub.self
 	l.pending = Message{}
 	return &m
 }
--- a/peers/message.go
+++ b/peers/message.go
@@ -21,9 +21,9 @@
 
 // Message is a batch of news of one entry. Absent parts have not changed.
 type Message struct {
-	// From tells who sends; it is in each message, so that a lost first one does
-	// no harm.
-	From fleet.Peer `msgpack:"f"`
+	// From tells who sends. Only the first message of a connection carries it; the
+	// hub fills it in for the others.
+	From fleet.Peer `msgpack:"f,omitempty"`
 	// Ask is sent by an entry that cannot read the store itself.
 	Ask *Ask `msgpack:"a,omitempty"`
 	// Reply answers an Ask.
@@ -49,7 +49,7 @@
 // Reply is a peer's copy of the store since the asker's.
 type Reply struct {
 	// Asked is the At of the Ask, so that the time on the way only makes the copy
-	// look older than it is.
+	// look older than it is; 0 when the sender passes on changes unasked.
 	Asked int64 `msgpack:"t"`
 	// AgeMS is the time in milliseconds since the copy was known to be complete,
 	// and Revision the store's revision that it then had.
