--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -9,6 +9,7 @@
 	"hyssoploom/backend"
 	"hyssoploom/fleet"
 	"hyssoploom/placing"
+	"hyssoploom/release"
 )
 
 const (
@@ -16,6 +17,10 @@
 	leastOffer = 20 * time.Millisecond
 	// maxRefusals bounds the servers that are asked after refusals.
 	maxRefusals = 4
+	// headTime is the time to the head of an answer besides the reading of the
+	// prompt, and farTime the way to another region and back.
+	headTime = 20 * time.Millisecond
+	farTime  = 60 * time.Millisecond
 	// regionDetour is the price of a server in another region as time: the bytes
 	// between regions are paid by volume and the way takes 60 ms.
 	regionDetour = 250 * time.Millisecond
@@ -117,8 +122,11 @@
 	model  string
 	// final tells that the answer is kept whatever the model's confidence is.
 	final bool
-	work  time.Duration // to read the prompt, until the answer begins
+	read  time.Duration // expected to read the prompt
 	wait  time.Duration // expected before that
+	work  time.Duration // what of read still counts as pending at the server
+	// running is the number of requests that the server had.
+	running int
 }
 
 // choose picks a backend server for the next attempt and counts the request
@@ -148,8 +156,10 @@
 	if i < 0 {
 		return target{}, false
 	}
-	t.server, t.work, t.wait = servers[i], candidates[i].Read, placing.Wait(&candidates[i])
+	t.server, t.read, t.wait = servers[i], candidates[i].Read, placing.Wait(&candidates[i])
+	t.work = t.read
 	t.load = g.load(t.server, c.service)
+	t.running = t.load.running + t.load.remoteRunning
 	g.cold.Sent(now, t.server.ID)
 	g.placed(c, &t)
 	return t, true
@@ -244,7 +254,7 @@
 	started := time.Now()
 	entry := attemptLog{
 		Server: t.server.ID, Model: t.model, AtMS: started.Sub(c.received).Milliseconds(),
-		WaitMS: t.wait.Milliseconds(), ReadMS: t.work.Milliseconds(),
+		WaitMS: t.wait.Milliseconds(), ReadMS: t.read.Milliseconds(),
 	}
 	result, saved, err := c.exchange(t, &entry)
 	entry.Outcome = result.String()
@@ -253,7 +263,7 @@
 		entry.Error = err.Error()
 	}
 	c.log = append(c.log, entry)
-	c.g.release(c, t, result)
+	c.g.release(c, t, result, c.timing(&t, &entry))
 	if result == delivered {
 		c.finish(http.StatusOK, "")
 	}
@@ -273,13 +283,32 @@
 	g.beginUse(c, t.server)
 }
 
+// timing describes how fast an attempt was answered.
+func (c *call) timing(t *target, entry *attemptLog) release.Timing {
+	took := time.Duration(entry.TookMS) * time.Millisecond
+	timing := release.Timing{Wait: t.wait, Running: t.running, First: took}
+	if t.load.cache == nil {
+		timing.Kind, timing.Whole = c.route.Name, true
+		return timing
+	}
+	timing.Kind, timing.Expected = c.modelName(t.model), t.read+headTime
+	if t.server.Region != c.g.settings.Region {
+		timing.Expected += farTime
+	}
+	if entry.FirstMS > 0 {
+		timing.First = time.Duration(entry.FirstMS) * time.Millisecond
+		timing.Rest, timing.Events = took-timing.First, entry.Events
+	}
+	return timing
+}
+
 // release ends the count of an attempt.
-func (g *Gateway) release(c *call, t target, result outcome) {
+func (g *Gateway) release(c *call, t target, result outcome, timing release.Timing) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	t.load.running--
 	g.tellLoad(t.server, t.load)
-	g.endUse(c, t.server, result)
+	g.endUse(c, t.server, result, timing)
 }
 
 // begun notes that the server has read the prompt of an attempt.
@@ -335,7 +364,7 @@
 	first := time.Since(started)
 	entry.FirstMS = first.Milliseconds()
 	if t.wait < idleWait && answer.Status == http.StatusOK {
-		c.g.observeRead(c.modelName(t.model), t.work, first)
+		c.g.observeRead(c.modelName(t.model), t.read, first)
 	}
 	c.g.begun(&t)
 	defer answer.Body.Close()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -77,6 +77,7 @@
 	rng     *rand.Rand
 	// sessions and releases are the state of roll-outs; releases is by service.
 	sessions *release.Sessions
+	paces    *release.Paces
 	releases map[string]*releaseState
 
 	hub *peers.Hub
@@ -92,6 +93,7 @@
 		retries:  make(map[string]*limits.Retries),
 		cold:     limits.NewCold(limits.ColdConfig{Overshoot: s.Bounds.ColdOvershoot, Slack: s.Bounds.ColdSlack}),
 		sessions: release.NewSessions(s.Bounds.Session()),
+		paces:    release.NewPaces(),
 		releases: make(map[string]*releaseState),
 		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
--- a/gateway/releases.go
+++ b/gateway/releases.go
@@ -162,26 +162,46 @@
 }
 
 // endUse counts the outcome of a send. The caller holds g.mu.
-func (g *Gateway) endUse(c *call, s *fleet.BackendServer, result outcome) {
+func (g *Gateway) endUse(c *call, s *fleet.BackendServer, result outcome, timing release.Timing) {
 	r := g.releases[c.service.Name]
 	if key, ok := c.sessionKey(); ok {
 		g.sessions.End(time.Now(), key)
 		g.tellUse(r, key, s.Version, false)
 	}
 	if r == nil || r.Outcome != fleet.InProgress {
+		if result == delivered {
+			g.paces.Observe(timing)
+		}
 		return
 	}
+	g.count(r, s, result, timing)
+	r.untold = true
+	g.judge(r)
+}
+
+// count adds an answer to the evidence of a roll-out.
+func (g *Gateway) count(r *releaseState, s *fleet.BackendServer, result outcome, timing release.Timing) {
+	tally := r.tally(s.Version)
 	switch result {
 	case delivered, unsure:
-		r.tally(s.Version).Good++
+		tally.Good++
 	case failed, broken:
-		r.tally(s.Version).Bad++
+		tally.Bad++
 		g.tellEvidence(r)
-	default:
+		return
+	case notSent, notRun:
 		return
 	}
-	r.untold = true
-	g.judge(r)
+	if slow, known := g.paces.Slow(timing); known {
+		tally.Timed++
+		if slow {
+			tally.Slow++
+			g.tellEvidence(r)
+		}
+	}
+	if result == delivered && s.Version != r.Target {
+		g.paces.Observe(timing)
+	}
 }
 
 func (r *releaseState) tally(version string) *release.Tally {
@@ -198,8 +218,9 @@
 		return
 	}
 	r.bad = true
-	g.Log.Warn("The new version fails too often.", "service", r.Service, "target", r.Target,
-		"target_good", e.Target.Good, "target_bad", e.Target.Bad, "old_good", e.Old.Good, "old_bad", e.Old.Bad)
+	g.Log.Warn("The new version fails or is slow too often.", "service", r.Service, "target", r.Target,
+		"target_good", e.Target.Good, "target_bad", e.Target.Bad, "old_good", e.Old.Good, "old_bad", e.Old.Bad,
+		"target_timed", e.Target.Timed, "target_slow", e.Target.Slow, "old_timed", e.Old.Timed, "old_slow", e.Old.Slow)
 }
 
 // tellUse tells the peers of the use of a session that may move to the new version
@@ -251,6 +272,7 @@
 func evidenceOf(r *releaseState, version string, t release.Tally) peers.Evidence {
 	return peers.Evidence{
 		Service: r.Service, Order: r.Revision, Version: version, Sent: t.Sent, Good: t.Good, Bad: t.Bad,
+		Timed: t.Timed, Slow: t.Slow,
 	}
 }
 
@@ -261,7 +283,7 @@
 		return // the peer repeats its counts with each change
 	}
 	evidence := r.peers[from]
-	tally := release.Tally{Sent: e.Sent, Good: e.Good, Bad: e.Bad}
+	tally := release.Tally{Sent: e.Sent, Good: e.Good, Bad: e.Bad, Timed: e.Timed, Slow: e.Slow}
 	if e.Version == r.Target {
 		evidence.Target = tally
 	} else {
--- a/peers/message.go
+++ b/peers/message.go
@@ -98,6 +98,8 @@
 	Sent    int    `msgpack:"n"`
 	Good    int    `msgpack:"g"`
 	Bad     int    `msgpack:"b"`
+	Timed   int    `msgpack:"t"`
+	Slow    int    `msgpack:"l"`
 }
 
 // empty tells whether there is nothing to send.
--- a/release/plan.go
+++ b/release/plan.go
@@ -33,28 +33,58 @@
 var ramp = []struct{ from, share float64 }{{0.53, 0.25}, {0.60, 0.5}, {0.66, 1}}
 
 // Tally counts the answers of one version.
-type Tally struct{ Sent, Good, Bad int }
+type Tally struct {
+	Sent, Good, Bad int
+	// Timed counts the answers whose pace says something about the version, and
+	// Slow those of them that took much longer than the fastest ones.
+	Timed, Slow int
+}
 
 // Add returns the sum of two tallies.
-func (t Tally) Add(o Tally) Tally { return Tally{t.Sent + o.Sent, t.Good + o.Good, t.Bad + o.Bad} }
+func (t Tally) Add(o Tally) Tally {
+	return Tally{t.Sent + o.Sent, t.Good + o.Good, t.Bad + o.Bad, t.Timed + o.Timed, t.Slow + o.Slow}
+}
 
-func (t Tally) counts() rollout.Counts {
-	return rollout.Counts{
-		Answers: uint64(t.Good + t.Bad), Rated: uint64(t.Good + t.Bad), Passed: uint64(t.Good),
-	}
+// counts are those of a comparison of passed with all answers.
+func counts(passed, all int) rollout.Counts {
+	return rollout.Counts{Answers: uint64(all), Rated: uint64(all), Passed: uint64(passed)}
 }
 
+const (
+	// priorTimed and priorSlow are added to the timed answers of the old version:
+	// under load few of its answers can be timed.
+	priorTimed = 30
+	priorSlow  = 9
+	// slowMargin is the rise in the share of slow answers that is still good. A new
+	// version begins with empty caches and later carries more load than the old one
+	// did.
+	slowMargin = 0.25
+)
+
 // Evidence is what the fleet has seen of a roll-out.
 type Evidence struct {
 	// Old and Target are the answers of both versions since the order.
 	Old, Target Tally
 }
 
-// Bad tells whether the new version fails more often than the old one. It uses
-// the sequential test of package rollout, so that it may be asked after every
-// answer.
-func (e Evidence) Bad() bool {
-	return rollout.Judge(e.Target.counts(), e.Old.counts(), rollout.TestConfig{}) == rollout.Bad
+// Bad tells whether the new version fails, or is slow, more often than the old
+// one. It uses the sequential test of package rollout, so that it may be asked
+// after every answer.
+func (e Evidence) Bad() bool { return e.fails() || e.isSlow() }
+
+func (e Evidence) fails() bool {
+	target, old := counts(e.Target.Good, e.Target.Good+e.Target.Bad), counts(e.Old.Good, e.Old.Good+e.Old.Bad)
+	return worse(target, old, rollout.TestConfig{})
+}
+
+func (e Evidence) isSlow() bool {
+	timed := e.Old.Timed + priorTimed
+	target, old := counts(e.Target.Timed-e.Target.Slow, e.Target.Timed), counts(timed-e.Old.Slow-priorSlow, timed)
+	return worse(target, old, rollout.TestConfig{Margin: slowMargin})
+}
+
+func worse(target, old rollout.Counts, test rollout.TestConfig) bool {
+	return rollout.Judge(target, old, test) == rollout.Bad
 }
 
 // Limits bound the requests that a version gets before it is known to be good.
--- a/release/release_test.go
+++ b/release/release_test.go
@@ -190,3 +190,77 @@
 		}
 	}
 }
+
+// Guards against a slow version that is taken for a good one because all servers
+// of the old version are busy, and against a good one that is rolled back because
+// it carries more load than the old one did.
+func TestSlowVersion(t *testing.T) {
+	rng := rand.New(rand.NewPCG(11, 11))
+	// timing is an answer of 20 events at a pace of 20 ms times factor, longer by up
+	// to busy times that when the server has other work.
+	timing := func(factor, busy float64) Timing {
+		pace := 20 * factor * (1 + busy*rng.Float64()*rng.Float64())
+		return Timing{
+			Kind: "m", Running: 2, Expected: 100 * time.Millisecond,
+			First: time.Duration(100*factor) * time.Millisecond, Events: 20,
+			Rest: time.Duration(20*pace) * time.Millisecond,
+		}
+	}
+	paces := NewPaces()
+	for range 300 {
+		paces.Observe(timing(1, 4))
+	}
+	var slow, good Evidence
+	count := func(tally *Tally, timing Timing) {
+		if isSlow, known := paces.Slow(timing); known {
+			tally.Timed++
+			if isSlow {
+				tally.Slow++
+			}
+		}
+	}
+	foundAt := -1
+	for n := range 400 {
+		old := timing(1, 4)
+		count(&slow.Old, old)
+		count(&good.Old, old)
+		count(&slow.Target, timing(4, 1))
+		count(&good.Target, timing(1, 5)) // busier than the old one
+		if good.Bad() {
+			t.Fatalf("a good version was found slow after %d answers: %+v", n, good)
+		}
+		if foundAt < 0 && slow.Bad() {
+			foundAt = n
+		}
+	}
+	// The deployments count from the 50th bad answer.
+	if foundAt < 0 || foundAt >= 50 {
+		t.Errorf("a version that takes four times as long was found after %d answers", foundAt)
+	}
+}
+
+// Guards against answers that say nothing about the version and count all the
+// same.
+func TestTimingThatSaysNothing(t *testing.T) {
+	paces := NewPaces()
+	paces.Observe(Timing{Kind: "r", Whole: true, First: 50 * time.Millisecond})
+	for _, c := range []struct {
+		name        string
+		t           Timing
+		slow, known bool
+	}{
+		{"busy server", Timing{Kind: "m", Running: 30, Expected: time.Second, First: 9 * time.Second}, false, false},
+		{"long queue", Timing{Kind: "m", Wait: time.Second, Expected: time.Second, First: 9 * time.Second}, false, false},
+		{"short prompt", Timing{Kind: "m", Expected: 25 * time.Millisecond, First: 90 * time.Millisecond}, true, false},
+		{"late head", Timing{Kind: "m", Expected: 200 * time.Millisecond, First: 900 * time.Millisecond}, true, true},
+		{"timely head", Timing{Kind: "m", Expected: 200 * time.Millisecond, First: 300 * time.Millisecond}, false, true},
+		{"unknown route", Timing{Kind: "q", Whole: true, First: time.Hour}, true, false},
+		{"slow call", Timing{Kind: "r", Whole: true, First: 400 * time.Millisecond}, true, true},
+		{"usual call", Timing{Kind: "r", Whole: true, First: 90 * time.Millisecond}, false, true},
+	} {
+		slow, known := paces.Slow(c.t)
+		if known != c.known || known && slow != c.slow {
+			t.Errorf("%s: slow %v, known %v", c.name, slow, known)
+		}
+	}
+}
