Roll-outs: lost connections say nothing about a version; views of older requests change nothing

Cause: three answers lost by one crashed server rolled a good version back, and a request that held an older view turned the state of a roll-out back and forth.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -79,6 +79,9 @@
 	sessions *release.Sessions
 	paces    *release.Paces
 	releases map[string]*releaseState
+	// releaseRevision is that of the view from which releases were brought up to
+	// date.
+	releaseRevision int64
 
 	hub *peers.Hub
 }
--- a/gateway/releases.go
+++ b/gateway/releases.go
@@ -28,6 +28,10 @@
 // releaseOf returns the state of a service's roll-out, or nil without an order.
 // The caller holds g.mu.
 func (g *Gateway) releaseOf(view *fleet.View, service string) *releaseState {
+	if view.Revision < g.releaseRevision {
+		return g.releases[service] // a request that began earlier does not turn it back
+	}
+	g.releaseRevision = view.Revision
 	current, ok := view.RollOut(service)
 	if !ok {
 		delete(g.releases, service)
@@ -101,9 +105,9 @@
 		return old
 	}
 	progress := g.progress(c.view, r, now)
-	useTarget := release.UseTarget(c.assignment(r, progress, now, entries))
+	assignment := c.assignment(r, progress, now, entries)
 	switch {
-	case useTarget && len(target) > 0:
+	case release.UseTarget(assignment) && len(target) > 0:
 		return target
 	case len(old) > 0 || !progress.Movable():
 		return old
@@ -185,12 +189,12 @@
 	switch result {
 	case delivered, unsure:
 		tally.Good++
-	case failed, broken:
+	case failed:
 		tally.Bad++
 		g.tellEvidence(r)
 		return
-	case notSent, notRun:
-		return
+	case broken, notSent, notRun:
+		return // a server that crashed or lost its connections, not its version
 	}
 	if slow, known := g.paces.Slow(timing); known {
 		tally.Timed++
