Large models only where the answer would be complete; refused connections do not end a request

Cause: long answers of the large model were cut at their deadline, and four crashed servers in a row made a request not_served although others were free.

--- a/cascade/confidence.go
+++ b/cascade/confidence.go
@@ -10,6 +10,9 @@
 	// waitShare is the wait for a larger model, as a part of the latency target, at
 	// which only answers without any confidence are asked for again.
 	waitShare = 0.35
+	// limitShare is the part of the time until the deadline that a larger model's
+	// answer may be expected to take; an answer cut at the deadline is worth nothing.
+	limitShare = 0.8
 )
 
 // Doubt describes an answer of a small model that the caller has not seen yet.
@@ -17,18 +20,21 @@
 	// Confidence is the model's own opinion in percent.
 	Confidence int
 	// Elapsed is the time since the request; Pending is the wait for an engine with
-	// the larger model and Read the time in which that would read the prompt.
-	Elapsed, Pending, Read time.Duration
-	// Target is the time within which the answer has to begin.
-	Target time.Duration
+	// the larger model, Read the time in which that would read the prompt, and Write
+	// the time in which it would generate the answer.
+	Elapsed, Pending, Read, Write time.Duration
+	// Target is the time within which the answer has to begin, and Limit that within
+	// which it has to be complete.
+	Target, Limit time.Duration
 }
 
 // Escalate tells whether the larger model is asked. The confidence that an
 // answer needs falls with the wait for the larger model: under load, the engines'
-// time goes to the answers that need it most. An answer that would begin late is
-// not asked for again.
+// time goes to the answers that need it most. An answer that would begin late, or
+// would not be complete at the deadline, is not asked for again.
 func Escalate(d Doubt) bool {
-	if d.Elapsed+d.Pending+d.Read > d.Target {
+	begin := d.Elapsed + d.Pending + d.Read
+	if begin > d.Target || float64(begin+d.Write) > limitShare*float64(d.Limit) {
 		return false
 	}
 	room := 1 - d.Pending.Seconds()/(d.Target.Seconds()*waitShare)
--- a/cascade/confidence_test.go
+++ b/cascade/confidence_test.go
@@ -22,7 +22,10 @@
 		{"no confidence, overloaded", Doubt{Confidence: 0, Pending: time.Second, Target: target}, false},
 		{"would be late", Doubt{Confidence: 0, Elapsed: 1500 * time.Millisecond, Read: 600 * time.Millisecond, Target: target}, false},
 		{"long prompt, in time", Doubt{Confidence: 0, Elapsed: 300 * time.Millisecond, Read: 900 * time.Millisecond, Target: target}, true},
+		{"would not be complete", Doubt{Confidence: 0, Write: 9 * time.Second, Target: target}, false},
+		{"long answer, in time", Doubt{Confidence: 0, Write: 7 * time.Second, Target: target}, true},
 	} {
+		c.d.Limit = 10 * time.Second
 		if got := Escalate(c.d); got != c.want {
 			t.Errorf("%s: %v", c.name, got)
 		}
@@ -39,7 +42,7 @@
 	late, escalated, confidence := 0, 0, 0
 	for n := range 2000 {
 		now := time.Duration(n) * 20 * time.Millisecond
-		d := Doubt{Confidence: n * 37 % 101, Pending: max(free-now, 0), Read: read, Target: target}
+		d := Doubt{Confidence: n * 37 % 101, Pending: max(free-now, 0), Read: read, Target: target, Limit: 10 * time.Second}
 		if !Escalate(d) {
 			continue
 		}
--- /dev/null
+++ b/cli/explain.go
@@ -0,0 +1,203 @@
+package cli
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+)
+
+const (
+	// explainBefore and explainAfter bound the lines about what a process believed
+	// that are shown beside a request.
+	explainBefore = 5 * time.Second
+	explainAfter  = time.Second
+	// maxLogLine bounds one line of a log in bytes.
+	maxLogLine = 1 << 20
+)
+
+// explainCommand returns the command that shows the decisions about a request.
+func explainCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "explain REQUEST-ID [LOG-FILE...]",
+		Short: "Show why a request ended as it did, from the logs of all entries",
+		Long: "Reads logs from the files, or from standard input, and prints the line of the request, its attempts\n" +
+			"in order, and what the process that took it learned shortly before and during the request.",
+		Example: "  hyssoploom explain 9c41d07be2a35f68 entry-*.log",
+		Args:    Usage(cobra.MinimumNArgs(1)),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			lines, err := readLogs(cmd.InOrStdin(), args[1:])
+			if err != nil {
+				return Exit(CodeUsage, "%w", err)
+			}
+			return explain(cmd.OutOrStdout(), lines, args[0])
+		},
+	}
+}
+
+// logLine is one line of a gateway's log.
+type logLine struct {
+	Time     time.Time       `json:"time"`
+	Level    string          `json:"level"`
+	Process  string          `json:"process"`
+	Message  string          `json:"message"`
+	Request  string          `json:"request"`
+	Route    string          `json:"route"`
+	Space    string          `json:"workspace"`
+	Outcome  string          `json:"outcome"`
+	Status   int             `json:"status"`
+	TookMS   int64           `json:"ms"`
+	Config   int64           `json:"config"`
+	AgeMS    int64           `json:"config_age_ms"`
+	Attempts []loggedAttempt `json:"attempts"`
+
+	fields map[string]any
+}
+
+// loggedAttempt is one attempt of a request.
+type loggedAttempt struct {
+	Server     string `json:"server"`
+	Model      string `json:"model"`
+	Outcome    string `json:"outcome"`
+	Confidence int    `json:"confidence"`
+	FirstMS    int64  `json:"first_ms"`
+	Events     int    `json:"events"`
+	WaitMS     int64  `json:"wait_ms"`
+	ReadMS     int64  `json:"read_ms"`
+	AtMS       int64  `json:"at_ms"`
+	TookMS     int64  `json:"took_ms"`
+	Error      string `json:"error"`
+}
+
+// readLogs reads the JSON lines of files, or of in when there are none. Text
+// before the first brace of a line, such as a collector's prefix, is skipped.
+func readLogs(in io.Reader, files []string) ([]logLine, error) {
+	if len(files) == 0 {
+		return readLog(in)
+	}
+	var lines []logLine
+	for _, name := range files {
+		file, err := os.Open(name)
+		if err != nil {
+			return nil, err
+		}
+		more, err := readLog(file)
+		file.Close()
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", name, err)
+		}
+		lines = append(lines, more...)
+	}
+	return lines, nil
+}
+
+func readLog(in io.Reader) ([]logLine, error) {
+	scanner := bufio.NewScanner(in)
+	scanner.Buffer(nil, maxLogLine)
+	var lines []logLine
+	for scanner.Scan() {
+		text := scanner.Text()
+		brace := strings.IndexByte(text, '{')
+		if brace < 0 {
+			continue
+		}
+		var line logLine
+		raw := []byte(text[brace:])
+		if json.Unmarshal(raw, &line) != nil || json.Unmarshal(raw, &line.fields) != nil {
+			continue // a line of another program
+		}
+		lines = append(lines, line)
+	}
+	return lines, scanner.Err()
+}
+
+// explain prints what the logs say about a request.
+func explain(out io.Writer, lines []logLine, id string) error {
+	found := false
+	for i := range lines {
+		if lines[i].Request == id && lines[i].Outcome != "" {
+			found = true
+			explainRequest(out, &lines[i])
+			explainBeliefs(out, lines, &lines[i])
+		}
+	}
+	if !found {
+		return Exit(CodeNotFound, "no log line of request %q: it reached no entry whose log was given, or the entry was killed while it ran", id)
+	}
+	return nil
+}
+
+func explainRequest(out io.Writer, l *logLine) {
+	began := l.Time.Add(-time.Duration(l.TookMS) * time.Millisecond)
+	fmt.Fprintf(out, "%s  %s took request %s on route %s of workspace %s\n", stamp(began), l.Process, l.Request, orNone(l.Route), orNone(l.Space))
+	fmt.Fprintf(out, "    configuration %d, proven %d ms before the end\n", l.Config, l.AgeMS)
+	for n, a := range l.Attempts {
+		fmt.Fprintf(out, "    +%d ms  attempt %d on %s", a.AtMS, n+1, a.Server)
+		if a.Model != "" {
+			fmt.Fprintf(out, " with model %s", a.Model)
+		}
+		fmt.Fprintf(out, ", expected wait %d ms and reading %d ms\n", a.WaitMS, a.ReadMS)
+		fmt.Fprintf(out, "    +%d ms  %s", a.AtMS+a.TookMS, a.Outcome)
+		if a.FirstMS > 0 {
+			fmt.Fprintf(out, ", head after %d ms, %d events", a.FirstMS, a.Events)
+		}
+		if a.Confidence > 0 {
+			fmt.Fprintf(out, ", confidence %d", a.Confidence)
+		}
+		if a.Error != "" {
+			fmt.Fprintf(out, ": %s", a.Error)
+		}
+		fmt.Fprintln(out)
+	}
+	fmt.Fprintf(out, "%s  ended after %d ms: %s, status %d\n", stamp(l.Time), l.TookMS, l.Outcome, l.Status)
+}
+
+// explainBeliefs prints the other lines of the request's process around it.
+func explainBeliefs(out io.Writer, lines []logLine, l *logLine) {
+	from := l.Time.Add(-time.Duration(l.TookMS)*time.Millisecond - explainBefore)
+	until := l.Time.Add(explainAfter)
+	printed := false
+	for i := range lines {
+		other := &lines[i]
+		if other.Process != l.Process || other.Outcome != "" || other.Time.Before(from) || other.Time.After(until) {
+			continue
+		}
+		if !printed {
+			printed = true
+			fmt.Fprintf(out, "What %s learned from %v before to %v after:\n", l.Process, explainBefore, explainAfter)
+		}
+		fmt.Fprintf(out, "    %s  %s%s\n", stamp(other.Time), other.Message, otherFields(other.fields))
+	}
+}
+
+// otherFields prints the fields that are not part of every line.
+func otherFields(fields map[string]any) string {
+	var parts []string
+	for name, value := range fields {
+		switch name {
+		case "time", "level", "process", "message":
+		default:
+			parts = append(parts, fmt.Sprintf("%s=%v", name, value))
+		}
+	}
+	slices.Sort(parts)
+	if len(parts) == 0 {
+		return ""
+	}
+	return " " + strings.Join(parts, " ")
+}
+
+func stamp(t time.Time) string { return t.UTC().Format("15:04:05.000") }
+
+func orNone(s string) string {
+	if s == "" {
+		return "(none)"
+	}
+	return s
+}
--- /dev/null
+++ b/cli/explain_test.go
@@ -0,0 +1,57 @@
+package cli
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const explainLog = `not a log line
+  26.05 edge-1 {"time":"2026-05-13T05:40:28.000Z","level":"warn","process":"edge-1","error":"timeout","message":"fleet: Lost the store."}
+{"time":"2026-05-13T05:40:28.500Z","level":"warn","process":"edge-2","message":"fleet: Lost the store."}
+{"time":"2026-05-13T05:40:30.000Z","level":"info","process":"edge-1","request":"r1","route":"draft","workspace":"club","outcome":"answer_lost","status":502,"ms":900,"config":7,"config_age_ms":300,"attempts":[{"server":"i-1","model":"small","outcome":"unsure","confidence":12,"first_ms":80,"wait_ms":5,"read_ms":40,"at_ms":0,"took_ms":81},{"server":"i-2","model":"large","outcome":"broken","first_ms":200,"events":3,"wait_ms":0,"read_ms":150,"at_ms":81,"took_ms":819,"error":"connection reset"}],"message":"gateway: Request ended."}
+{"time":"2026-05-13T05:40:50.000Z","level":"info","process":"edge-1","message":"fleet: Regained the store."}
+`
+
+// Guards against an explanation that leaves out an attempt or what the process
+// believed, or that mixes in other processes.
+func TestExplain(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "edge.log")
+	if err := os.WriteFile(path, []byte(explainLog), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var out, errs bytes.Buffer
+	if code := Run(t.Context(), New(), []string{"explain", "r1", path}, &out, &errs); code != CodeOK {
+		t.Fatalf("code %d: %s", code, errs.String())
+	}
+	for _, want := range []string{
+		"edge-1 took request r1 on route draft of workspace club", "configuration 7, proven 300 ms",
+		"attempt 1 on i-1 with model small, expected wait 5 ms and reading 40 ms", "unsure, head after 80 ms, 0 events, confidence 12",
+		"+900 ms  broken, head after 200 ms, 3 events: connection reset", "answer_lost, status 502", "fleet: Lost the store. error=timeout",
+	} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("no %q in\n%s", want, out.String())
+		}
+	}
+	if strings.Contains(out.String(), "Regained") || strings.Count(out.String(), "Lost the store") != 1 {
+		t.Errorf("lines of another time or process:\n%s", out.String())
+	}
+}
+
+// Guards against an unknown request that looks like one without trouble.
+func TestExplainUnknown(t *testing.T) {
+	root := New()
+	root.SetIn(strings.NewReader(explainLog))
+	var out, errs bytes.Buffer
+	if code := Run(t.Context(), root, []string{"explain", "r2"}, &out, &errs); code != CodeNotFound || errs.Len() == 0 {
+		t.Errorf("code %d, %q", code, errs.String())
+	}
+	if code := Run(t.Context(), New(), []string{"explain", "r1", "/no/such/file"}, &out, &errs); code != CodeUsage {
+		t.Errorf("a missing file: code %d", code)
+	}
+	if code := Run(t.Context(), New(), []string{"explain"}, &out, &errs); code != CodeUsage {
+		t.Errorf("no request: code %d", code)
+	}
+}
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -72,8 +72,8 @@
 	}
 	out := &log.AsyncWriter{ChannelSize: logQueue, DiscardOnFull: true, Writer: &log.IOWriter{Writer: os.Stdout}}
 	defer out.Close()
-	logger := telemetry.NewLoggerTo(out, s.Log.Level, "gateway")
-	logger.Info("Starting.", "name", s.Name, "data_centre", s.DataCentre, "store", s.StoreAddress)
+	logger := telemetry.NewLoggerTo(out, s.Log.Level, "gateway").Named(s.Name)
+	logger.Info("Starting.", "data_centre", s.DataCentre, "store", s.StoreAddress)
 	d, err := newGatewayDaemon(path, s, logger)
 	if err != nil {
 		return err
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -84,6 +84,8 @@
 	Slots int
 	// CacheTokens is the memory of one engine in tokens.
 	CacheTokens int
+	// EventTokens is the number of tokens in one event of a stream.
+	EventTokens int
 	Models      []Model
 }
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -15,7 +15,7 @@
 const (
 	// leastOffer is the least remaining time with which a request is still sent.
 	leastOffer = 20 * time.Millisecond
-	// maxRefusals bounds the servers that are asked after refusals.
+	// maxRefusals bounds the servers that say that they did not run a request.
 	maxRefusals = 4
 	// headTime is the time to the head of an answer besides the reading of the
 	// prompt, and farTime the way to another region and back.
@@ -66,10 +66,12 @@
 	unsure
 	// ended: the caller has left or the time is over.
 	ended
+	// stale: the configuration is no longer fresh enough to send on a key.
+	stale
 )
 
 func (o outcome) String() string {
-	return [...]string{"delivered", "not_sent", "not_run", "failed", "broken", "unsure", "ended"}[o]
+	return [...]string{"delivered", "not_sent", "not_run", "failed", "broken", "unsure", "ended", "stale"}[o]
 }
 
 // run sends the request until it is answered, cannot be sent again, or its time
@@ -97,9 +99,11 @@
 		case ended:
 			c.endEarly(failure)
 			return
-		case notSent, notRun:
+		case notSent:
 			c.tried[target.server.ID] = true
-			if len(c.tried) >= maxRefusals {
+		case notRun:
+			c.tried[target.server.ID] = true
+			if c.refusals++; c.refusals >= maxRefusals {
 				c.giveUp(failure)
 				return
 			}
@@ -109,6 +113,9 @@
 				c.giveUp(failure)
 				return
 			}
+		case stale:
+			c.giveUp(failure)
+			return
 		case unsure:
 			c.model = len(c.route.Models) - 1
 		}
@@ -263,6 +270,10 @@
 		entry.Error = err.Error()
 	}
 	c.log = append(c.log, entry)
+	c.g.Metrics.Add("attempt_"+entry.Outcome, 1)
+	if entry.FirstMS > 0 {
+		c.g.Metrics.Observe("attempt_head", time.Duration(entry.FirstMS)*time.Millisecond)
+	}
 	c.g.release(c, t, result, c.timing(&t, &entry))
 	if result == delivered {
 		c.finish(http.StatusOK, "")
@@ -307,6 +318,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	t.load.running--
+	t.load.observePace(timing.Events, timing.Rest)
 	g.tellLoad(t.server, t.load)
 	g.endUse(c, t.server, result, timing)
 }
@@ -345,7 +357,7 @@
 		limit = max(c.service.MaxConnections/(c.g.Entries()+1), 1)
 	}
 	if c.workspace != nil && !c.g.informed() {
-		return notSent, nil, errStale
+		return stale, nil, nil
 	}
 	answer, err := c.g.Pool.Exchange(ctx, t.server.Address, limit, c.outgoing(t))
 	if err != nil {
@@ -381,8 +393,6 @@
 	return c.deliver(t, answer, meta, entry)
 }
 
-var errStale = errors.New("the configuration is not fresh enough for requests with a key")
-
 // unlessEnded replaces an outcome when the caller has left or the time is over.
 func (c *call) unlessEnded(o outcome) outcome {
 	if c.ctx.Err() != nil {
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -54,10 +54,11 @@
 	received  time.Time
 	deadline  time.Time
 
-	tried map[string]bool // servers that cannot take the request any more
-	ran   int             // attempts that may have run
-	sends int             // requests that reached a backend server, or may have
-	model int             // index of the route's models; -1 when the caller names it
+	tried    map[string]bool // servers that cannot take the request any more
+	ran      int             // attempts that may have run
+	refusals int             // attempts that a server said it did not run
+	sends    int             // requests that reached a backend server, or may have
+	model    int             // index of the route's models; -1 when the caller names it
 	// position places a request without a session in [0, 1) for roll-outs; -1 until
 	// it is drawn.
 	position float64
@@ -201,7 +202,11 @@
 	if reason != "" {
 		outcome = string(reason)
 	}
+	took := time.Since(c.received)
 	c.g.Metrics.Add("outcome_"+outcome, 1)
+	if c.route != nil {
+		c.g.Metrics.Observe("answer_"+c.route.Kind.String(), took)
+	}
 	route, workspace := "", ""
 	var version int64
 	if c.route != nil {
@@ -215,6 +220,7 @@
 	}
 	age, _ := c.g.Fresh.Age()
 	c.g.Log.Info("Request ended.", "request", c.meta.ID, "route", route, "workspace", workspace,
-		"outcome", outcome, "status", status, "ms", time.Since(c.received).Milliseconds(),
-		"config", version, "config_age_ms", age.Milliseconds(), "attempts", c.log)
+		"outcome", outcome, "status", status, "ms", took.Milliseconds(),
+		"config", version, "config_age_ms", age.Milliseconds(),
+		"prompt_tokens", c.meta.PromptTokens, "max_output", c.meta.MaxOutput, "hint", c.meta.OutputHint, "attempts", c.log)
 }
--- a/gateway/load.go
+++ b/gateway/load.go
@@ -38,6 +38,42 @@
 	// wrongAddress is the address at which another server answered.
 	wrongAddress string
 	cache        *promptCache
+	// eventPace is the moving average of the time between events of the server's
+	// streams; 0 before the first.
+	eventPace time.Duration
+}
+
+const (
+	// paceWeight is the weight of one stream in the average pace of its server.
+	paceWeight = 0.25
+	// hintMargin multiplies the caller's guess of the output, which is right at the
+	// median only.
+	hintMargin = 1.6
+	// unhintedShare is the part of the largest output that is expected without one.
+	unhintedShare = 0.3
+)
+
+// observePace adds the pace of a stream that had events in a time.
+func (l *load) observePace(events int, in time.Duration) {
+	if events < 2 {
+		return
+	}
+	pace := in / time.Duration(events)
+	if l.eventPace == 0 {
+		l.eventPace = pace
+		return
+	}
+	l.eventPace += time.Duration(paceWeight * float64(pace-l.eventPace))
+}
+
+// writeTime is the time in which a server is expected to generate the output of a
+// request.
+func (l *load) writeTime(service *fleet.Service, m *Meta) time.Duration {
+	tokens := unhintedShare * float64(m.MaxOutput)
+	if m.OutputHint > 0 {
+		tokens = min(hintMargin*float64(m.OutputHint), float64(m.MaxOutput))
+	}
+	return time.Duration(tokens / float64(max(service.Engine.EventTokens, 1)) * float64(l.eventPace))
 }
 
 // promptCache estimates which parts of prompts an engine holds. Parts count as
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -80,7 +80,7 @@
 	largest := c.route.Models[len(c.route.Models)-1]
 	c.g.mu.Lock()
 	defer c.g.mu.Unlock()
-	_, candidates := c.candidates(largest, now, c.g.Entries()+1)
+	servers, candidates := c.candidates(largest, now, c.g.Entries()+1)
 	best := placing.Best(candidates)
 	if best < 0 {
 		return false
@@ -90,7 +90,9 @@
 		Elapsed:    now.Sub(c.received),
 		Pending:    placing.Wait(&candidates[best]),
 		Read:       candidates[best].Read,
+		Write:      c.g.load(servers[best], c.service).writeTime(c.service, &c.meta),
 		Target:     c.route.LatencyTarget,
+		Limit:      c.deadline.Sub(c.received),
 	})
 }
 
--- a/gateway/releases.go
+++ b/gateway/releases.go
@@ -193,7 +193,7 @@
 		tally.Bad++
 		g.tellEvidence(r)
 		return
-	case broken, notSent, notRun:
+	case broken, notSent, notRun, stale:
 		return // a server that crashed or lost its connections, not its version
 	}
 	if slow, known := g.paces.Slow(timing); known {
--- a/gateway/requests_test.go
+++ b/gateway/requests_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -337,3 +338,39 @@
 		}
 	}
 }
+
+// Guards against a refusal because several servers crashed together although
+// another can serve.
+func TestManyCrashedServers(t *testing.T) {
+	store := newStore(t)
+	for i := range 6 {
+		crashed := fake.NewRunner(t, fmt.Sprint("i-", i), fake.Close)
+		crashed.Stop()
+		register(store, "app", near, crashed)
+	}
+	register(store, "app", far, fake.NewRunner(t, "i-9", fake.Answer(200, "hello")))
+	e := start(t, store, "e1")
+	e.awaitServers(7)
+	if a := e.send("POST", "/book/a", "x"); a.status != 200 {
+		t.Errorf("got %d %s", a.status, a.body)
+	}
+}
+
+// Guards against an address that a server of another service has taken over: the
+// request must not be sent there again and again.
+func TestAddressTakenOver(t *testing.T) {
+	store := newStore(t)
+	taken := fake.NewRunner(t, "i-1", fake.Raw("HTTP/1.1 421 Misdirected Request\r\nX-Request-Id: ID\r\nX-Instance-Id: i-7\r\nContent-Length: 0\r\n\r\n", true))
+	register(store, "app", near, taken)
+	register(store, "app", far, fake.NewRunner(t, "i-2", fake.Answer(200, "hello")))
+	e := start(t, store, "e1")
+	e.awaitServers(2)
+	for range 5 {
+		if a := e.send("POST", "/book/a", "x"); a.status != 200 {
+			t.Errorf("got %d %s", a.status, a.body)
+		}
+	}
+	if n := len(taken.Arrivals()); n != 1 {
+		t.Errorf("the other server got %d requests", n)
+	}
+}
--- a/telemetry/log.go
+++ b/telemetry/log.go
@@ -30,6 +30,13 @@
 	return &Logger{base: base, prefix: part + ": "}
 }
 
+// Named makes all further lines of the logger and of its parts carry the name of
+// the process.
+func (l *Logger) Named(process string) *Logger {
+	l.base.Context = log.NewContext(nil).Str("process", process).Value()
+	return l
+}
+
 // Discard returns a logger that writes nothing.
 func Discard() *Logger { return NewLogger(io.Discard, "error", "discard") }
 
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 )
 
 // Guards against logs without the prefix of their part.
@@ -67,3 +68,32 @@
 		t.Error("an unknown exporter was accepted")
 	}
 }
+
+// Guards against durations that are counted in the wrong bucket or not at all.
+func TestHistogram(t *testing.T) {
+	m := NewMetrics()
+	for _, d := range []time.Duration{time.Millisecond, 5 * time.Millisecond, 6 * time.Millisecond, time.Minute} {
+		m.Observe("answer", d)
+	}
+	w := httptest.NewRecorder()
+	m.ServeHTTP(w, nil)
+	var doc struct {
+		Hyssoploom struct {
+			Answer struct {
+				Buckets []struct {
+					Le    int64 `json:"le_ms"`
+					Count int64
+				}
+				Count int64
+				Sum   int64 `json:"sum_ms"`
+			}
+		}
+	}
+	if err := json.Unmarshal(w.Body.Bytes(), &doc); err != nil {
+		t.Fatal(err)
+	}
+	a := doc.Hyssoploom.Answer
+	if len(a.Buckets) != len(latencyBounds) || a.Buckets[0].Count != 2 || a.Buckets[1].Count != 3 || a.Count != 4 || a.Sum != 60012 {
+		t.Errorf("got %+v", a)
+	}
+}
