Requests on the platform are charged

Each request with a workspace gives one ledger row for each model that ran it (one for a plain service).

--- a/cli/root.go
+++ b/cli/root.go
@@ -8,11 +8,13 @@
 	"io"
 	"os"
 	"os/user"
+	"strings"
 
 	"github.com/spf13/cobra"
 
 	"hyssoploom/config"
 	"hyssoploom/dialect"
+	"hyssoploom/platform"
 )
 
 // The environment variables that stand in for flags.
@@ -21,6 +23,9 @@
 	EnvWriter = "HYSSOPLOOM_WRITER"
 )
 
+// platformScheme before a host:port names the store of the users' platform.
+const platformScheme = "kv://"
+
 // globals are the values of the flags that all commands share.
 type globals struct {
 	storeURL string
@@ -46,7 +51,7 @@
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return Exit(CodeUsage, "%w", err) })
 	flags := root.PersistentFlags()
-	flags.StringVar(&g.storeURL, "store", os.Getenv(EnvStore), "base URL of the platform's store (env "+EnvStore+")")
+	flags.StringVar(&g.storeURL, "store", os.Getenv(EnvStore), "base URL of the store, or "+platformScheme+"HOST:PORT on the users' platform (env "+EnvStore+")")
 	flags.StringVar(&g.writer, "writer", defaultWriter(), "name recorded as the writer of changes (env "+EnvWriter+")")
 	root.AddCommand(g.checkCommand(), g.applyCommand(), g.diffCommand(), g.getCommand(), g.statusCommand(),
 		g.quarantineCommand(), g.billCommand(), explainCommand(), versionCommand())
@@ -94,6 +99,9 @@
 	if g.storeURL == "" {
 		return nil, Exit(CodeUsage, "no store: set --store or %s", EnvStore)
 	}
+	if address, ok := strings.CutPrefix(g.storeURL, platformScheme); ok {
+		return platform.ProductStore{Store: platform.NewStore(address)}, nil
+	}
 	return dialect.NewHTTPStore(g.storeURL), nil
 }
 
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/gorilla/mux"
+	"github.com/oklog/ulid/v2"
 	"github.com/phuslu/log"
 	"github.com/spf13/cobra"
 	"github.com/thejerf/suture/v4"
@@ -135,6 +136,8 @@
 		Store:    store,
 		Records:  records,
 		Self:     self,
+		Charges:  platform.ProductStore{Store: store},
+		BootID:   ulid.Make().String(),
 	})
 	key, value := records.PeerItem(self)
 	tree := supervise.New("gateway", logger.Part("supervisor"))
@@ -148,6 +151,7 @@
 	}
 	tree.Add(supervise.Func{Name: "peers", Run: func(ctx context.Context) error { return g.ServePeers(ctx, peerListener) }})
 	tree.Add(supervise.Func{Name: "duty", Run: g.ServeDuty})
+	tree.Add(supervise.Func{Name: "ledger", Run: g.ServeLedger})
 	tree.Add(supervise.HTTP("ready", ready, http.HandlerFunc(g.ServeReady)))
 	if s.MetricsListen != "" {
 		metricsListener, err := listen(path, "metrics_listen", s.MetricsListen)
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -89,6 +89,17 @@
 	Models      []Model
 }
 
+// Price returns the price of 1,000 tokens that a model generates; 0 for a model
+// that the engines do not name.
+func (e *Engine) Price(model string) float64 {
+	for _, m := range e.Models {
+		if m.Name == model {
+			return m.Cost
+		}
+	}
+	return 0
+}
+
 // Service is a set of interchangeable backend servers.
 type Service struct {
 	Name           string
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,6 +12,7 @@
 
 	"hyssoploom/backend"
 	"hyssoploom/fleet"
+	"hyssoploom/ledger"
 	"hyssoploom/limits"
 	"hyssoploom/peers"
 	"hyssoploom/release"
@@ -32,8 +33,9 @@
 	// leaveTime is how long new connections are still taken after SIGTERM, while
 	// the balancer learns that this entry is not ready.
 	leaveTime = 2500 * time.Millisecond
-	// stopMargin is kept between the end of the drain and SIGKILL.
-	stopMargin = 300 * time.Millisecond
+	// stopMargin is kept between the end of the drain and SIGKILL; the last charges
+	// are written in it.
+	stopMargin = 500 * time.Millisecond
 	// cleanInterval is the pause between clean-ups of what is kept per server.
 	cleanInterval = time.Second
 )
@@ -52,6 +54,10 @@
 	Records Records
 	// Self is this entry.
 	Self fleet.Peer
+	// Charges takes the charges of requests; nil charges nothing. BootID is unique
+	// to this process.
+	Charges ledger.BatchStore
+	BootID  string
 }
 
 // Records encodes records for the store.
@@ -84,6 +90,14 @@
 	releaseRevision int64
 
 	hub *peers.Hub
+
+	// ledger writes this entry's charges; held keeps those of peers, and holds the
+	// names of these by boot id.
+	ledger *ledger.Writer
+	held   *ledger.Holder
+	holds  map[string]string
+	bootID string
+	unheld []ledger.Row // charges that no peer holds yet
 }
 
 // New returns a gateway that is ready to serve.
@@ -102,6 +116,9 @@
 	}
 	g.hub = peers.New(deps.Self, s.Seeds, g, func() map[string]fleet.Peer { return deps.State.View().Peers },
 		deps.Log.Part("peers"))
+	if deps.Charges != nil {
+		g.newLedger(deps.Charges, deps.BootID)
+	}
 	g.server = &http.Server{
 		Handler:           g,
 		ReadHeaderTimeout: readHeaderTimeout,
@@ -140,6 +157,7 @@
 	defer cancel()
 	wait(ctx, leaveTime)
 	err := g.server.Shutdown(ctx)
+	g.flushCharges(context.WithoutCancel(ctx))
 	if errors.Is(err, context.DeadlineExceeded) {
 		g.Log.Warn("Requests were cut at the end of the grace.")
 		return nil
@@ -181,6 +199,7 @@
 func (g *Gateway) cleanUp(ctx context.Context) {
 	for ctx.Err() == nil {
 		wait(ctx, cleanInterval)
+		g.adoptOrphans()
 		view := g.State.View()
 		addresses := make(map[string]bool)
 		for _, s := range view.Servers {
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -202,6 +202,7 @@
 	if reason != "" {
 		outcome = string(reason)
 	}
+	c.charge(reason == "")
 	took := time.Since(c.received)
 	c.g.Metrics.Add("outcome_"+outcome, 1)
 	if c.route != nil {
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -106,6 +106,7 @@
 	e.Gateway = gateway.New(s, gateway.Deps{
 		State: e.State, Fresh: fresh, Pool: backend.NewPool(), Protocol: platform.Protocol{}, Log: log,
 		Metrics: telemetry.NewMetrics(), Store: kv, Records: records, Self: e.Peer,
+		Charges: platform.ProductStore{Store: kv}, BootID: "boot-" + name,
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	e.Stop = cancel
@@ -116,6 +117,7 @@
 	background(t, func() { follower.Serve(ctx) })
 	background(t, func() { e.Gateway.ServePeers(ctx, peers) })
 	background(t, func() { e.Gateway.ServeDuty(ctx) })
+	background(t, func() { e.Gateway.ServeLedger(ctx) })
 	background(t, func() { e.Gateway.ServeOn(ctx, client) })
 	t.Cleanup(cancel)
 	eventually(t, "the configuration is known", e.Gateway.Ready)
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -71,6 +71,7 @@
 	if m.Reply != nil {
 		g.adopt(m.From, m.Reply)
 	}
+	g.holdCharges(m)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	view := g.State.View()
--- a/ledger/writer.go
+++ b/ledger/writer.go
@@ -39,7 +39,7 @@
 	// as that of a later attempt on another agent: its holder must keep it.
 	OnDurable func([]RowKey)
 
-	store   dialect.Store
+	store   BatchStore
 	bootID  string
 	window  func() time.Duration
 	maxRows int
@@ -81,6 +81,12 @@
 	Dropped   uint64        `json:"dropped"`    // rows not accepted
 }
 
+// BatchStore is what a Writer needs of the platform's store.
+type BatchStore interface {
+	Get(ctx context.Context, key string) (dialect.KV, error)
+	Swap(ctx context.Context, w dialect.Write) (uint64, error)
+}
+
 // WriterOption changes a Writer.
 type WriterOption func(*Writer)
 
@@ -90,7 +96,7 @@
 
 // NewWriter returns a Writer for the batches of one boot id. window returns how
 // long a commit waits for more rows; nil means DefaultWindow.
-func NewWriter(store dialect.Store, bootID string, window func() time.Duration, opts ...WriterOption) *Writer {
+func NewWriter(store BatchStore, bootID string, window func() time.Duration, opts ...WriterOption) *Writer {
 	if window == nil {
 		window = func() time.Duration { return DefaultWindow }
 	}
--- a/peers/hub.go
+++ b/peers/hub.go
@@ -186,13 +186,12 @@
 	}
 }
 
-// Send queues news for one peer.
-func (h *Hub) Send(address string, add func(to fleet.Peer, m *Message)) {
+// Send queues news for one peer and tells whether the peer is connected.
+func (h *Hub) Send(address string, add func(to fleet.Peer, m *Message)) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if l := h.links[address]; l != nil {
-		l.queue(add)
-	}
+	l := h.links[address]
+	return l != nil && l.queue(add)
 }
 
 // dialPeers keeps one link to each peer.
@@ -257,16 +256,19 @@
 
 // queue adds news to the next batch. News for a peer that is not connected is
 // dropped: the greeting of the next connection replaces it.
-func (l *link) queue(add func(to fleet.Peer, m *Message)) {
+func (l *link) queue(add func(to fleet.Peer, m *Message)) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.up {
-		return
+		return false
 	}
 	add(l.peer, &l.pending)
 	l.pending.Loads = newest(l.pending.Loads)
 	l.pending.Reads = newest(l.pending.Reads)
 	l.pending.Sessions = newest(l.pending.Sessions)
+	l.pending.Charges = newest(l.pending.Charges)
+	l.pending.Durable = newest(l.pending.Durable)
+	return true
 }
 
 func newest[T any](list []T) []T {
--- a/peers/message.go
+++ b/peers/message.go
@@ -14,6 +14,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"hyssoploom/fleet"
+	"hyssoploom/ledger"
 )
 
 // maxFrame bounds one message in bytes; a snapshot of the store is the largest.
@@ -36,6 +37,11 @@
 	Sessions []SessionUse `msgpack:"s,omitempty"`
 	// Evidence is the sender's count of answers by version.
 	Evidence []Evidence `msgpack:"e,omitempty"`
+	// Charges are rows that the sender has not written to the store yet, and
+	// Durable those that it has. Boot identifies the sender's process.
+	Boot    string          `msgpack:"b,omitempty"`
+	Charges []ledger.Row    `msgpack:"c,omitempty"`
+	Durable []ledger.RowRef `msgpack:"d,omitempty"`
 }
 
 // Ask asks a peer for what it knows of the store.
@@ -105,7 +111,7 @@
 // empty tells whether there is nothing to send.
 func (m *Message) empty() bool {
 	return m.Ask == nil && m.Reply == nil && len(m.Loads) == 0 && len(m.Reads) == 0 &&
-		len(m.Sessions) == 0 && len(m.Evidence) == 0
+		len(m.Sessions) == 0 && m.Boot == "" && len(m.Evidence) == 0
 }
 
 // writeMessage writes a length-prefixed message.
