The ledger is neither listed nor watched: configuration and servers are followed apart

The proof of keys comes from the watch on the configuration; servers, states and own keys share the second.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -120,7 +120,7 @@
 	}
 	records := &platform.Records{Regions: s.DataCentres}
 	store := platform.NewStore(s.StoreAddress)
-	state := fleet.NewState(records, time.Now)
+	state := fleet.NewState(records, time.Now, platform.ConfigPrefix, platform.ServersPrefix)
 	fresh := fleet.NewFreshness(fleet.BootTime)
 	metrics := telemetry.NewMetrics()
 	pool := backend.NewPool()
@@ -141,9 +141,14 @@
 	})
 	key, value := records.PeerItem(self)
 	tree := supervise.New("gateway", logger.Part("supervisor"))
-	follower := fleet.NewFollower(store, state, fresh, logger.Part("fleet"))
-	follower.Covered, follower.OnChange = g.Covered, g.PassOn
-	tree.Add(follower)
+	config := fleet.NewFollower(store, state, platform.ConfigPrefix, logger.Part("fleet"))
+	config.Fresh = fresh
+	servers := fleet.NewFollower(store, state, platform.ServersPrefix, logger.Part("fleet"))
+	servers.Wait = fleet.ChangeWait
+	for _, follower := range []*fleet.Follower{config, servers} {
+		follower.Covered, follower.OnChange = g.Covered, g.PassOn
+		tree.Add(follower)
+	}
 	tree.Add(fleet.NewPresence(store, key, value, logger.Part("presence")))
 	peerListener, err := listen(path, "peer_listen", s.PeerListen)
 	if err != nil {
--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -10,10 +10,13 @@
 )
 
 const (
-	// watchWait is how long a watch waits for changes. The shorter it is, the later
-	// after a loss of the store keyed requests have to be refused; each watch is
-	// paid for.
-	watchWait = 1100 * time.Millisecond
+	// ProofWait is how long a watch waits that has to prove the copy. The shorter it
+	// is, the later after a loss of the store keyed requests have to be refused; each
+	// watch is paid for.
+	ProofWait = 1100 * time.Millisecond
+	// ChangeWait is how long a watch waits that only brings changes. A connection
+	// that went silent is noticed within it.
+	ChangeWait = 2 * time.Second
 	// watchSpacing is the pause after a watch with changes; each call is paid for,
 	// and changes often come in groups.
 	watchSpacing = 80 * time.Millisecond
@@ -32,12 +35,16 @@
 // coveredPause is the pause between looks at whether a peer still covers.
 const coveredPause = 100 * time.Millisecond
 
-// Follower keeps a State equal to the store.
+// Follower keeps the part of a State under one prefix equal to the store.
 type Follower struct {
-	store Store
-	state *State
-	fresh *Freshness
-	log   *telemetry.Logger
+	store  Store
+	state  *State
+	prefix string
+	log    *telemetry.Logger
+	// Fresh, when set, takes the proofs of the copy.
+	Fresh *Freshness
+	// Wait is how long a watch waits for changes.
+	Wait time.Duration
 	// Covered, when set, tells that a peer passes on what it reads, so that this
 	// process need not call the store itself.
 	Covered func() bool
@@ -48,9 +55,24 @@
 	lostAt time.Duration
 }
 
-// NewFollower returns a follower that reports its proofs to fresh.
-func NewFollower(store Store, state *State, fresh *Freshness, log *telemetry.Logger) *Follower {
-	return &Follower{store: store, state: state, fresh: fresh, log: log}
+// NewFollower returns a follower of the keys under a prefix.
+func NewFollower(store Store, state *State, prefix string, log *telemetry.Logger) *Follower {
+	return &Follower{store: store, state: state, prefix: prefix, log: log, Wait: ProofWait}
+}
+
+// now reads the clock of the proofs.
+func (f *Follower) now() time.Duration {
+	if f.Fresh != nil {
+		return f.Fresh.Now()
+	}
+	return BootTime()
+}
+
+// prove notes up to when the copy is complete.
+func (f *Follower) prove(at time.Duration) {
+	if f.Fresh != nil {
+		f.Fresh.Prove(at)
+	}
 }
 
 // Serve follows the store until ctx ends.
@@ -60,10 +82,10 @@
 	for ctx.Err() == nil {
 		if listed && f.Covered != nil && f.Covered() {
 			sleep(ctx, coveredPause)
-			revision = max(revision, f.state.Complete())
+			revision = max(revision, f.state.CompleteUnder(f.prefix))
 			continue
 		}
-		wait := watchWait
+		wait := f.Wait
 		if failures > 0 {
 			wait = probeWait
 		}
@@ -96,40 +118,40 @@
 func (f *Follower) list(ctx context.Context, answerTime time.Duration) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, answerTime)
 	defer cancel()
-	started := f.fresh.Now()
-	items, revision, err := f.store.List(ctx, "")
+	started := f.now()
+	items, revision, err := f.store.List(ctx, f.prefix)
 	if err != nil {
 		return 0, err
 	}
 	f.noteRegained()
-	adopted, rejected := f.state.Replace(items, revision)
+	adopted, rejected := f.state.Replace(f.prefix, items, revision)
 	f.report(rejected)
-	f.state.MarkComplete(revision)
-	f.fresh.Prove(started)
-	f.log.Info("Listed the store.", "revision", revision, "items", len(items), "changed", len(adopted))
+	f.state.MarkComplete(f.prefix, revision)
+	f.prove(started)
+	f.log.Info("Listed the store.", "prefix", f.prefix, "revision", revision, "items", len(items), "changed", len(adopted))
 	return revision, nil
 }
 
 func (f *Follower) watch(ctx context.Context, after int64, wait, answerTime time.Duration) (int64, error) {
 	callCtx, cancel := context.WithTimeout(ctx, wait+answerTime)
 	defer cancel()
-	started := f.fresh.Now()
-	events, revision, err := f.store.Watch(callCtx, "", after, wait)
+	started := f.now()
+	events, revision, err := f.store.Watch(callCtx, f.prefix, after, wait)
 	if err != nil {
 		return after, err
 	}
 	f.noteRegained()
 	adopted, rejected := f.state.Apply(events)
 	f.report(rejected)
-	f.state.MarkComplete(revision)
+	f.state.MarkComplete(f.prefix, revision)
 	if f.OnChange != nil && len(adopted) > 0 {
 		f.OnChange(adopted)
 	}
 	proven := started
-	if len(events) == 0 && f.fresh.Now()-started >= wait {
+	if len(events) == 0 && f.now()-started >= wait {
 		proven += wait // the store waited this long and saw no change
 	}
-	f.fresh.Prove(proven)
+	f.prove(proven)
 	if len(events) > 0 {
 		sleep(ctx, watchSpacing)
 	}
@@ -146,8 +168,8 @@
 	if f.lost {
 		return
 	}
-	f.lost, f.lostAt = true, f.fresh.Now()
-	f.log.Warn("Lost the store.", "error", err.Error())
+	f.lost, f.lostAt = true, f.now()
+	f.log.Warn("Lost the store.", "prefix", f.prefix, "error", err.Error())
 }
 
 func (f *Follower) noteRegained() {
@@ -156,7 +178,7 @@
 	}
 	f.lost = false
 	f.state.StoreRecovered()
-	f.log.Info("Regained the store.", "lost_for", (f.fresh.Now() - f.lostAt).String())
+	f.log.Info("Regained the store.", "prefix", f.prefix, "lost_for", (f.now() - f.lostAt).String())
 }
 
 // sleep waits for d or until ctx ends.
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -28,8 +29,8 @@
 	view      View
 	published *View // nil when view has changed since
 	lapsed    map[string]time.Time
-	recovered time.Time // end of the last store outage
-	complete  int64     // revision up to which all changes are known
+	recovered time.Time        // end of the last store outage
+	complete  map[string]int64 // by prefix: revision up to which all changes are known
 	changed   chan struct{}
 }
 
@@ -51,14 +52,19 @@
 	Revision int64
 }
 
-// NewState returns an empty state.
-func NewState(decoder Decoder, now func() time.Time) *State {
+// NewState returns an empty state of the keys under some prefixes.
+func NewState(decoder Decoder, now func() time.Time, prefixes ...string) *State {
+	complete := make(map[string]int64)
+	for _, prefix := range prefixes {
+		complete[prefix] = 0
+	}
 	return &State{
-		decoder: decoder,
-		now:     now,
-		items:   make(map[string]Item),
-		lapsed:  make(map[string]time.Time),
-		changed: make(chan struct{}),
+		complete: complete,
+		decoder:  decoder,
+		now:      now,
+		items:    make(map[string]Item),
+		lapsed:   make(map[string]time.Time),
+		changed:  make(chan struct{}),
 		view: View{
 			Servers:  make(map[string]*BackendServer),
 			Out:      make(map[string]bool),
@@ -102,9 +108,9 @@
 	return s.apply(items)
 }
 
-// Replace adopts a complete listing that was read while the store was at
-// revision or later. Known keys that the listing lacks are gone.
-func (s *State) Replace(items []Item, revision int64) (adopted []Item, rejected []Rejected) {
+// Replace adopts a complete listing of the keys under a prefix that was read while
+// the store was at revision or later. Known keys that the listing lacks are gone.
+func (s *State) Replace(prefix string, items []Item, revision int64) (adopted []Item, rejected []Rejected) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	listed := make(map[string]bool, len(items))
@@ -112,7 +118,7 @@
 		listed[item.Key] = true
 	}
 	for key, known := range s.items {
-		if !listed[key] && !known.Deleted && known.Revision <= revision {
+		if strings.HasPrefix(key, prefix) && !listed[key] && !known.Deleted && known.Revision <= revision {
 			items = append(items, Item{Key: key, Revision: revision, Deleted: true})
 		}
 	}
@@ -227,14 +233,37 @@
 func (s *State) Complete() int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.complete
+	return s.completeLocked()
+}
+
+func (s *State) completeLocked() int64 {
+	least, first := int64(0), true
+	for _, revision := range s.complete {
+		if first || revision < least {
+			least, first = revision, false
+		}
+	}
+	return least
 }
 
-// MarkComplete notes that all changes up to a revision have been applied.
-func (s *State) MarkComplete(revision int64) {
+// CompleteUnder returns the revision up to which all changes under one of the
+// state's prefixes are known.
+func (s *State) CompleteUnder(prefix string) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.complete = max(s.complete, revision)
+	return s.complete[prefix]
+}
+
+// MarkComplete notes that all changes under a prefix up to a revision have been
+// applied; the empty prefix means all prefixes.
+func (s *State) MarkComplete(prefix string, revision int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for p := range s.complete {
+		if prefix == "" || prefix == p {
+			s.complete[p] = max(s.complete[p], revision)
+		}
+	}
 }
 
 // Since returns the newest item of each key that changed after a revision,
@@ -247,7 +276,7 @@
 			items = append(items, item)
 		}
 	}
-	return items, s.complete
+	return items, s.completeLocked()
 }
 
 // Item returns the newest item of a key; ok is false when it is unknown or deleted.
--- a/fleet/state_test.go
+++ b/fleet/state_test.go
@@ -63,7 +63,7 @@
 
 func newTestState() (*State, *clock) {
 	c := &clock{now: time.Unix(1000, 0)}
-	return NewState(testDecoder{}, c.Now), c
+	return NewState(testDecoder{}, c.Now, "s/", "c"), c
 }
 
 func item(key, value string, revision int64) Item {
@@ -102,12 +102,15 @@
 // that undoes a later change.
 func TestReplace(t *testing.T) {
 	s, _ := newTestState()
-	s.Apply([]Item{item("s/a", "ready", 3), item("s/b", "ready", 4), item("s/late", "ready", 9)})
-	s.Replace([]Item{item("s/b", "ready", 4), item("s/c", "ready", 6)}, 7)
+	s.Apply([]Item{item("s/a", "ready", 3), item("s/b", "ready", 4), item("s/late", "ready", 9), item("c", "5", 2)})
+	s.Replace("s/", []Item{item("s/b", "ready", 4), item("s/c", "ready", 6)}, 7)
 	v := s.View()
 	if v.Servers["a"] != nil || v.Servers["b"] == nil || v.Servers["c"] == nil || v.Servers["late"] == nil {
 		t.Errorf("servers %v", v.Servers)
 	}
+	if v.Config == nil {
+		t.Error("a listing of one prefix removed a key of another")
+	}
 	if len(v.ByService["x"]) != 3 {
 		t.Errorf("by service: %v", v.ByService["x"])
 	}
@@ -165,10 +168,10 @@
 func TestSince(t *testing.T) {
 	s, _ := newTestState()
 	s.Apply([]Item{item("s/a", "ready", 3), item("s/b", "ready", 5), {Key: "s/c", Revision: 6, Deleted: true}})
-	s.MarkComplete(6)
-	s.MarkComplete(4)
+	s.MarkComplete("", 4)
+	s.MarkComplete("s/", 6)
 	items, complete := s.Since(3)
-	if len(items) != 2 || complete != 6 {
+	if len(items) != 2 || complete != 4 {
 		t.Errorf("%v up to %d", items, complete)
 	}
 }
@@ -243,7 +246,9 @@
 		cancel()
 		return nil, 50, nil
 	}
-	NewFollower(store, state, fresh, telemetry.Discard()).Serve(ctx)
+	follower := NewFollower(store, state, "s/", telemetry.Discard())
+	follower.Fresh = fresh
+	follower.Serve(ctx)
 	if v := state.View(); lists != 2 || v.Servers["a"] != nil || v.Servers["b"] == nil || v.Servers["c"] != nil {
 		t.Errorf("%d lists, servers %v", lists, v.Servers)
 	}
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -99,7 +99,7 @@
 		Log:  &bytes.Buffer{},
 	}
 	records := &platform.Records{Regions: regions}
-	e.State = fleet.NewState(records, time.Now)
+	e.State = fleet.NewState(records, time.Now, platform.ConfigPrefix, platform.ServersPrefix)
 	fresh := fleet.NewFreshness(fleet.BootTime)
 	log := telemetry.Discard()
 	kv := platform.NewStore(store.Address())
@@ -112,9 +112,14 @@
 	e.Stop = cancel
 	k, v := records.PeerItem(e.Peer)
 	store.Put(k, v)
-	follower := fleet.NewFollower(kv, e.State, fresh, log)
-	follower.Covered, follower.OnChange = e.Gateway.Covered, e.Gateway.PassOn
-	background(t, func() { follower.Serve(ctx) })
+	for _, prefix := range []string{platform.ConfigPrefix, platform.ServersPrefix} {
+		follower := fleet.NewFollower(kv, e.State, prefix, log)
+		if prefix == platform.ConfigPrefix {
+			follower.Fresh = fresh
+		}
+		follower.Covered, follower.OnChange = e.Gateway.Covered, e.Gateway.PassOn
+		background(t, func() { follower.Serve(ctx) })
+	}
 	background(t, func() { e.Gateway.ServePeers(ctx, peers) })
 	background(t, func() { e.Gateway.ServeDuty(ctx) })
 	background(t, func() { e.Gateway.ServeLedger(ctx) })
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -151,7 +151,7 @@
 	if r.Asked == 0 {
 		return // changes alone prove nothing
 	}
-	g.State.MarkComplete(r.Revision)
+	g.State.MarkComplete("", r.Revision)
 	g.Fresh.Prove(time.Duration(r.Asked) - time.Duration(r.AgeMS)*time.Millisecond)
 	if len(adopted) > 0 {
 		g.Log.Info("Took changes of the store from a peer.", "peer", from.Name, "changes", len(adopted),
--- a/gateway/requests_test.go
+++ b/gateway/requests_test.go
@@ -212,13 +212,14 @@
 	informed := start(t, store, "e1")
 	cut := start(t, dark, "e2")
 	k, v := cut.Peer, informed.Peer
-	store.Put("hyssoploom/entries/e2", k)
-	dark.Put("hyssoploom/entries/e1", v)
+	store.Put("state/hyssoploom/entries/e2", k)
+	dark.Put("state/hyssoploom/entries/e1", v)
 	cut.awaitServers(1)
 	dark.SetFaults(fake.StoreFaults{Silent: true})
 	// The stores of the test are two; their revisions only have to grow.
 	for range 40 {
 		store.Put("op/unrelated", 1)
+		store.Put("servers/unrelated", 1)
 	}
 	changed := configuration(7)
 	changed["tenants"] = []any{map[string]any{"name": workspace, "apiKeys": []string{"key-9"}, "priority": 1}}
