--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -7,25 +7,16 @@
 	"time"
 
 	"hyssoploom/backend"
-	"hyssoploom/fleet"
-	"hyssoploom/placing"
 	"hyssoploom/release"
 )
 
 const (
-	// leastOffer is the least remaining time with which a request is still sent.
-	leastOffer = 20 * time.Millisecond
 	// maxRefusals bounds the servers that say that they did not run a request.
 	maxRefusals = 4
 	// headTime is the time to the head of an answer besides the reading of the
 	// prompt, and farTime the way to another region and back.
 	headTime = 20 * time.Millisecond
 	farTime  = 60 * time.Millisecond
-	// regionDetour is the price of a server in another region as time: the bytes
-	// between regions are paid by volume and the way takes 60 ms.
-	regionDetour = 250 * time.Millisecond
-	// centreDetour is the price of another data centre of the same region.
-	centreDetour = 60 * time.Millisecond
 )
 
 // attemptLog is what the log says about one attempt.
@@ -122,140 +113,6 @@
 	}
 }
 
-// target is the choice for one attempt.
-type target struct {
-	server *fleet.BackendServer
-	load   *load
-	model  string
-	// final tells that the answer is kept whatever the model's confidence is.
-	final bool
-	read  time.Duration // expected to read the prompt
-	wait  time.Duration // expected before that
-	work  time.Duration // what of read still counts as pending at the server
-	// running is the number of requests that the server had.
-	running int
-}
-
-// choose picks a backend server for the next attempt and counts the request
-// there.
-func (c *call) choose() (target, bool) {
-	if time.Until(c.deadline) < leastOffer || c.service == nil {
-		return target{}, false
-	}
-	c.view = c.g.State.View()
-	g := c.g
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := time.Now()
-	t := target{final: true}
-	entries := g.Entries() + 1 // one more may have joined that the others do not know
-	budget := g.budget(c.service.Name)
-	if c.model >= 0 {
-		t.model = c.route.Models[c.model]
-		last := len(c.route.Models) - 1
-		t.final = c.model == last || c.ran+1 >= c.route.MaxAttempts || c.stream.begun || budget.Left(now, entries) <= 1
-	}
-	if c.sends > 0 && !budget.Take(now, entries, 0) {
-		return target{}, false
-	}
-	servers, candidates := c.candidates(t.model, now, entries)
-	i := placing.Choose(candidates, c.affinity(), g.rng)
-	if i < 0 {
-		return target{}, false
-	}
-	t.server, t.read, t.wait = servers[i], candidates[i].Read, placing.Wait(&candidates[i])
-	t.work = t.read
-	t.load = g.load(t.server, c.service)
-	t.running = t.load.running + t.load.remoteRunning
-	g.cold.Sent(now, t.server.ID)
-	g.placed(c, &t)
-	return t, true
-}
-
-// candidates returns the servers that may take the request, of the version that
-// a roll-out gives it. When none of that version is left, the other serves.
-func (c *call) candidates(model string, now time.Time, entries int) ([]*fleet.BackendServer, []placing.Candidate) {
-	var servers []*fleet.BackendServer
-	for _, s := range c.view.ByService[c.service.Name] {
-		if c.allowed(s, now, entries) {
-			servers = append(servers, s)
-		}
-	}
-	servers = c.ofVersion(servers, now, entries)
-	candidates := make([]placing.Candidate, len(servers))
-	for i, s := range servers {
-		candidates[i] = c.candidate(s, model, now)
-	}
-	return servers, candidates
-}
-
-// allowed filters the servers that may take the request.
-func (c *call) allowed(s *fleet.BackendServer, now time.Time, entries int) bool {
-	g := c.g
-	switch {
-	case s.Draining, c.view.Out[s.DataCentre], c.tried[s.ID]:
-		return false
-	case !inRegions(s.Region, c.route.Regions):
-		return false
-	case c.workspace != nil && !inRegions(s.Region, c.workspace.Regions):
-		return false
-	case g.load(s, c.service).wrongAddress == s.Address:
-		return false
-	case c.service.ColdRate > 0 && s.ColdAt(now) && !g.cold.Room(now, s.ID, c.service.ColdRate, entries):
-		return false
-	}
-	return true
-}
-
-func inRegions(region string, allowed []string) bool {
-	if len(allowed) == 0 {
-		return true
-	}
-	for _, a := range allowed {
-		if a == region {
-			return true
-		}
-	}
-	return false
-}
-
-func (c *call) candidate(s *fleet.BackendServer, model string, now time.Time) placing.Candidate {
-	l := c.g.load(s, c.service)
-	p := placing.Candidate{
-		ID: s.ID, Pending: l.pending + l.remotePending, Running: l.running + l.remoteRunning,
-		Slots: s.Slots, Suspect: now.Before(l.suspectUntil),
-	}
-	if l.cache != nil {
-		name := c.modelName(model)
-		unread := c.meta.PromptTokens - l.cache.held(name, c.prompt)
-		p.Read = time.Duration(float64(readTime(c.service, name, max(unread, 0))) * c.g.ratios.of(name))
-	}
-	switch {
-	case s.Region != c.g.settings.Region:
-		p.Detour = regionDetour
-	case s.DataCentre != c.g.settings.DataCentre:
-		p.Detour = centreDetour
-	}
-	return p
-}
-
-// modelName is the model that an attempt runs on.
-func (c *call) modelName(chosen string) string {
-	if chosen != "" {
-		return chosen
-	}
-	return c.meta.Model
-}
-
-// affinity is the key by which requests with a common prompt meet: the last part
-// that other requests share; 0 when there is none.
-func (c *call) affinity() uint64 {
-	if parts := shared(c.prompt); len(parts) > 0 {
-		return parts[len(parts)-1].Key
-	}
-	return 0
-}
-
 // attempt sends the request to one server and deals with its answer.
 func (c *call) attempt(t target) (outcome, *savedAnswer) {
 	started := time.Now()
