release: a version gets its exposure and no more until the duration nearly ends

The version fails only under several times the load of full service, so no answer fails before the roll-out is completed, and the ramp (a quarter at .53, all at .66 of the duration) took three times its exposure. Change: canaries get .4 of the allowed share; sessions move in the last .07 of the duration (a step of .3 in the .06 before); the exposure is a budget at every step; completed at the latest at .972.

--- a/gateway/duty.go
+++ b/gateway/duty.go
@@ -104,7 +104,7 @@
 	switch {
 	case r.bad:
 		wanted = fleet.RolledBack
-	case p.Complete():
+	case p.Complete(g.exposure()):
 		wanted = fleet.Completed
 	}
 	if wanted == fleet.InProgress && view.Statuses[r.Service].Revision > r.Revision {
--- a/gateway/releases.go
+++ b/gateway/releases.go
@@ -115,10 +115,15 @@
 	return target
 }
 
+// exposure is what the deployment allows a version that may be bad.
+func (g *Gateway) exposure() release.Limits {
+	return release.Limits{Share: g.settings.Bounds.ExposureShare, Slack: g.settings.Bounds.ExposureSlack}
+}
+
 func (c *call) assignment(r *releaseState, p release.Progress, now time.Time, entries int) release.Assignment {
 	a := release.Assignment{
 		Progress: p,
-		Limits:   release.Limits{Share: c.g.settings.Bounds.ExposureShare, Slack: c.g.settings.Bounds.ExposureSlack},
+		Limits:   c.g.exposure(),
 		Entries:  entries,
 	}
 	key, ok := c.sessionKey()
--- a/release/plan.go
+++ b/release/plan.go
@@ -10,14 +10,29 @@
 	// settleTime passes before the first session moves, so that all entries know
 	// the order and the sessions of their peers.
 	settleTime = 1200 * time.Millisecond
-	// canaryShare is the part of the sessions that may use the new version in the
-	// first half, as a part of the exposure that the deployment allows.
-	canaryShare = 0.8
-	// budgetShare is the part of the exposure limit that an entry uses itself.
-	budgetShare = 0.85
-	// latestCompletion is the part of the duration after which a good version is
-	// completed although requests still run on the old one.
-	latestCompletion = 0.92
+	// canaryShare is the part of the sessions that may use the new version until
+	// the last steps, as a part of the exposure that the deployment allows.
+	canaryShare = 0.4
+	// moveWindow is the last part of the duration, in which all sessions move. A
+	// version whose failures show only then has served little more than this part
+	// of the requests when the duration ends. At most moveShare of the exposure
+	// that the deployment allows is spent on it.
+	moveWindow = 0.07
+	moveShare  = 0.5
+	// burstMargin is how much more load than the average the window may carry.
+	burstMargin = 1.25
+	// cutover is the part of the window after which a good version is completed
+	// although requests still run on the old one.
+	cutover = 0.6
+	// halfStep and halfShare are the step before the window, as a part of the
+	// duration before it, and the part of the sessions that may move then.
+	halfStep  = 0.06
+	halfShare = 0.3
+	// slackShare is the part of the exposure slack that an entry uses itself; the
+	// rest is for counts of peers on their way.
+	slackShare = 0.5
+	// firstHalf is the part of the duration in which sessions stay where they are.
+	firstHalf = 0.53
 	// leastEvidence is the number of answers of the new version that the fleet
 	// needs before more sessions move to it.
 	leastEvidence = 15
@@ -27,11 +42,6 @@
 	lateEvidence = 3
 )
 
-// ramp are the shares of the sessions that use the new version, by the part of
-// the roll-out's duration that has passed. During the first half, sessions must
-// stay where they are.
-var ramp = []struct{ from, share float64 }{{0.53, 0.25}, {0.60, 0.5}, {0.66, 1}}
-
 // Tally counts the answers of one version.
 type Tally struct {
 	Sent, Good, Bad int
@@ -94,6 +104,9 @@
 	Slack int
 }
 
+// moveWindow is the last part of the duration, in which all sessions move.
+func (l Limits) moveWindow() float64 { return min(moveWindow, l.Share*moveShare) }
+
 // Progress is how far a roll-out has come.
 type Progress struct {
 	Elapsed, Duration time.Duration
@@ -112,20 +125,18 @@
 	if p.Elapsed < settleTime || !p.TargetReady {
 		return 0
 	}
-	share := l.Share * canaryShare
-	if !p.trusted() {
-		return share
+	start := 1 - l.moveWindow()
+	switch {
+	case p.trusted() && p.part() >= start:
+		return 1
+	case p.trusted() && p.part() >= start-halfStep:
+		return max(halfShare, l.Share*canaryShare)
 	}
-	for _, step := range ramp {
-		if p.part() >= step.from {
-			share = step.share
-		}
-	}
-	return share
+	return l.Share * canaryShare
 }
 
 // Movable tells whether sessions in use may change to the new version.
-func (p *Progress) Movable() bool { return p.part() >= ramp[0].from }
+func (p *Progress) Movable() bool { return p.part() >= firstHalf }
 
 // trusted tells whether the new version has answered often enough to get more
 // than the exposure that the deployment allows for unknown versions.
@@ -135,10 +146,14 @@
 }
 
 // withinBudget tells whether this entry may send another request to the new
-// version while little is known of it.
+// version. Before the last step, the exposure of that step is kept in reserve.
 func (p *Progress) withinBudget(l Limits, entries int) bool {
+	share := l.Share
+	if window := l.moveWindow(); p.part() < 1-window {
+		share -= window * burstMargin
+	}
 	sent := p.Own.Old.Sent + p.Own.Target.Sent
-	allowed := l.Share*budgetShare*float64(sent) + float64(l.Slack)*budgetShare/float64(entries)
+	allowed := share*float64(sent) + float64(l.Slack)*slackShare/float64(entries)
 	return float64(p.Own.Target.Sent) < allowed
 }
 
@@ -167,14 +182,15 @@
 	if a.Bound && !a.Movable() {
 		return false
 	}
-	return a.Movable() && a.trusted() || a.withinBudget(a.Limits, a.Entries)
+	return a.withinBudget(a.Limits, a.Entries)
 }
 
 // Complete tells whether a roll-out is finished: all sessions use the new
 // version and the old one is idle, or the time runs out.
-func (p *Progress) Complete() bool {
-	if !p.TargetReady || !p.trusted() || p.part() < ramp[len(ramp)-1].from {
+func (p *Progress) Complete(l Limits) bool {
+	window := l.moveWindow()
+	if !p.TargetReady || !p.trusted() || p.part() < 1-window {
 		return false
 	}
-	return p.OldRunning == 0 || p.part() >= latestCompletion
+	return p.OldRunning == 0 || p.part() >= 1-window*(1-cutover)
 }
--- a/release/release_test.go
+++ b/release/release_test.go
@@ -70,13 +70,15 @@
 		{"not a canary", progress(3*time.Second, 100), 0.2, false, false, false},
 		{"canary in use on the old version", progress(9*time.Second, 100), 0.01, true, false, false},
 		{"in use on the new version", progress(9*time.Second, 100), 0.9, true, true, true},
-		{"second half, in use, within the step", progress(11*time.Second, 100), 0.2, true, false, true},
-		{"second half, beyond the step", progress(11*time.Second, 100), 0.4, true, false, false},
-		{"second half without evidence", progress(11*time.Second, 2), 0.2, true, false, false},
+		{"second half, canary in use on the old version", progress(11*time.Second, 100), 0.01, true, false, true},
+		{"second half, not a canary", progress(11*time.Second, 100), 0.2, true, false, false},
 		{"second half without evidence, canary", progress(11*time.Second, 2), 0.01, true, false, true},
-		{"all move", progress(14*time.Second, 100), 0.999, true, false, true},
-		{"late with little evidence", progress(15*time.Second, 3), 0.999, true, false, true},
-		{"late with none", progress(15*time.Second, 2), 0.999, true, false, false},
+		{"half step", progress(17800*time.Millisecond, 100), 0.2, true, false, true},
+		{"half step, beyond it", progress(17800*time.Millisecond, 100), 0.4, true, false, false},
+		{"half step without evidence", progress(17800*time.Millisecond, 2), 0.2, true, false, false},
+		{"all move", progress(18800*time.Millisecond, 100), 0.999, true, false, true},
+		{"late with little evidence", progress(18800*time.Millisecond, 3), 0.999, true, false, true},
+		{"late with none", progress(18800*time.Millisecond, 2), 0.999, true, false, false},
 	} {
 		a := Assignment{Progress: c.p, Limits: limits, Entries: 7, Position: c.position, Bound: c.bound, OnTarget: c.onTarget}
 		if got := UseTarget(a); got != c.want {
@@ -126,6 +128,52 @@
 	}
 }
 
+// Guards against a version whose failures show too late, or never before it is
+// completed: until the time of the roll-out ends, it must not get more than its
+// exposure. The load bursts at any moment.
+func TestExposureOfVersionFoundBadTooLate(t *testing.T) {
+	const (
+		entries  = 6
+		duration = 24 * time.Second
+	)
+	limits := Limits{Share: 0.15, Slack: 30}
+	for seed := range uint64(40) {
+		rng := rand.New(rand.NewPCG(seed, 6))
+		burstAt := time.Duration(rng.Int64N(int64(duration)))
+		var fleet [entries]Evidence
+		total, exposed, completed := 0, 0, false
+		for now := time.Duration(0); now < duration; now += 16 * time.Millisecond {
+			p := Progress{Elapsed: now, Duration: duration, TargetReady: true}
+			for _, e := range fleet {
+				p.Evidence.Old, p.Evidence.Target = p.Evidence.Old.Add(e.Old), p.Evidence.Target.Add(e.Target)
+			}
+			p.Evidence.Target.Good = p.Evidence.Target.Sent
+			completed = completed || p.Complete(limits)
+			requests := 1
+			if now >= burstAt && now < burstAt+5*time.Second {
+				requests += rng.IntN(2)
+			}
+			for range requests {
+				i := rng.IntN(entries)
+				p.Own = fleet[i]
+				total++
+				if completed || UseTarget(Assignment{Progress: p, Limits: limits, Entries: entries, Position: rng.Float64()}) {
+					exposed++
+					fleet[i].Target.Sent++
+				} else {
+					fleet[i].Old.Sent++
+				}
+			}
+		}
+		if !completed {
+			t.Errorf("seed %d: a version without failures is not completed", seed)
+		}
+		if allowed := limits.Share*float64(total) + float64(limits.Slack); float64(exposed) > allowed {
+			t.Errorf("seed %d: %d of %d requests, allowed are %.0f", seed, exposed, total, allowed)
+		}
+	}
+}
+
 // Guards against bad versions that are found late, and good ones that are rolled
 // back because both versions fail now and then.
 func TestBad(t *testing.T) {
@@ -176,16 +224,16 @@
 		want       bool
 	}{
 		{"first half", 9 * time.Second, 100, 0, true, false},
-		{"sessions still move", 12 * time.Second, 100, 0, true, false},
-		{"all moved", 14 * time.Second, 100, 0, true, true},
-		{"old requests run", 14 * time.Second, 100, 3, true, false},
-		{"time runs out", 19 * time.Second, 100, 3, true, true},
-		{"no evidence", 19 * time.Second, 0, 0, true, false},
-		{"no server", 19 * time.Second, 100, 0, false, false},
+		{"before the last step", 18 * time.Second, 100, 0, true, false},
+		{"all moved", 18800 * time.Millisecond, 100, 0, true, true},
+		{"old requests run", 18800 * time.Millisecond, 100, 3, true, false},
+		{"time runs out", 19500 * time.Millisecond, 100, 3, true, true},
+		{"no evidence", 19500 * time.Millisecond, 0, 0, true, false},
+		{"no server", 19500 * time.Millisecond, 100, 0, false, false},
 	} {
 		p := progress(c.elapsed, c.good)
 		p.OldRunning, p.TargetReady = c.runs, c.ready
-		if got := p.Complete(); got != c.want {
+		if got := p.Complete(Limits{Share: 0.15, Slack: 30}); got != c.want {
 			t.Errorf("%s: %v", c.name, got)
 		}
 	}
