attempt: one loop decides what may be sent again, for all dialects

Gateway, chat completions and plain services each had a loop with rules of its own. They now share attempt.Run; what differs is the policy (runs, refusals, repeatable) and how one send is made.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -10,6 +10,7 @@
 
 	"go.opentelemetry.io/otel/attribute"
 
+	"hyssoploom/attempt"
 	"hyssoploom/ledger"
 	"hyssoploom/link"
 	"hyssoploom/rollout"
@@ -42,51 +43,75 @@
 	text    strings.Builder
 	tokens  int64
 	refused *link.Refusal // last refusal
+	// except is the version that the request gave up for another one, and waited
+	// the time spent without a backend server.
+	except string
+	waited time.Duration
+	// result is the answer, err the reason why there is none.
+	result *answer
+	err    *apiError
 }
 
-// runStage produces the answer of one stage.
+// runStage produces the answer of one stage. How often it is sent is bounded by
+// the retry budget, asked in retry.
 func (ch *chat) runStage(ctx context.Context, index int, out *output, gated bool) (*answer, *apiError) {
 	run := &stageRun{chat: ch, index: index, stage: &ch.stages[index], out: out, gated: gated, tried: make(map[string]bool)}
-	except := ""
-	var waited time.Duration
+	attempt.Run(attempt.Policy{Repeatable: true}, &attempt.Progress{}, func() (attempt.Outcome, bool) {
+		peer := run.next(ctx)
+		if peer == nil {
+			return 0, false
+		}
+		return run.try(ctx, peer), true
+	})
+	return run.result, run.err
+}
+
+// next returns the backend server of the next attempt. It waits for one that
+// becomes available; without one it returns nil and sets the error.
+func (run *stageRun) next(ctx context.Context) *peer {
 	for {
-		if err := run.renewVersion(ctx, except); err != nil {
-			return nil, err
+		if run.err = run.renewVersion(ctx, run.except); run.err != nil {
+			return nil
 		}
 		peer, err := run.pick()
-		if err != nil {
-			if waited >= noEndpointWait || run.allRefused() {
-				return nil, run.noEndpoint(err)
-			}
-			waited += pollInterval
-			if !sleep(ctx, pollInterval) {
-				return nil, run.timedOut()
-			}
-			continue
+		if err == nil {
+			return peer
+		}
+		if run.waited >= noEndpointWait || run.allRefused() {
+			run.err = run.noEndpoint(err)
+			return nil
 		}
-		result, next := run.try(ctx, peer)
-		switch {
-		case result != nil:
-			return result, nil
-		case next.err != nil:
-			return nil, next.err
-		case next.avoidVersion && run.stage.chosenHere && except == "":
-			except = run.stage.version
-			delete(run.pins, run.stage.model)
-			run.stage.bound = false
-			run.refused = nil
-			clear(run.tried)
-		case next.avoidVersion:
-			// The session already uses the version: wait for ratings.
-			run.refused = nil
-			clear(run.tried)
-			if !sleep(ctx, pollInterval) {
-				return nil, run.timedOut()
-			}
+		run.waited += pollInterval
+		if !sleep(ctx, pollInterval) {
+			run.err = run.timedOut()
+			return nil
 		}
 	}
 }
 
+// avoidVersion is called when the exposure of the version is used up: a new
+// session takes another one, and one that already uses it waits for ratings.
+func (run *stageRun) avoidVersion(ctx context.Context) attempt.Outcome {
+	run.refused = nil
+	clear(run.tried)
+	if run.stage.chosenHere && run.except == "" {
+		run.except = run.stage.version
+		delete(run.pins, run.stage.model)
+		run.stage.bound = false
+		return attempt.NotRun
+	}
+	if !sleep(ctx, pollInterval) {
+		return run.end(run.timedOut())
+	}
+	return attempt.NotRun
+}
+
+// end ends the request with an error.
+func (run *stageRun) end(err *apiError) attempt.Outcome {
+	run.err = err
+	return attempt.Ended
+}
+
 // renewVersion checks the version against the newest records. An answer of which
 // the caller has seen a part cannot go on on another version.
 func (run *stageRun) renewVersion(ctx context.Context, except string) *apiError {
@@ -114,14 +139,8 @@
 	return e.pick(request)
 }
 
-// follow says how to go on after an attempt that gave no answer.
-type follow struct {
-	err          *apiError // end of the request
-	avoidVersion bool      // another version should take a new session
-}
-
 // try runs one attempt on one backend server.
-func (run *stageRun) try(ctx context.Context, p *peer) (*answer, follow) {
+func (run *stageRun) try(ctx context.Context, p *peer) attempt.Outcome {
 	run.tried[p.name] = true
 	ctx, span := run.entry.deps.Tracing.Tracer.Start(ctx, "link")
 	defer span.End()
@@ -133,25 +152,26 @@
 	began := time.Now()
 	stream, err := p.client.Open(ctx, run.request(ctx, p))
 	if err != nil {
-		return nil, run.afterBreak(ctx, p, err)
+		return run.afterBreak(ctx, p, err)
 	}
 	err = run.receive(ctx, stream)
 	if !errors.Is(err, io.EOF) {
 		stream.Cancel()
-		return nil, run.afterBreak(ctx, p, err)
+		return run.afterBreak(ctx, p, err)
 	}
 	end := stream.End()
 	run.handed = true
 	run.entry.charge(p, end.Charge)
 	if !end.Complete {
-		return nil, run.afterFailure(p, end)
+		return run.afterFailure(p, end)
 	}
 	run.entry.answerTime.add(time.Since(began))
-	return &answer{
+	run.result = &answer{
 		stage: run.index, model: run.stage.model, version: run.stage.version,
 		text: run.text.String(), tokensIn: end.TokensIn, tokensOut: end.TokensOut,
 		finishReason: end.FinishReason, backend: p.name,
-	}, follow{}
+	}
+	return attempt.Delivered
 }
 
 // receive passes on the payloads until the end of the stream.
@@ -198,26 +218,29 @@
 }
 
 // afterBreak decides what follows a refusal or a lost stream.
-func (run *stageRun) afterBreak(ctx context.Context, p *peer, err error) follow {
+func (run *stageRun) afterBreak(ctx context.Context, p *peer, err error) attempt.Outcome {
 	var refused *link.RefusedError
 	var broken *link.BrokenError
 	var notSent *link.NotSentError
 	switch {
 	case errors.As(err, &refused):
 		if refused.Refusal.Code == link.CodeDeadline {
-			return follow{err: run.timedOut()}
+			return run.end(run.timedOut())
+		}
+		if refused.Refusal.Code == "exposure_budget" {
+			return run.avoidVersion(ctx)
 		}
 		run.refused = &refused.Refusal
-		return follow{avoidVersion: refused.Refusal.Code == "exposure_budget"}
+		return attempt.NotRun
 	case errors.As(err, &notSent):
-		return follow{}
+		return attempt.NotSent
 	case errors.Is(err, errCallerGone):
 		run.chargeCut()
-		return follow{err: callerGone()}
+		return run.end(callerGone())
 	case ctx.Err() != nil:
 		run.handed = true
 		run.chargeCut()
-		return follow{err: run.timedOut()}
+		return run.end(run.timedOut())
 	case errors.As(err, &broken):
 		run.handed = run.handed || broken.Handed
 		if broken.Handed {
@@ -228,47 +251,47 @@
 		run.chargeCut()
 	}
 	run.entry.log.Warn("Attempt was lost.", "request", run.requestID, "backend_server", p.name, "error", err.Error())
-	return run.retry("attempt_lost", err.Error())
+	return run.retry(attempt.Broken, "attempt_lost", err.Error())
 }
 
 // afterFailure decides what follows an answer that the backend server cut.
-func (run *stageRun) afterFailure(p *peer, end *link.End) follow {
+func (run *stageRun) afterFailure(p *peer, end *link.End) attempt.Outcome {
 	run.entry.log.Warn("Attempt failed.", "request", run.requestID, "backend_server", p.name, "code", end.Code)
 	switch {
 	case end.Moved():
-		return run.resume(end.Code, end.Message)
+		return run.resume(attempt.Broken, end.Code, end.Message)
 	case end.Code == link.CodeDeadline:
-		return follow{err: run.timedOut()}
+		return run.end(run.timedOut())
 	case end.Code == link.CodeRejected:
 		err := run.failed(end.Code, end.Message)
 		err.Status = http.StatusBadRequest
-		return follow{err: err}
+		return run.end(err)
 	}
-	return run.retry(end.Code, end.Message)
+	return run.retry(attempt.Failed, end.Code, end.Message)
 }
 
 // retry allows another attempt within the retry budget.
-func (run *stageRun) retry(code, message string) follow {
+func (run *stageRun) retry(o attempt.Outcome, code, message string) attempt.Outcome {
 	if !run.entry.budgets.allow(run.workspace.Name) {
-		return follow{err: run.failed(code, message+"; the retry budget is used up")}
+		return run.end(run.failed(code, message+"; the retry budget is used up"))
 	}
-	return run.resume(code, message)
+	return run.resume(o, code, message)
 }
 
 // resume goes on with another attempt. A caller that has seen a part of the
 // answer needs an engine that can continue it. A planned move comes here directly: it
 // must not be cut because many answers are moved at once.
-func (run *stageRun) resume(code, message string) follow {
+func (run *stageRun) resume(o attempt.Outcome, code, message string) attempt.Outcome {
 	visible := run.tokens > 0 && !run.gated && run.out.streaming()
 	if visible && !run.entry.links.resumable(run.stage.model, run.stage.version, run.tried) {
-		return follow{err: run.failed(code, message+"; no other backend server can resume the answer")}
+		return run.end(run.failed(code, message+"; no other backend server can resume the answer"))
 	}
 	if !visible {
 		run.text.Reset()
 		run.tokens = 0
 	}
 	run.entry.metrics.Add("retries", 1)
-	return follow{}
+	return o
 }
 
 // chargeCut charges what this entry has received of an attempt whose end it
--- a/entry/service.go
+++ b/entry/service.go
@@ -12,6 +12,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/propagation"
 
+	"hyssoploom/attempt"
 	"hyssoploom/config"
 	"hyssoploom/ledger"
 	"hyssoploom/link"
@@ -128,23 +129,38 @@
 	body   []byte
 }
 
+// send offers the call to backend servers until it is answered or may not be
+// sent again; then the error says why.
+func (s *serviceCall) send(ctx context.Context, repeatable bool) (*serviceAnswer, error) {
+	var result *serviceAnswer
+	var err error
+	var progress attempt.Progress
+	attempt.Run(attempt.Policy{Repeatable: repeatable}, &progress, func() (attempt.Outcome, bool) {
+		if progress.MayHaveRun() && !s.entry.budgets.allow(s.workspace.Name) {
+			err = fmt.Errorf("%w; the retry budget is used up", err)
+			return 0, false
+		}
+		var outcome attempt.Outcome
+		result, outcome, err = s.tryNext(ctx)
+		return outcome, !errors.Is(err, errNoPeer)
+	})
+	return result, err
+}
+
 // repeatable sends a call until an attempt gives an answer.
 func (s *serviceCall) repeatable(ctx context.Context, w http.ResponseWriter) *apiError {
-	for {
-		result, err := s.tryNext(ctx)
-		switch {
-		case err == nil:
-			return s.answer(ctx, w, result)
-		case errors.Is(err, errNoPeer):
-			return s.notServed(err)
-		case ctx.Err() != nil:
-			err := s.failure("deadline_exceeded", "the service did not answer in time")
-			err.Status = http.StatusGatewayTimeout
-			return err
-		case s.handed && !s.entry.budgets.allow(s.workspace.Name):
-			return s.failure("attempt_lost", err.Error()+"; the retry budget is used up")
-		}
+	result, err := s.send(ctx, true)
+	switch {
+	case err == nil:
+		return s.answer(ctx, w, result)
+	case errors.Is(err, errNoPeer):
+		return s.notServed(err)
+	case ctx.Err() != nil:
+		err := s.failure("deadline_exceeded", "the service did not answer in time")
+		err.Status = http.StatusGatewayTimeout
+		return err
 	}
+	return s.failure("attempt_lost", err.Error())
 }
 
 // atMostOnce runs a call that may not be repeated under its record.
@@ -186,24 +202,17 @@
 }
 
 // runReserved offers the reserved call to agents until one takes it. Only the
-// agent that moves the record to started calls the service.
+// agent that moves the record to started calls the service; as long as none has,
+// the reservation is still there and another agent may take it.
 func (s *serviceCall) runReserved(ctx context.Context, w http.ResponseWriter) *apiError {
-	for {
-		result, err := s.tryNext(ctx)
-		var refused *link.RefusedError
-		var notSent *link.NotSentError
-		var broken *link.BrokenError
-		switch {
-		case err == nil:
-			return s.answer(ctx, w, result)
-		case errors.As(err, &refused), errors.As(err, &notSent), errors.As(err, &broken) && !broken.Handed:
-			// The reservation is still there: another agent may take it.
-		case errors.Is(err, errNoPeer):
-			return s.cancel(ctx, w, s.notServed(err))
-		default:
-			return s.awaitOutcome(ctx, w, err)
-		}
+	result, err := s.send(ctx, false)
+	switch {
+	case err == nil:
+		return s.answer(ctx, w, result)
+	case errors.Is(err, errNoPeer):
+		return s.cancel(ctx, w, s.notServed(err))
 	}
+	return s.awaitOutcome(ctx, w, err)
 }
 
 // cancel withdraws the reservation; only then is "not run" certain.
@@ -248,13 +257,13 @@
 var errNoPeer = errors.New("no backend server takes the call")
 
 // tryNext makes one attempt on a backend server that was not tried yet.
-func (s *serviceCall) tryNext(ctx context.Context) (*serviceAnswer, error) {
+func (s *serviceCall) tryNext(ctx context.Context) (*serviceAnswer, attempt.Outcome, error) {
 	e := s.entry
 	p, err := e.pick(route.Request{
 		Service: s.service.Name, DataCentre: e.settings.DataCentre, Region: e.region(), Tried: s.tried,
 	})
 	if err != nil {
-		return nil, errors.Join(errNoPeer, err)
+		return nil, attempt.NotSent, errors.Join(errNoPeer, err)
 	}
 	s.tried[p.name] = true
 	p.sent.Add(1)
@@ -264,7 +273,7 @@
 	defer span.End()
 	stream, err := p.client.Open(ctx, s.request(ctx, p))
 	if err != nil {
-		return nil, s.note(err)
+		return nil, s.note(ctx, err), err
 	}
 	var body []byte
 	for {
@@ -274,19 +283,19 @@
 		}
 		if err != nil {
 			stream.Cancel()
-			return nil, s.note(err)
+			return nil, s.note(ctx, err), err
 		}
 		body = append(body, payload...)
 	}
 }
 
-func (s *serviceCall) end(p *peer, end *link.End, body []byte) (*serviceAnswer, error) {
+func (s *serviceCall) end(p *peer, end *link.End, body []byte) (*serviceAnswer, attempt.Outcome, error) {
 	s.handed = true
 	s.entry.charge(p, end.Charge)
 	if !end.Complete {
-		return nil, &incompleteError{end}
+		return nil, attempt.Failed, &incompleteError{end}
 	}
-	return &serviceAnswer{status: end.Status, header: end.Header, body: body}, nil
+	return &serviceAnswer{status: end.Status, header: end.Header, body: body}, attempt.Delivered, nil
 }
 
 // incompleteError reports an answer that the backend server did not complete.
@@ -295,22 +304,30 @@
 func (e *incompleteError) Error() string { return e.end.Code + ": " + e.end.Message }
 
 // note remembers what an error says about whether the call ran.
-func (s *serviceCall) note(err error) error {
+func (s *serviceCall) note(ctx context.Context, err error) attempt.Outcome {
 	var refused *link.RefusedError
 	var notSent *link.NotSentError
 	var broken *link.BrokenError
+	outcome := attempt.Broken
 	switch {
 	case errors.As(err, &refused):
 		s.refused = &refused.Refusal
-	case errors.As(err, &notSent):
-	case errors.As(err, &broken) && !broken.Handed:
+		outcome = attempt.NotRun
+	case errors.As(err, &notSent), errors.As(err, &broken) && !broken.Handed:
+		outcome = attempt.NotSent
 	default:
 		s.handed = true
 		if s.onceKey == "" {
 			s.chargeCut()
 		}
 	}
-	return err
+	switch {
+	case ctx.Err() == nil:
+		return outcome
+	case outcome.MayHaveRun():
+		return attempt.Ended
+	}
+	return attempt.EndedUnsent
 }
 
 // chargeCut charges a call whose end this entry does not see. The agent may have
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"hyssoploom/attempt"
 	"hyssoploom/backend"
 	"hyssoploom/release"
 )
@@ -24,7 +25,8 @@
 	Server     string `json:"server"`
 	Model      string `json:"model,omitempty"`
 	Outcome    string `json:"outcome"`
-	Confidence int    `json:"confidence,omitempty"`
+	result     attempt.Outcome
+	Confidence int `json:"confidence,omitempty"`
 	// FirstMS is the time to the head of the answer; Events counts the events that
 	// were passed on.
 	FirstMS int64 `json:"first_ms,omitempty"`
@@ -39,89 +41,51 @@
 	Error  string `json:"error,omitempty"`
 }
 
-// outcome is how an attempt ended.
-type outcome int
-
-const (
-	// delivered: the caller has the answer, or as much as there will be.
-	delivered outcome = iota
-	// notSent: the server cannot have seen the request.
-	notSent
-	// notRun: the server said that it did not run the request.
-	notRun
-	// failed: the server answered with a failure that may be passed on.
-	failed
-	// broken: the answer was lost; the request may have run.
-	broken
-	// unsure: the model has little confidence, and the caller has received nothing.
-	unsure
-	// ended: the caller has left or the time is over.
-	ended
-	// stale: the configuration is no longer fresh enough to send on a key.
-	stale
-)
-
-func (o outcome) String() string {
-	return [...]string{"delivered", "not_sent", "not_run", "failed", "broken", "unsure", "ended", "stale"}[o]
-}
-
 // run sends the request until it is answered, cannot be sent again, or its time
-// is over. It is the only place that decides what may be sent again.
+// is over.
 func (c *call) run() {
 	c.g.mu.Lock()
 	if c.service != nil {
 		c.g.budget(c.service.Name).Request(c.received)
 	}
 	c.g.mu.Unlock()
+	policy := attempt.Policy{Repeatable: c.route.Repeatable(), MaxRuns: c.route.MaxAttempts, MaxRefusals: maxRefusals}
 	var failure *savedAnswer
-	for {
+	last, sent := attempt.Run(policy, &c.progress, func() (attempt.Outcome, bool) {
 		target, ok := c.choose()
 		if !ok {
-			c.giveUp(failure)
-			return
+			return 0, false
 		}
 		result, saved := c.attempt(target)
 		if saved != nil {
 			failure = saved
 		}
-		switch result {
-		case delivered:
-			return
-		case ended:
-			c.endEarly(failure)
-			return
-		case notSent:
-			c.tried[target.server.ID] = true
-		case notRun:
-			c.tried[target.server.ID] = true
-			if c.refusals++; c.refusals >= maxRefusals {
-				c.giveUp(failure)
-				return
-			}
-		case failed, broken:
-			c.tried[target.server.ID] = true
-			if !c.route.Repeatable() || c.ran >= c.route.MaxAttempts {
-				c.giveUp(failure)
-				return
-			}
-		case stale:
-			c.giveUp(failure)
-			return
-		case unsure:
+		if result == attempt.Unsure {
 			c.model = len(c.route.Models) - 1
+		} else {
+			c.tried[target.server.ID] = true
 		}
+		return result, true
+	})
+	switch {
+	case sent && last == attempt.Delivered:
+		c.finish(http.StatusOK, "")
+	case sent && (last == attempt.Ended || last == attempt.EndedUnsent):
+		c.endEarly(failure)
+	default:
+		c.giveUp(failure)
 	}
 }
 
 // attempt sends the request to one server and deals with its answer.
-func (c *call) attempt(t target) (outcome, *savedAnswer) {
+func (c *call) attempt(t target) (attempt.Outcome, *savedAnswer) {
 	started := time.Now()
 	entry := attemptLog{
 		Server: t.server.ID, Model: t.model, AtMS: started.Sub(c.received).Milliseconds(),
 		WaitMS: t.wait.Milliseconds(), ReadMS: t.read.Milliseconds(),
 	}
 	result, saved, err := c.exchange(t, &entry)
-	entry.Outcome = result.String()
+	entry.result, entry.Outcome = result, result.String()
 	entry.TookMS = time.Since(started).Milliseconds()
 	if err != nil {
 		entry.Error = err.Error()
@@ -132,9 +96,6 @@
 		c.g.Metrics.Observe("attempt_head", time.Duration(entry.FirstMS)*time.Millisecond)
 	}
 	c.g.release(c, t, result, c.timing(&t, &entry))
-	if result == delivered {
-		c.finish(http.StatusOK, "")
-	}
 	return result, saved
 }
 
@@ -171,7 +132,7 @@
 }
 
 // release ends the count of an attempt.
-func (g *Gateway) release(c *call, t target, result outcome, timing release.Timing) {
+func (g *Gateway) release(c *call, t target, result attempt.Outcome, timing release.Timing) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	t.load.running--
@@ -204,7 +165,7 @@
 	t.load.suspectUntil = time.Now().Add(suspectFor)
 }
 
-func (c *call) exchange(t target, entry *attemptLog) (outcome, *savedAnswer, error) {
+func (c *call) exchange(t target, entry *attemptLog) (attempt.Outcome, *savedAnswer, error) {
 	defer c.g.begun(&t)
 	started := time.Now()
 	ctx, cancel := context.WithCancel(c.ctx)
@@ -214,22 +175,19 @@
 		limit = max(c.service.MaxConnections/(c.g.Entries()+1), 1)
 	}
 	if c.workspace != nil && !c.g.informed() {
-		return stale, nil, nil
+		return attempt.Stale, nil, nil
 	}
 	answer, err := c.g.Pool.Exchange(ctx, t.server.Address, limit, c.outgoing(t))
 	if err != nil {
 		if errors.Is(err, backend.ErrNotSent) {
 			c.g.suspect(t)
-			return c.unlessEnded(notSent), nil, err
+			return c.unlessEnded(attempt.NotSent), nil, err
 		}
-		c.sends++
-		c.ran++
 		if c.ctx.Err() == nil {
 			c.g.suspect(t)
 		}
-		return c.unlessEnded(broken), nil, err
+		return c.unlessEnded(attempt.Broken), nil, err
 	}
-	c.sends++
 	first := time.Since(started)
 	entry.FirstMS = first.Milliseconds()
 	if t.wait < idleWait && answer.Status == http.StatusOK {
@@ -244,18 +202,20 @@
 			t.load.wrongAddress = t.server.Address
 			c.g.mu.Unlock()
 		}
-		return notRun, nil, nil
+		return attempt.NotRun, nil, nil
 	}
-	c.ran++
 	return c.deliver(t, answer, meta, entry)
 }
 
 // unlessEnded replaces an outcome when the caller has left or the time is over.
-func (c *call) unlessEnded(o outcome) outcome {
-	if c.ctx.Err() != nil {
-		return ended
+func (c *call) unlessEnded(o attempt.Outcome) attempt.Outcome {
+	switch {
+	case c.ctx.Err() == nil:
+		return o
+	case o == attempt.NotSent:
+		return attempt.EndedUnsent
 	}
-	return o
+	return attempt.Ended
 }
 
 func (c *call) outgoing(t target) *backend.Request {
@@ -280,9 +240,9 @@
 		c.abort(ReasonBroken)
 	case failure != nil:
 		c.passOn(failure)
-	case c.ran > 0:
+	case c.progress.MayHaveRun():
 		c.refuse(http.StatusBadGateway, ReasonBroken, 0)
-	case c.sends > 0:
+	case c.progress.Reached > 0:
 		c.refuse(http.StatusServiceUnavailable, ReasonRefused, shortRetry)
 	default:
 		c.refuse(http.StatusServiceUnavailable, ReasonNoServer, shortRetry)
--- a/gateway/candidates.go
+++ b/gateway/candidates.go
@@ -49,9 +49,9 @@
 	if c.model >= 0 {
 		t.model = c.route.Models[c.model]
 		last := len(c.route.Models) - 1
-		t.final = c.model == last || c.ran+1 >= c.route.MaxAttempts || c.stream.begun || budget.Left(now, entries) <= 1
+		t.final = c.model == last || c.progress.Runs+1 >= c.route.MaxAttempts || c.stream.begun || budget.Left(now, entries) <= 1
 	}
-	if c.sends > 0 && !budget.Take(now, entries, 0) {
+	if c.progress.Reached > 0 && !budget.Take(now, entries, 0) {
 		return target{}, false
 	}
 	servers, candidates := c.candidates(t.model, now, entries)
--- a/gateway/charges.go
+++ b/gateway/charges.go
@@ -50,7 +50,7 @@
 // charge records what the request cost: one row for each model that ran it, so
 // that a request is charged once however often it was sent.
 func (c *call) charge(complete bool) {
-	if c.workspace == nil || c.ran == 0 {
+	if c.workspace == nil || !c.progress.MayHaveRun() {
 		return
 	}
 	sum := sha256.Sum256(c.body)
@@ -85,7 +85,7 @@
 	var runs []modelRun
 	for i := range c.log {
 		a := &c.log[i]
-		if a.Outcome == notSent.String() || a.Outcome == notRun.String() || a.Outcome == stale.String() {
+		if !a.result.MayHaveRun() {
 			continue
 		}
 		name := c.modelName(a.Model)
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"hyssoploom/attempt"
 	"hyssoploom/fleet"
 	"hyssoploom/peers"
 )
@@ -55,10 +56,8 @@
 	deadline  time.Time
 
 	tried    map[string]bool // servers that cannot take the request any more
-	ran      int             // attempts that may have run
-	refusals int             // attempts that a server said it did not run
-	sends    int             // requests that reached a backend server, or may have
-	model    int             // index of the route's models; -1 when the caller names it
+	progress attempt.Progress
+	model    int // index of the route's models; -1 when the caller names it
 	// position places a request without a session in [0, 1) for roll-outs; -1 until
 	// it is drawn.
 	position float64
@@ -182,7 +181,7 @@
 // 429 and 503 promise that the request has not run.
 func (c *call) refuse(status int, reason Reason, retryAfter time.Duration) {
 	run := "not_run"
-	if c.ran > 0 {
+	if c.progress.MayHaveRun() {
 		run = "unknown"
 		if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 			panic("gateway: refusal of a request that may have run")
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"hyssoploom/attempt"
 	"hyssoploom/backend"
 	"hyssoploom/cascade"
 	"hyssoploom/fleet"
@@ -44,34 +45,34 @@
 )
 
 // deliver passes an answer on, or returns it for later when it is a failure.
-func (c *call) deliver(t target, answer *backend.Answer, meta AnswerMeta, entry *attemptLog) (outcome, *savedAnswer, error) {
+func (c *call) deliver(t target, answer *backend.Answer, meta AnswerMeta, entry *attemptLog) (attempt.Outcome, *savedAnswer, error) {
 	success := answer.Status >= 200 && answer.Status < 300
 	switch {
 	case success && !meta.Sealed:
-		return c.unlessEnded(broken), nil, errUnsealed
+		return c.unlessEnded(attempt.Broken), nil, errUnsealed
 	case success && c.route.Kind == fleet.Stream:
 		entry.Confidence = max(meta.Confidence, 0)
 		if !t.final && meta.Confidence >= 0 && c.escalate(meta.Confidence) {
-			return unsure, nil, nil
+			return attempt.Unsure, nil, nil
 		}
 		return c.relayStream(answer, entry)
 	}
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBuffered+1))
 	if err != nil {
-		return c.unlessEnded(broken), nil, err
+		return c.unlessEnded(attempt.Broken), nil, err
 	}
 	if len(body) > maxBuffered {
-		return c.unlessEnded(broken), nil, errTooLarge
+		return c.unlessEnded(attempt.Broken), nil, errTooLarge
 	}
 	saved := &savedAnswer{status: answer.Status, header: answer.Header, body: body}
 	if answer.Status >= http.StatusInternalServerError || promisesNotRun(answer.Status) {
 		if promisesNotRun(answer.Status) || !meta.Sealed {
 			saved = nil // it would say more than the server did
 		}
-		return failed, saved, fmt.Errorf("status %d", answer.Status)
+		return attempt.Failed, saved, fmt.Errorf("status %d", answer.Status)
 	}
 	c.writeAnswer(saved)
-	return delivered, nil, nil
+	return attempt.Delivered, nil, nil
 }
 
 // escalate tells whether the largest model is asked instead of keeping an answer.
@@ -127,7 +128,7 @@
 
 // relayStream passes the events of a stream on as they come. Only whole events
 // are passed on, each once.
-func (c *call) relayStream(answer *backend.Answer, entry *attemptLog) (outcome, *savedAnswer, error) {
+func (c *call) relayStream(answer *backend.Answer, entry *attemptLog) (attempt.Outcome, *savedAnswer, error) {
 	if !c.started {
 		c.started = true
 		h := c.w.Header()
@@ -136,7 +137,7 @@
 		}
 		c.w.WriteHeader(answer.Status)
 		if err := c.flush(); err != nil {
-			return ended, nil, err
+			return attempt.Ended, nil, err
 		}
 	}
 	c.stream.begun = true
@@ -144,20 +145,20 @@
 	for {
 		event, err := readEvent(reader)
 		if err == io.EOF && len(event) == 0 {
-			return delivered, nil, nil
+			return attempt.Delivered, nil, nil
 		}
 		if err != nil {
-			return c.unlessEnded(broken), nil, err
+			return c.unlessEnded(attempt.Broken), nil, err
 		}
 		if !c.stream.accept(event) {
 			continue
 		}
 		entry.Events++
 		if _, err := c.w.Write(event); err != nil {
-			return ended, nil, err
+			return attempt.Ended, nil, err
 		}
 		if err := c.flush(); err != nil {
-			return ended, nil, err
+			return attempt.Ended, nil, err
 		}
 	}
 }
--- a/gateway/releases.go
+++ b/gateway/releases.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"hyssoploom/attempt"
 	"hyssoploom/fleet"
 	"hyssoploom/peers"
 	"hyssoploom/release"
@@ -171,14 +172,14 @@
 }
 
 // endUse counts the outcome of a send. The caller holds g.mu.
-func (g *Gateway) endUse(c *call, s *fleet.BackendServer, result outcome, timing release.Timing) {
+func (g *Gateway) endUse(c *call, s *fleet.BackendServer, result attempt.Outcome, timing release.Timing) {
 	r := g.releases[c.service.Name]
 	if key, ok := c.sessionKey(); ok {
 		g.sessions.End(time.Now(), key)
 		g.tellUse(r, key, s.Version, false)
 	}
 	if r == nil || r.Outcome != fleet.InProgress {
-		if result == delivered {
+		if result == attempt.Delivered {
 			g.paces.Observe(timing)
 		}
 		return
@@ -189,16 +190,16 @@
 }
 
 // count adds an answer to the evidence of a roll-out.
-func (g *Gateway) count(r *releaseState, s *fleet.BackendServer, result outcome, timing release.Timing) {
+func (g *Gateway) count(r *releaseState, s *fleet.BackendServer, result attempt.Outcome, timing release.Timing) {
 	tally := r.tally(s.Version)
 	switch result {
-	case delivered, unsure:
+	case attempt.Delivered, attempt.Unsure:
 		tally.Good++
-	case failed:
+	case attempt.Failed:
 		tally.Bad++
 		g.tellEvidence(r)
 		return
-	case broken, notSent, notRun, stale:
+	case attempt.Broken, attempt.NotSent, attempt.NotRun, attempt.Stale:
 		return // a server that crashed or lost its connections, not its version
 	}
 	if slow, known := g.paces.Slow(timing); known {
@@ -208,7 +209,7 @@
 			g.tellEvidence(r)
 		}
 	}
-	if result == delivered && s.Version != r.Target {
+	if result == attempt.Delivered && s.Version != r.Target {
 		g.paces.Observe(timing)
 	}
 }
