--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -82,7 +82,7 @@
 	return startAt(t, store, name, near)
 }
 
-func startAt(t testing.TB, store *fake.Store, name, dataCentre string) *entry {
+func startAt(t testing.TB, store *fake.Store, name, dataCentre string, adjust ...func(*settings.Gateway)) *entry {
 	t.Helper()
 	s := &settings.Gateway{
 		Name: name, DataCentre: dataCentre, Region: regions[dataCentre], DataCentres: regions,
@@ -91,6 +91,9 @@
 			ExposureShare: 0.2, ExposureSlack: 10, RollbackMS: 5000, ColdOvershoot: 1, ColdSlack: 2, SessionS: 5,
 		},
 	}
+	for _, f := range adjust {
+		f(s)
+	}
 	client := listen(t)
 	peers := listen(t)
 	e := &entry{
