limits, release: shares hold while entries join, leave and start again; a roll-out ends a second early

Cause 1: a share grew at once when an entry left, and a process that had started again had its share of the retry slack twice in one window. A share now grows one window later; a new process uses the ratio only for its first window. Cause 2: evidence against a version was forgotten when the entry that saw it started again (TestEvidenceOutlivesItsEntry).

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -138,6 +138,7 @@
 		Self:     self,
 		Charges:  platform.ProductStore{Store: store},
 		BootID:   ulid.Make().String(),
+		Started:  time.Now(),
 	})
 	key, value := records.PeerItem(self)
 	tree := supervise.New("gateway", logger.Part("supervisor"))
--- /dev/null
+++ b/gateway/evidence_test.go
@@ -0,0 +1,35 @@
+package gateway
+
+import (
+	"testing"
+
+	"hyssoploom/fleet"
+	"hyssoploom/peers"
+	"hyssoploom/release"
+	"hyssoploom/telemetry"
+)
+
+// Guards against failures of a new version that are forgotten when the entry that
+// saw them starts again, and against counts that are added twice.
+func TestEvidenceOutlivesItsEntry(t *testing.T) {
+	r := &releaseState{RollOut: fleet.RollOut{Order: fleet.Order{Target: "v2"}}, peers: make(map[string]release.Evidence)}
+	g := &Gateway{Deps: Deps{Log: telemetry.Discard()}, releases: map[string]*releaseState{"s": r}}
+	tell := func(version string, sent, good, bad int) {
+		g.adoptEvidence("e2", peers.Evidence{Service: "s", Version: version, Sent: sent, Good: good, Bad: bad})
+	}
+	tell("", 50, 50, 0)
+	tell("v2", 4, 2, 2)
+	tell("", 60, 60, 0)
+	tell("v2", 5, 2, 3)
+	if e := r.evidence(); e.Old.Good != 60 || e.Target.Bad != 3 {
+		t.Fatalf("before the restart: %+v", e)
+	}
+	tell("", 0, 0, 0) // the entry has started again
+	tell("v2", 0, 0, 0)
+	tell("", 10, 10, 0)
+	tell("v2", 2, 1, 1)
+	tell("v2", 2, 1, 1)
+	if e := r.evidence(); e.Old.Good != 70 || e.Target.Bad != 4 || e.Target.Good != 3 {
+		t.Errorf("after the restart: %+v", e)
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -58,6 +58,9 @@
 	// to this process.
 	Charges ledger.BatchStore
 	BootID  string
+	// Started is when the process started; a process before it may have used this
+	// entry's share of the limits until then.
+	Started time.Time
 }
 
 // Records encodes records for the store.
@@ -229,7 +232,7 @@
 	r := g.retries[service]
 	if r == nil {
 		b := &g.settings.Bounds
-		r = limits.NewRetries(limits.RetryConfig{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow()})
+		r = limits.NewRetries(limits.RetryConfig{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow()}, g.Started)
 		g.retries[service] = r
 	}
 	return r
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -110,6 +110,7 @@
 		State: e.State, Fresh: fresh, Pool: backend.NewPool(), Protocol: platform.Protocol{}, Log: log,
 		Metrics: telemetry.NewMetrics(), Store: kv, Records: records, Self: e.Peer,
 		Charges: platform.ProductStore{Store: kv}, BootID: "boot-" + name,
+		Started: time.Now().Add(-time.Minute),
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	e.Stop = cancel
--- a/gateway/releases.go
+++ b/gateway/releases.go
@@ -18,6 +18,8 @@
 	started time.Time
 	own     release.Evidence
 	peers   map[string]release.Evidence
+	// gone is the evidence of processes that ended; their successors count anew.
+	gone release.Evidence
 	// bad is set for good once the new version has been found to fail.
 	bad  bool
 	duty dutyState
@@ -62,10 +64,9 @@
 
 // evidence is that of the whole fleet.
 func (r *releaseState) evidence() release.Evidence {
-	total := r.own
+	total := r.own.Add(r.gone)
 	for _, e := range r.peers {
-		total.Old = total.Old.Add(e.Old)
-		total.Target = total.Target.Add(e.Target)
+		total = total.Add(e)
 	}
 	return total
 }
@@ -297,7 +298,15 @@
 		return // the peer repeats its counts with each change
 	}
 	evidence := r.peers[from]
+	known := evidence.Old
+	if e.Version == r.Target {
+		known = evidence.Target
+	}
 	tally := release.Tally{Sent: e.Sent, Good: e.Good, Bad: e.Bad, Timed: e.Timed, Slow: e.Slow}
+	if tally.Sent < known.Sent {
+		r.gone = r.gone.Add(evidence) // the peer has started again
+		evidence = release.Evidence{}
+	}
 	if e.Version == r.Target {
 		evidence.Target = tally
 	} else {
--- a/limits/cold.go
+++ b/limits/cold.go
@@ -14,8 +14,9 @@
 
 // Cold is the share of one entry in the limits of cold backend servers.
 type Cold struct {
-	config ColdConfig
-	sent   map[string][]time.Time // by server id, oldest first
+	config  ColdConfig
+	sent    map[string][]time.Time // by server id, oldest first
+	entries entryCount
 }
 
 // NewCold returns shares of which nothing is used.
@@ -27,9 +28,10 @@
 	return int((rate*c.config.Overshoot + c.config.Slack) / float64(max(entries, 1)))
 }
 
-// Room tells whether a request may go to a cold server now.
+// Room tells whether a request may go to a cold server now. entries is the number
+// of entries that share the limit.
 func (c *Cold) Room(now time.Time, server string, rate float64, entries int) bool {
-	return len(c.recent(now, server)) < c.Share(rate, entries)
+	return len(c.recent(now, server)) < c.Share(rate, c.entries.most(now, coldSpan, entries))
 }
 
 // Sent counts a request to a server. Warm servers count too, because a server
--- a/limits/retry.go
+++ b/limits/retry.go
@@ -15,13 +15,17 @@
 // Retries is the share of one entry in the retry budget of a service.
 type Retries struct {
 	config   RetryConfig
+	started  time.Time
 	requests *Window
 	repeats  *Window
+	entries  entryCount
 }
 
-// NewRetries returns an unused budget.
-func NewRetries(c RetryConfig) *Retries {
-	return &Retries{config: c, requests: NewWindow(c.Window), repeats: NewWindow(c.Window)}
+// NewRetries returns an unused budget of a process that started at a time. The
+// process before it may have used the share of the slack in the same window, so
+// the new one uses only the ratio until a window has passed.
+func NewRetries(c RetryConfig, started time.Time) *Retries {
+	return &Retries{config: c, started: started, requests: NewWindow(c.Window), repeats: NewWindow(c.Window)}
 }
 
 // Request counts a request of a caller.
@@ -30,7 +34,10 @@
 // Left returns how many repeated sends the budget still allows. entries is the
 // number of entries that share the slack.
 func (r *Retries) Left(now time.Time, entries int) int {
-	allowed := r.config.Ratio*float64(r.requests.AtLeast(now)) + float64(r.config.Slack)/float64(max(entries, 1))
+	allowed := r.config.Ratio * float64(r.requests.AtLeast(now))
+	if now.Sub(r.started) > r.config.Window {
+		allowed += float64(r.config.Slack) / float64(r.entries.most(now, r.config.Window, entries))
+	}
 	return int(allowed) - r.repeats.AtMost(now)
 }
 
--- a/release/plan.go
+++ b/release/plan.go
@@ -14,19 +14,21 @@
 	// canaryShare is the part of the sessions that may use the new version until
 	// the last steps, as a part of the exposure that the deployment allows.
 	canaryShare = 0.4
-	// moveWindow is the last part of the duration, in which all sessions move. A
-	// version whose failures show only then has served little more than this part
-	// of the requests when the duration ends. At most moveShare of the exposure
+	// orderLag is how late entries may learn of an order, and how long the last
+	// write may take: a good version is completed this long before the duration
+	// ends. Around a compaction, watches hear nothing for a second.
+	orderLag = time.Second
+	// moveWindow is the part of the duration before that, in which all sessions
+	// move. A version whose failures show only then has served little more than this
+	// part of the requests when the duration ends. At most moveShare of the exposure
 	// that the deployment allows is spent on it.
-	moveWindow = 0.07
-	moveShare  = 0.5
-	// burstMargin is how much more load than the average the window may carry.
-	burstMargin = 1.25
-	// cutover is the part of the window after which a good version is completed
-	// although requests still run on the old one.
-	cutover = 0.6
+	moveWindow = 0.04
+	moveShare  = 0.4
+	// burstMargin is how much more load than the average the time from the move on
+	// may carry.
+	burstMargin = 1.4
 	// halfStep and halfShare are the step before the window, as a part of the
-	// duration before it, and the part of the sessions that may move then.
+	// duration, and the part of the sessions that may move then.
 	halfStep  = 0.06
 	halfShare = 0.3
 	// slackShare is the part of the exposure slack that an entry uses itself; the
@@ -85,6 +87,9 @@
 	Old, Target Tally
 }
 
+// Add returns the sum of the evidence of two processes.
+func (e Evidence) Add(o Evidence) Evidence { return Evidence{e.Old.Add(o.Old), e.Target.Add(o.Target)} }
+
 // Bad tells whether the new version fails, or is slow, more often than the old
 // one. It uses the sequential test of package rollout, so that it may be asked
 // after every answer.
@@ -145,9 +150,6 @@
 	Slack int
 }
 
-// moveWindow is the last part of the duration, in which all sessions move.
-func (l Limits) moveWindow() float64 { return min(moveWindow, l.Share*moveShare) }
-
 // Progress is how far a roll-out has come.
 type Progress struct {
 	Elapsed, Duration time.Duration
@@ -166,11 +168,12 @@
 	if p.Elapsed < settleTime || !p.TargetReady {
 		return 0
 	}
-	start := 1 - l.moveWindow()
+	start := p.moveAt(l)
+	halfAt := start - time.Duration(halfStep*float64(p.Duration))
 	switch {
-	case p.trusted() && p.part() >= start:
+	case p.trusted() && p.Elapsed >= start:
 		return 1
-	case p.trusted() && p.part() >= start-halfStep:
+	case p.trusted() && p.Elapsed >= halfAt:
 		return max(halfShare, l.Share*canaryShare)
 	}
 	return l.Share * canaryShare
@@ -186,12 +189,24 @@
 	return good >= leastEvidence || p.part() >= latePart && good >= lateEvidence
 }
 
+// finishAt is when a good version is completed although requests still run on the
+// old one, and moveAt when all sessions may move.
+func (p *Progress) finishAt() time.Duration {
+	return p.Duration - min(orderLag, p.Duration/8)
+}
+
+func (p *Progress) moveAt(l Limits) time.Duration {
+	window := min(moveWindow, l.Share*moveShare)
+	return p.finishAt() - time.Duration(window*float64(p.Duration))
+}
+
 // withinBudget tells whether this entry may send another request to the new
-// version. Before the last step, the exposure of that step is kept in reserve.
+// version. Before all sessions move, the exposure from then on is kept in reserve.
 func (p *Progress) withinBudget(l Limits, entries int) bool {
 	share := l.Share
-	if window := l.moveWindow(); p.part() < 1-window {
-		share -= window * burstMargin
+	if moveAt := p.moveAt(l); p.Elapsed < moveAt {
+		left := 1 - moveAt.Seconds()/p.Duration.Seconds()
+		share = max(share-left*burstMargin, 0)
 	}
 	sent := p.Own.Old.Sent + p.Own.Target.Sent
 	allowed := share*float64(sent) + float64(l.Slack)*slackShare/float64(entries)
@@ -229,9 +244,8 @@
 // Complete tells whether a roll-out is finished: all sessions use the new
 // version and the old one is idle, or the time runs out.
 func (p *Progress) Complete(l Limits) bool {
-	window := l.moveWindow()
-	if !p.TargetReady || !p.trusted() || p.part() < 1-window {
+	if !p.TargetReady || !p.trusted() || p.Elapsed < p.moveAt(l) {
 		return false
 	}
-	return p.OldRunning == 0 || p.part() >= 1-window*(1-cutover)
+	return p.OldRunning == 0 || p.Elapsed >= p.finishAt()
 }
