--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -13,7 +13,6 @@
 
 	"github.com/gorilla/mux"
 	"github.com/oklog/ulid/v2"
-	"github.com/phuslu/log"
 	"github.com/spf13/cobra"
 	"github.com/thejerf/suture/v4"
 
@@ -71,11 +70,11 @@
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(s.MemoryMB<<20) * memoryShare))
 	}
-	out := &log.AsyncWriter{ChannelSize: logQueue, DiscardOnFull: true, Writer: &log.IOWriter{Writer: os.Stdout}}
-	defer out.Close()
-	logger := telemetry.NewLoggerTo(out, s.Log.Level, "gateway").Named(s.Name)
+	lines := telemetry.NewLineQueue(os.Stdout, logQueue, s.Name)
+	defer lines.Close()
+	logger := telemetry.NewLogger(lines, s.Log.Level, "gateway").Named(s.Name)
 	logger.Info("Starting.", "data_centre", s.DataCentre, "store", s.StoreAddress)
-	d, err := newGatewayDaemon(path, s, logger)
+	d, err := newGatewayDaemon(path, s, lines, logger)
 	if err != nil {
 		return err
 	}
@@ -109,7 +108,7 @@
 	listener net.Listener
 }
 
-func newGatewayDaemon(path string, s *settings.Gateway, logger *telemetry.Logger) (*gatewayDaemon, error) {
+func newGatewayDaemon(path string, s *settings.Gateway, lines *telemetry.LineQueue, logger *telemetry.Logger) (*gatewayDaemon, error) {
 	listener, err := listen(path, "listen", s.Listen)
 	if err != nil {
 		return nil, err
@@ -124,8 +123,9 @@
 	fresh := fleet.NewFreshness(fleet.BootTime)
 	metrics := telemetry.NewMetrics()
 	pool := backend.NewPool()
+	metrics.Func("log_lines_dropped", func() any { return lines.Dropped() })
 	metrics.Func("backend_dials", func() any { return pool.Dials() })
-	self := fleet.Peer{Name: s.Name, Address: s.PeerListen, DataCentre: s.DataCentre, Region: s.Region}
+	self := fleet.Peer{Name: s.Name, Address: s.PeerAddress, DataCentre: s.DataCentre, Region: s.Region}
 	g := gateway.New(s, gateway.Deps{
 		State:    state,
 		Fresh:    fresh,
--- a/e2e/capacity_test.go
+++ b/e2e/capacity_test.go
@@ -17,7 +17,7 @@
 		b.Run(fmt.Sprintf("links=%d", links), func(b *testing.B) {
 			w := new(wire)
 			fleet, entry := entryBefore(b, links, w)
-			measure(b, entry.cmd.Process.Pid, w, storeCalls(fleet))
+			measure(b, entry.Pid(), w, storeCalls(fleet))
 		})
 	}
 }
@@ -39,7 +39,7 @@
 			agent := startProcess(b, "agent", "small-0",
 				fmt.Sprintf("listen = \"127.0.0.1:0\"\nbackend_url = %q\n", fleet.Backends["small-0"].Server.URL()), fleet.URLs())
 			record := fleet.Backends["small-0"].Record(config.BackendServerIn)
-			record.AgentAddr = w.relay(b, agent.addr)
+			record.AgentAddr = w.relay(b, agent.Addr)
 			if err := fleet.Put(b.Context(), config.KindBackendServer, "small-0", record); err != nil {
 				b.Fatal(err)
 			}
@@ -51,7 +51,7 @@
 				}
 				return true
 			})
-			measure(b, agent.cmd.Process.Pid, w, func() int { return 0 })
+			measure(b, agent.Pid(), w, func() int { return 0 })
 		})
 	}
 }
@@ -67,21 +67,21 @@
 	fleet := startEmbedded(b, embedded.Spec{Backends: spec})
 	entry := startProcess(b, "entry", "entry-1", fmt.Sprintf("listen = \"127.0.0.1:0\"\nrater_url = %q\n", fleet.URLs().Rater), fleet.URLs())
 	eventuallyB(b, func() bool {
-		v, ok := readVars("http://" + entry.addr)
+		v, ok := readVars("http://" + entry.Addr)
 		return ok && v.Hyssoploom.Links.Alive == len(spec)
 	})
-	idle := readUsage(b, entry.cmd.Process.Pid)
+	idle := readUsage(b, entry.Pid())
 	ctx, cancel := context.WithCancel(b.Context())
 	defer cancel()
 	var chunks, open atomic.Int64
 	for range streams {
-		go readStream(ctx, "http://"+entry.addr, &open, &chunks)
+		go readStream(ctx, "http://"+entry.Addr, &open, &chunks)
 	}
 	eventuallyB(b, func() bool { return open.Load() == streams })
 	time.Sleep(settleTime)
-	before, chunksBefore := readUsage(b, entry.cmd.Process.Pid), chunks.Load()
+	before, chunksBefore := readUsage(b, entry.Pid()), chunks.Load()
 	time.Sleep(measureTime)
-	after := readUsage(b, entry.cmd.Process.Pid)
+	after := readUsage(b, entry.Pid())
 	tokens := float64(chunks.Load() - chunksBefore)
 	b.ReportMetric(float64(after.resident)/(1<<20), "MB")
 	b.ReportMetric(float64(after.resident-idle.resident)/streams/1024, "KB/stream")
--- a/e2e/command_test.go
+++ b/e2e/command_test.go
@@ -51,12 +51,12 @@
 		return len(f.engines["small-1"].Record().Runs)+len(f.engines["small-2"].Record().Runs) > 0
 	})
 	entry := f.entries["entry-1"]
-	entry.signal(t, syscall.SIGTERM)
-	eventually(t, "the drain has begun", func() bool { return strings.Contains(entry.output(), "Draining.") })
-	entry.signal(t, syscall.SIGTERM)
+	entry.Signal(t, syscall.SIGTERM)
+	eventually(t, "the drain has begun", func() bool { return strings.Contains(entry.Output(), "Draining.") })
+	entry.Signal(t, syscall.SIGTERM)
 	select {
-	case <-entry.exited:
-		if entry.cmd.ProcessState.ExitCode() == 0 {
+	case <-entry.Exited:
+		if entry.Err() == nil {
 			t.Error("a stop without drain exits with 0")
 		}
 	case <-time.After(3 * time.Second):
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -26,7 +26,7 @@
 	stop := make(chan struct{})
 	var b balancer
 	for i, name := range []string{"entry-1", "entry-2"} {
-		addr := f.entries[name].addr
+		addr := f.entries[name].Addr
 		b.ready[i].Store(&addr)
 		go b.watch(i, addr, stop)
 	}
@@ -50,7 +50,7 @@
 		}()
 	}
 	for _, name := range []string{"small-1", "small-2"} {
-		f.agents[name].stop(t)
+		f.agents[name].Stop(t)
 		f.startAgent(name, f.urls[name], engineRecord("jylland", "small", "1"))
 		f.waitReady("entry-1")
 		f.waitReady("entry-2")
@@ -61,22 +61,22 @@
 			`{"model":"small","stream":true,"max_tokens":1500,"messages":[{"role":"user","content":"long"}]}`, "X-Request-Id", "long")
 	}()
 	eventually(t, "the long answer is under way", func() bool { return f.ran("long") })
-	f.entries["entry-1"].stop(t)
+	f.entries["entry-1"].Stop(t)
 	if r := <-long; !strings.Contains(r.body, "data: [DONE]") {
 		t.Errorf("long answer through the stopped entry: %d, %v, %d bytes", r.status, r.err, len(r.body))
 	}
 	f.startEntry("entry-1", "jylland")
 	f.waitReady("entry-1")
 	time.Sleep(2 * balancerInterval)
-	f.entries["entry-2"].stop(t)
+	f.entries["entry-2"].Stop(t)
 	close(stop)
 	callers.Wait()
-	f.entries["entry-1"].stop(t)
+	f.entries["entry-1"].Stop(t)
 	// The entries have written their charges themselves: agents take over only
 	// after some seconds or when they stop.
 	f.checkLedger("brydemaatte", int(served.Load())+1)
 	for _, agent := range f.agents {
-		agent.stop(t)
+		agent.Stop(t)
 	}
 }
 
@@ -121,7 +121,7 @@
 func TestAgentKilledMidStream(t *testing.T) {
 	f := startSmallFleet(t, standin.EngineConfig{Tokens: 60, TokenDelay: 20 * time.Millisecond})
 	body := `{"model":"small","stream":true,"messages":[{"role":"user","content":"A long story."}]}`
-	req, err := http.NewRequest(http.MethodPost, "http://"+f.entries["entry-1"].addr+"/v1/chat/completions", strings.NewReader(body))
+	req, err := http.NewRequest(http.MethodPost, "http://"+f.entries["entry-1"].Addr+"/v1/chat/completions", strings.NewReader(body))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -139,7 +139,7 @@
 			continue
 		}
 		if events++; events == 10 {
-			f.agents[f.busy()].kill()
+			f.agents[f.busy()].Kill()
 		}
 	}
 	want := strings.Join(standin.AnswerTokens("small", "1", "A long story.", 60, false), "")
@@ -181,13 +181,13 @@
 	first := make(chan response, 1)
 	go func() { first <- f.book("entry-1") }()
 	eventually(t, "the runner has the call", func() bool { return len(f.runner.Calls()) == 1 })
-	f.agents["booking"].signal(t, syscall.SIGSTOP)
+	f.agents["booking"].Signal(t, syscall.SIGSTOP)
 
 	duplicate := f.book("entry-2")
 	if duplicate.status != http.StatusConflict || duplicate.run() != "unknown" {
 		t.Errorf("duplicate while the agent is frozen: %d %s", duplicate.status, duplicate.body)
 	}
-	f.agents["booking"].signal(t, syscall.SIGCONT)
+	f.agents["booking"].Signal(t, syscall.SIGCONT)
 	<-first
 	eventually(t, "the answer is stored", func() bool { return f.book("entry-2").status == http.StatusCreated })
 	if n := len(f.runner.Calls()); n != 1 {
@@ -212,10 +212,10 @@
 		kvs, _, err := f.store.List(context.Background(), "once/")
 		return err == nil && len(kvs) == 1
 	})
-	f.entries["entry-1"].signal(t, syscall.SIGSTOP)
+	f.entries["entry-1"].Signal(t, syscall.SIGSTOP)
 	f.store.SetDelay(0)
 	time.Sleep(1500 * time.Millisecond) // longer than the service's timeout
-	f.entries["entry-1"].signal(t, syscall.SIGCONT)
+	f.entries["entry-1"].Signal(t, syscall.SIGCONT)
 	r := <-done
 	calls := len(f.runner.Calls())
 	if calls > 1 || calls == 1 && r.run() == "not_run" {
@@ -238,7 +238,7 @@
 		newest = max(newest, kv.Revision)
 	}
 	for _, entry := range f.entries {
-		if vars, ok := readVars("http://" + entry.addr); !ok || vars.Hyssoploom.Revision < newest {
+		if vars, ok := readVars("http://" + entry.Addr); !ok || vars.Hyssoploom.Revision < newest {
 			return false
 		}
 	}
--- a/e2e/harness.go
+++ b/e2e/harness.go
@@ -2,8 +2,6 @@
 package e2e
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -14,13 +12,12 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
-	"syscall"
 	"testing"
 	"time"
 
 	"hyssoploom/config"
 	"hyssoploom/embedded"
+	"hyssoploom/internal/process"
 	"hyssoploom/standin"
 )
 
@@ -43,102 +40,10 @@
 	return nil
 }
 
-// proc is one process of the fleet.
-type proc struct {
-	cmd    *exec.Cmd
-	addr   string // as printed or logged by the process
-	exited chan struct{}
-	err    error // of Wait, valid once exited is closed
-
-	mu  sync.Mutex
-	log bytes.Buffer
-}
-
-// start runs a command and waits until ready finds the address in a line of
-// its output.
-func start(t testing.TB, ready func(line string) (string, bool), binary string, args ...string) *proc {
-	t.Helper()
-	p := &proc{cmd: exec.Command(binary, args...), exited: make(chan struct{})}
-	out, w := io.Pipe()
-	p.cmd.Stdout, p.cmd.Stderr = w, w
-	if err := p.cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	go func() {
-		p.err = p.cmd.Wait()
-		_ = w.Close()
-		close(p.exited)
-	}()
-	addr := make(chan string, 1)
-	go p.scan(out, ready, addr)
-	t.Cleanup(func() {
-		p.kill()
-		if t.Failed() {
-			t.Logf("output of %s %v:\n%s", binary, args, p.output())
-		}
-	})
-	select {
-	case p.addr = <-addr:
-	case <-p.exited:
-		t.Fatalf("%s %v ended early: %v\n%s", binary, args, p.err, p.output())
-	case <-time.After(time.Minute):
-		t.Fatalf("%s %v is not ready\n%s", binary, args, p.output())
-	}
-	return p
-}
-
-func (p *proc) scan(out io.Reader, ready func(string) (string, bool), addr chan<- string) {
-	lines := bufio.NewScanner(out)
-	for lines.Scan() {
-		p.mu.Lock()
-		p.log.WriteString(lines.Text() + "\n")
-		p.mu.Unlock()
-		if a, ok := ready(lines.Text()); ok {
-			select {
-			case addr <- a:
-			default:
-			}
-		}
-	}
-}
-
-func (p *proc) output() string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.log.String()
-}
-
-// kill ends the process without a chance to clean up.
-func (p *proc) kill() {
-	_ = p.cmd.Process.Kill()
-	<-p.exited
-}
-
-func (p *proc) signal(t testing.TB, s syscall.Signal) {
-	t.Helper()
-	if err := p.cmd.Process.Signal(s); err != nil {
-		t.Fatal(err)
-	}
-}
-
-// stop sends SIGTERM and checks that the process drains and exits with 0.
-func (p *proc) stop(t *testing.T) {
-	t.Helper()
-	p.signal(t, syscall.SIGTERM)
-	select {
-	case <-p.exited:
-		if p.err != nil {
-			t.Errorf("%s exited with %v after SIGTERM\n%s", p.cmd.Path, p.err, p.output())
-		}
-	case <-time.After(time.Minute):
-		t.Errorf("%s did not exit after SIGTERM\n%s", p.cmd.Path, p.output())
-	}
-}
-
 // startStandin starts a stand-in process, which prints its URL.
-func startStandin(t *testing.T, args ...string) *proc {
+func startStandin(t *testing.T, args ...string) *process.Process {
 	t.Helper()
-	return start(t, func(line string) (string, bool) { return line, strings.HasPrefix(line, "http://") }, standinBinary, args...)
+	return process.Start(t, func(line string) (string, bool) { return line, strings.HasPrefix(line, "http://") }, standinBinary, args...)
 }
 
 // started finds the listen address in the log line of a started daemon.
@@ -159,8 +64,8 @@
 	rater *standin.Rater
 
 	storeURL, vmURL, raterURL string
-	agents                    map[string]*proc
-	entries                   map[string]*proc
+	agents                    map[string]*process.Process
+	entries                   map[string]*process.Process
 }
 
 // newCluster starts the platform and writes the embedded fleet's records.
@@ -168,7 +73,7 @@
 	t.Helper()
 	c := &cluster{
 		t: t, store: standin.NewStore(), vms: standin.NewVMList(), rater: standin.NewRater(standin.RaterOptions{}),
-		agents: make(map[string]*proc), entries: make(map[string]*proc),
+		agents: make(map[string]*process.Process), entries: make(map[string]*process.Process),
 	}
 	for url, handler := range map[*string]http.Handler{&c.storeURL: c.store.Handler(), &c.vmURL: c.vms.Handler(), &c.raterURL: c.rater.Handler()} {
 		server := httptest.NewServer(handler)
@@ -202,32 +107,32 @@
 	return path
 }
 
-func (c *cluster) startEntry(name, dataCentre string) *proc {
+func (c *cluster) startEntry(name, dataCentre string) *process.Process {
 	c.t.Helper()
 	listen := "127.0.0.1:0"
 	if old := c.entries[name]; old != nil {
-		listen = old.addr
+		listen = old.Addr
 	}
 	path := c.settings(name, fmt.Sprintf("name = %q\ndata_centre = %q\nlisten = %q\nstore_url = %q\nvm_list_url = %q\nrater_url = %q\nfleet_key = %q\ndrain_grace = \"40s\"\nrequest_timeout = \"30s\"\n",
 		name, dataCentre, listen, c.storeURL, c.vmURL, c.raterURL, fleetKey))
-	c.entries[name] = start(c.t, started, hyssoploomBinary, "entry", "--settings", path)
+	c.entries[name] = process.Start(c.t, started, hyssoploomBinary, "entry", "--settings", path)
 	return c.entries[name]
 }
 
 // startAgent starts the agent of a backend server and writes its record.
-func (c *cluster) startAgent(name, backendURL string, record config.BackendServer) *proc {
+func (c *cluster) startAgent(name, backendURL string, record config.BackendServer) *process.Process {
 	c.t.Helper()
 	kind, listen := "engine", "127.0.0.1:0"
 	if record.Service != "" {
 		kind = "service"
 	}
 	if old := c.agents[name]; old != nil {
-		listen = old.addr
+		listen = old.Addr
 	}
 	path := c.settings(name, fmt.Sprintf("name = %q\ndata_centre = %q\nlisten = %q\nbackend_url = %q\nbackend_kind = %q\nstore_url = %q\nvm_list_url = %q\nfleet_key = %q\ndrain_grace = \"40s\"\n",
 		name, record.DataCentre, listen, backendURL, kind, c.storeURL, c.vmURL, fleetKey))
-	c.agents[name] = start(c.t, started, hyssoploomBinary, "agent", "--settings", path)
-	record.VM, record.AgentAddr, record.State = name, c.agents[name].addr, config.BackendServerIn
+	c.agents[name] = process.Start(c.t, started, hyssoploomBinary, "agent", "--settings", path)
+	record.VM, record.AgentAddr, record.State = name, c.agents[name].Addr, config.BackendServerIn
 	if listen == "127.0.0.1:0" {
 		c.put(config.KindBackendServer, name, &record)
 	}
@@ -264,7 +169,7 @@
 
 // post sends a request through an entry.
 func (c *cluster) post(entry, path, key, body string, header ...string) response {
-	return c.postTo(c.entries[entry].addr, path, key, body, header...)
+	return c.postTo(c.entries[entry].Addr, path, key, body, header...)
 }
 
 // postTo sends a request to the entry at an address.
--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -11,6 +11,7 @@
 	"hyssoploom/config"
 	"hyssoploom/dialect"
 	"hyssoploom/embedded"
+	"hyssoploom/internal/process"
 	"hyssoploom/ledger"
 )
 
@@ -18,20 +19,20 @@
 // path, stand-ins included, runs by itself.
 func TestWholePathAsProcesses(t *testing.T) {
 	c := newCluster(t)
-	c.storeURL = startStandin(t, "store").addr
+	c.storeURL = startStandin(t, "store").Addr
 	store := dialect.NewHTTPStore(c.storeURL)
 	copyRecords(t, c, store)
-	engines := map[string]*proc{
+	engines := map[string]*process.Process{
 		"small":  startStandin(t, "engine", "--load", "small@1", "--tokens", "12"),
 		"medium": startStandin(t, "engine", "--load", "medium@1", "--tokens", "12"),
 	}
 	booking := startStandin(t, "booking")
 	for model, engine := range engines {
-		agent := c.startAgent(model, engine.addr, engineRecord("jylland", model, "1"))
-		putBackend(t, store, model, agent.addr, engineRecord("jylland", model, "1"))
+		agent := c.startAgent(model, engine.Addr, engineRecord("jylland", model, "1"))
+		putBackend(t, store, model, agent.Addr, engineRecord("jylland", model, "1"))
 	}
-	agent := c.startAgent("booking-1", booking.addr, bookingRecord("jylland"))
-	putBackend(t, store, "booking-1", agent.addr, bookingRecord("jylland"))
+	agent := c.startAgent("booking-1", booking.Addr, bookingRecord("jylland"))
+	putBackend(t, store, "booking-1", agent.Addr, bookingRecord("jylland"))
 	c.startEntry("entry-1", "jylland")
 	c.startEntry("entry-2", "jylland")
 	for _, entry := range []string{"entry-1", "entry-2"} {
@@ -49,11 +50,11 @@
 			t.Errorf("booking through %s: %d %s", entry, got.status, got.body)
 		}
 	}
-	if calls := bookingCalls(t, booking.addr); len(calls) != 1 {
+	if calls := bookingCalls(t, booking.Addr); len(calls) != 1 {
 		t.Errorf("the booking runner was called %d times, want 1", len(calls))
 	}
-	for _, p := range []*proc{c.entries["entry-1"], c.entries["entry-2"], c.agents["small"], c.agents["medium"], c.agents["booking-1"]} {
-		p.stop(t)
+	for _, p := range []*process.Process{c.entries["entry-1"], c.entries["entry-2"], c.agents["small"], c.agents["medium"], c.agents["booking-1"]} {
+		p.Stop(t)
 	}
 	book, err := ledger.Read(context.Background(), store)
 	if err != nil {
--- a/e2e/smallfleet.go
+++ b/e2e/smallfleet.go
@@ -54,7 +54,7 @@
 func (f *smallFleet) waitReady(entry string) {
 	f.t.Helper()
 	eventually(f.t, entry+" is linked", func() bool {
-		vars, ok := readVars("http://" + f.entries[entry].addr)
+		vars, ok := readVars("http://" + f.entries[entry].Addr)
 		return ok && vars.Hyssoploom.Links.Alive == len(f.urls)
 	})
 }
--- a/e2e/usage.go
+++ b/e2e/usage.go
@@ -14,6 +14,7 @@
 
 	"hyssoploom/config"
 	"hyssoploom/embedded"
+	"hyssoploom/internal/process"
 )
 
 // The benchmarks of capacity give the slopes of docs/CAPACITY.md. They measure
@@ -132,7 +133,7 @@
 }
 
 // entryBefore starts an entry process before n embedded agents.
-func entryBefore(b *testing.B, n int, w *wire) (*embedded.Fleet, *proc) {
+func entryBefore(b *testing.B, n int, w *wire) (*embedded.Fleet, *process.Process) {
 	b.Helper()
 	fleet := startEmbedded(b, embedded.Spec{Backends: backends(n)})
 	for name, backend := range fleet.Backends {
@@ -144,14 +145,14 @@
 	}
 	entry := startProcess(b, "entry", "entry-1", fmt.Sprintf("listen = \"127.0.0.1:0\"\nrater_url = %q\n", fleet.URLs().Rater), fleet.URLs())
 	eventuallyB(b, func() bool {
-		v, ok := readVars("http://" + entry.addr)
+		v, ok := readVars("http://" + entry.Addr)
 		return ok && v.Hyssoploom.Links.Alive == min(n, 48)
 	})
 	return fleet, entry
 }
 
 // startProcess starts a daemon of the embedded fleet as a process of its own.
-func startProcess(b *testing.B, kind, name, settings string, urls embedded.URLs) *proc {
+func startProcess(b *testing.B, kind, name, settings string, urls embedded.URLs) *process.Process {
 	b.Helper()
 	path := b.TempDir() + "/" + name + ".toml"
 	text := fmt.Sprintf("name = %q\ndata_centre = \"jylland\"\nstore_url = %q\nvm_list_url = %q\nfleet_key = %q\n%s",
@@ -159,7 +160,7 @@
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		b.Fatal(err)
 	}
-	return start(b, started, hyssoploomBinary, kind, "--settings", path)
+	return process.Start(b, started, hyssoploomBinary, kind, "--settings", path)
 }
 
 func eventuallyB(b *testing.B, f func() bool) {
--- /dev/null
+++ b/internal/process/process.go
@@ -0,0 +1,123 @@
+// Package process starts the project's programs as separate processes in tests.
+package process
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"os/exec"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// startTime bounds the time until a process is ready, stopTime that of a drain.
+const (
+	startTime = time.Minute
+	stopTime  = time.Minute
+)
+
+// Process is a running program.
+type Process struct {
+	// Addr is what the ready function found in the output.
+	Addr string
+	// Exited is closed when the process has ended.
+	Exited chan struct{}
+
+	cmd *exec.Cmd
+	err error // of Wait, valid once Exited is closed
+
+	mu  sync.Mutex
+	log bytes.Buffer
+}
+
+// Start runs a command and waits until ready finds the address in a line of its
+// output. The process is killed at the end of the test, and its output is printed
+// when the test has failed.
+func Start(t testing.TB, ready func(line string) (string, bool), binary string, args ...string) *Process {
+	t.Helper()
+	p := &Process{cmd: exec.Command(binary, args...), Exited: make(chan struct{})}
+	out, w := io.Pipe()
+	p.cmd.Stdout, p.cmd.Stderr = w, w
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		p.err = p.cmd.Wait()
+		_ = w.Close()
+		close(p.Exited)
+	}()
+	addr := make(chan string, 1)
+	go p.scan(out, ready, addr)
+	t.Cleanup(func() {
+		p.Kill()
+		if t.Failed() {
+			t.Logf("output of %s %v:\n%s", binary, args, p.Output())
+		}
+	})
+	select {
+	case p.Addr = <-addr:
+	case <-p.Exited:
+		t.Fatalf("%s %v ended early: %v\n%s", binary, args, p.err, p.Output())
+	case <-time.After(startTime):
+		t.Fatalf("%s %v is not ready\n%s", binary, args, p.Output())
+	}
+	return p
+}
+
+func (p *Process) scan(out io.Reader, ready func(string) (string, bool), addr chan<- string) {
+	lines := bufio.NewScanner(out)
+	for lines.Scan() {
+		p.mu.Lock()
+		p.log.WriteString(lines.Text() + "\n")
+		p.mu.Unlock()
+		if a, ok := ready(lines.Text()); ok {
+			select {
+			case addr <- a:
+			default:
+			}
+		}
+	}
+}
+
+// Output returns what the process has written so far.
+func (p *Process) Output() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.String()
+}
+
+// Err returns how the process ended; it may be called once Exited is closed.
+func (p *Process) Err() error { return p.err }
+
+// Pid is the process id.
+func (p *Process) Pid() int { return p.cmd.Process.Pid }
+
+// Kill ends the process without a chance to clean up.
+func (p *Process) Kill() {
+	_ = p.cmd.Process.Kill() // it may have ended already
+	<-p.Exited
+}
+
+// Signal sends a signal.
+func (p *Process) Signal(t testing.TB, s syscall.Signal) {
+	t.Helper()
+	if err := p.cmd.Process.Signal(s); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Stop sends SIGTERM and checks that the process drains and exits with 0.
+func (p *Process) Stop(t testing.TB) {
+	t.Helper()
+	p.Signal(t, syscall.SIGTERM)
+	select {
+	case <-p.Exited:
+		if p.err != nil {
+			t.Errorf("%s exited with %v after SIGTERM\n%s", p.cmd.Path, p.err, p.Output())
+		}
+	case <-time.After(stopTime):
+		t.Errorf("%s did not exit after SIGTERM\n%s", p.cmd.Path, p.Output())
+	}
+}
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -16,6 +16,9 @@
 	ReadyListen string `toml:"ready_listen"`
 	// PeerListen is the host:port for the other entries; required.
 	PeerListen string `toml:"peer_listen"`
+	// PeerAddress is the host:port at which the other entries reach this one;
+	// PeerListen when absent.
+	PeerAddress string `toml:"peer_address"`
 	// MetricsListen is the host:port of the metrics; none when absent.
 	MetricsListen string `toml:"metrics_listen"`
 	// Seeds are peer addresses of other entries, which may be stale.
@@ -90,6 +93,10 @@
 	f.hostPort("ready_listen", g.ReadyListen)
 	f.hostPort("peer_listen", g.PeerListen)
 	f.hostPort("store_address", g.StoreAddress)
+	if g.PeerAddress == "" {
+		g.PeerAddress = g.PeerListen
+	}
+	f.hostPort("peer_address", g.PeerAddress)
 	if g.MetricsListen != "" {
 		f.hostPort("metrics_listen", g.MetricsListen)
 	}
--- a/telemetry/log.go
+++ b/telemetry/log.go
@@ -17,13 +17,7 @@
 // NewLogger returns a logger for one part. Level is one of debug, info, warn
 // and error; any other value means info.
 func NewLogger(w io.Writer, level, part string) *Logger {
-	return NewLoggerTo(&log.IOWriter{Writer: w}, level, part)
-}
-
-// NewLoggerTo is NewLogger for a writer of the logging library, such as one that
-// queues lines.
-func NewLoggerTo(w log.Writer, level, part string) *Logger {
-	base := &log.Logger{Level: log.ParseLevel(level), Writer: w}
+	base := &log.Logger{Level: log.ParseLevel(level), Writer: &log.IOWriter{Writer: w}}
 	if base.Level < log.DebugLevel || base.Level > log.ErrorLevel {
 		base.Level = log.InfoLevel
 	}
