--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -6,9 +6,7 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -78,29 +76,12 @@
 	if err != nil {
 		return err
 	}
-	go reportReloads(ctx, path, logger)
+	d.tree.Add(supervise.Func{Name: "settings", Run: func(ctx context.Context) error {
+		return followSettings(ctx, path, s, d.gateway, logger)
+	}})
 	return supervise.Run(ctx, d, logger)
 }
 
-// reportReloads checks the settings file at each SIGHUP. Settings are fixed while
-// the process runs; a change takes effect at the next start.
-func reportReloads(ctx context.Context, path string, logger *telemetry.Logger) {
-	hups := make(chan os.Signal, 1)
-	signal.Notify(hups, syscall.SIGHUP)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hups:
-		}
-		if _, err := settings.LoadGateway(path); err != nil {
-			logger.Error("The changed settings are not valid.", "error", err.Error())
-			continue
-		}
-		logger.Info("Settings were read again; they apply from the next start.")
-	}
-}
-
 // gatewayDaemon is a gateway with what keeps it informed.
 type gatewayDaemon struct {
 	gateway  *gateway.Gateway
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -121,7 +121,7 @@
 		return timing
 	}
 	timing.Kind, timing.Expected = c.modelName(t.model), t.read+headTime
-	if t.server.Region != c.g.settings.Region {
+	if t.server.Region != c.g.Self.Region {
 		timing.Expected += farTime
 	}
 	if entry.FirstMS > 0 {
--- a/gateway/candidates.go
+++ b/gateway/candidates.go
@@ -119,9 +119,9 @@
 		p.Read = time.Duration(float64(readTime(c.service, name, max(unread, 0))) * c.g.ratios.of(name))
 	}
 	switch {
-	case s.Region != c.g.settings.Region:
+	case s.Region != c.g.Self.Region:
 		p.Detour = regionDetour
-	case s.DataCentre != c.g.settings.DataCentre:
+	case s.DataCentre != c.g.Self.DataCentre:
 		p.Detour = centreDetour
 	}
 	return p
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -71,8 +71,8 @@
 
 // Gateway serves callers.
 type Gateway struct {
-	settings *settings.Gateway
 	Deps
+	bounds atomic.Pointer[settings.Bounds]
 
 	draining atomic.Bool
 	inflight supervise.Inflight
@@ -106,17 +106,17 @@
 // New returns a gateway that is ready to serve.
 func New(s *settings.Gateway, deps Deps) *Gateway {
 	g := &Gateway{
-		settings: s,
 		Deps:     deps,
 		loads:    make(map[string]*load),
 		ratios:   make(readRatios),
 		retries:  make(map[string]*limits.Retries),
-		cold:     limits.NewCold(limits.ColdConfig{Overshoot: s.Bounds.ColdOvershoot, Slack: s.Bounds.ColdSlack}),
+		cold:     limits.NewCold(coldLimits(&s.Bounds)),
 		sessions: release.NewSessions(s.Bounds.Session()),
 		paces:    release.NewPaces(),
 		releases: make(map[string]*releaseState),
 		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
+	g.bounds.Store(&s.Bounds)
 	g.hub = peers.New(deps.Self, s.Seeds, g, func() map[string]fleet.Peer { return deps.State.View().Peers },
 		deps.Log.Part("peers"))
 	if deps.Charges != nil {
@@ -131,6 +131,28 @@
 	return g
 }
 
+// Reconfigure takes over changed bounds and seeds. What has been used of a limit
+// stays used.
+func (g *Gateway) Reconfigure(s *settings.Gateway) {
+	g.bounds.Store(&s.Bounds)
+	g.hub.SetSeeds(s.Seeds)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.cold.Configure(coldLimits(&s.Bounds))
+	for _, r := range g.retries {
+		r.Configure(time.Now(), retryLimits(&s.Bounds))
+	}
+	g.sessions.SetPause(s.Bounds.Session())
+}
+
+func coldLimits(b *settings.Bounds) limits.ColdConfig {
+	return limits.ColdConfig{Overshoot: b.ColdOvershoot, Slack: b.ColdSlack}
+}
+
+func retryLimits(b *settings.Bounds) limits.RetryConfig {
+	return limits.RetryConfig{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow()}
+}
+
 // ServeOn serves callers on an open listener until ctx ends.
 func (g *Gateway) ServeOn(ctx context.Context, listener net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { g.server.Close() })
@@ -154,7 +176,7 @@
 // Drain reports not ready, takes new connections until the balancer has noticed,
 // and waits for running requests within the grace.
 func (g *Gateway) Drain(ctx context.Context) error {
-	deadline := time.Now().Add(g.settings.Bounds.Grace() - stopMargin)
+	deadline := time.Now().Add(g.bounds.Load().Grace() - stopMargin)
 	g.draining.Store(true)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
@@ -188,7 +210,8 @@
 // removed later may still be used for the time that revocation takes.
 func (g *Gateway) informed() bool {
 	age, known := g.Fresh.Age()
-	return known && (age < g.settings.Bounds.Revoke()-watchLag || !g.settings.Bounds.StrictRevocation)
+	b := g.bounds.Load()
+	return known && (age < b.Revoke()-watchLag || !b.StrictRevocation)
 }
 
 // ServeReady answers the balancer's readiness check.
@@ -231,8 +254,7 @@
 func (g *Gateway) budget(service string) *limits.Retries {
 	r := g.retries[service]
 	if r == nil {
-		b := &g.settings.Bounds
-		r = limits.NewRetries(limits.RetryConfig{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow()}, g.Started)
+		r = limits.NewRetries(retryLimits(g.bounds.Load()), g.Started)
 		g.retries[service] = r
 	}
 	return r
--- a/gateway/releases.go
+++ b/gateway/releases.go
@@ -119,7 +119,8 @@
 
 // exposure is what the deployment allows a version that may be bad.
 func (g *Gateway) exposure() release.Limits {
-	return release.Limits{Share: g.settings.Bounds.ExposureShare, Slack: g.settings.Bounds.ExposureSlack}
+	b := g.bounds.Load()
+	return release.Limits{Share: b.ExposureShare, Slack: b.ExposureSlack}
 }
 
 func (c *call) assignment(r *releaseState, p release.Progress, now time.Time, entries int) release.Assignment {
@@ -250,7 +251,7 @@
 
 // canary tells whether a session may move in the first half of a roll-out.
 func (g *Gateway) canary(r *releaseState, key release.SessionKey) bool {
-	return position(key.ID, r.Revision) < g.settings.Bounds.ExposureShare
+	return position(key.ID, r.Revision) < g.bounds.Load().ExposureShare
 }
 
 // tellSessions tells the peers of the sessions in use that may move.
--- a/limits/cold.go
+++ b/limits/cold.go
@@ -22,6 +22,9 @@
 // NewCold returns shares of which nothing is used.
 func NewCold(c ColdConfig) *Cold { return &Cold{config: c, sent: make(map[string][]time.Time)} }
 
+// Configure changes the limits.
+func (c *Cold) Configure(config ColdConfig) { c.config = config }
+
 // Share is the number of requests per second that one of the entries may send to
 // a cold server that bears rate requests per second.
 func (c *Cold) Share(rate float64, entries int) int {
--- a/limits/retry.go
+++ b/limits/retry.go
@@ -28,6 +28,17 @@
 	return &Retries{config: c, started: started, requests: NewWindow(c.Window), repeats: NewWindow(c.Window)}
 }
 
+// Configure changes the limits. With another window, the repeated sends so far
+// count as just made, and the requests so far do not count.
+func (r *Retries) Configure(now time.Time, c RetryConfig) {
+	if c.Window != r.config.Window {
+		repeats := r.repeats.AtMost(now)
+		r.requests, r.repeats = NewWindow(c.Window), NewWindow(c.Window)
+		r.repeats.Add(now, repeats)
+	}
+	r.config = c
+}
+
 // Request counts a request of a caller.
 func (r *Retries) Request(now time.Time) { r.requests.Add(now, 1) }
 
--- a/peers/hub.go
+++ b/peers/hub.go
@@ -71,6 +71,14 @@
 	}
 }
 
+// SetSeeds changes the addresses that are dialled besides the entries that the
+// store names.
+func (h *Hub) SetSeeds(seeds []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.seeds = seeds
+}
+
 // Serve connects to the peers and accepts their connections until ctx ends.
 func (h *Hub) Serve(ctx context.Context, listener net.Listener) error {
 	stop := context.AfterFunc(ctx, func() {
--- a/release/sessions.go
+++ b/release/sessions.go
@@ -40,6 +40,9 @@
 	return &Sessions{pause: pause, byKey: make(map[SessionKey]*Session)}
 }
 
+// SetPause changes the pause that ends a session.
+func (s *Sessions) SetPause(pause time.Duration) { s.pause = pause }
+
 // Begin notes that a use of a session begins on a version.
 func (s *Sessions) Begin(now time.Time, key SessionKey, version string) {
 	session := s.byKey[key]
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -1,6 +1,9 @@
 package settings
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // Gateway holds the settings of an entry on the users' platform. The platform
 // writes the file from deploy/gateway.toml.
@@ -111,6 +114,33 @@
 	return g, nil
 }
 
+// FixedChanges names the settings that differ in changed and cannot be applied
+// while the process runs. The bounds, seeds and the log level can.
+func (g *Gateway) FixedChanges(changed *Gateway) []string {
+	var names []string
+	for _, s := range []struct {
+		name      string
+		different bool
+	}{
+		{"name", g.Name != changed.Name},
+		{"data_centre", g.DataCentre != changed.DataCentre},
+		{"region", g.Region != changed.Region},
+		{"listen", g.Listen != changed.Listen},
+		{"ready_listen", g.ReadyListen != changed.ReadyListen},
+		{"peer_listen", g.PeerListen != changed.PeerListen},
+		{"peer_address", g.PeerAddress != changed.PeerAddress},
+		{"metrics_listen", g.MetricsListen != changed.MetricsListen},
+		{"store_address", g.StoreAddress != changed.StoreAddress},
+		{"data_centres", !maps.Equal(g.DataCentres, changed.DataCentres)},
+		{"memory_mb", g.MemoryMB != changed.MemoryMB},
+	} {
+		if s.different {
+			names = append(names, s.name)
+		}
+	}
+	return names
+}
+
 func (f *file) bounds(b *Bounds) {
 	for key, value := range map[string]float64{
 		"bounds.grace_s": b.GraceS, "bounds.revoke_ms": b.RevokeMS, "bounds.retry_window_s": b.RetryWindowS,
--- a/telemetry/log.go
+++ b/telemetry/log.go
@@ -17,13 +17,22 @@
 // NewLogger returns a logger for one part. Level is one of debug, info, warn
 // and error; any other value means info.
 func NewLogger(w io.Writer, level, part string) *Logger {
-	base := &log.Logger{Level: log.ParseLevel(level), Writer: &log.IOWriter{Writer: w}}
-	if base.Level < log.DebugLevel || base.Level > log.ErrorLevel {
-		base.Level = log.InfoLevel
-	}
+	base := &log.Logger{Level: levelOf(level), Writer: &log.IOWriter{Writer: w}}
 	return &Logger{base: base, prefix: part + ": "}
 }
 
+// SetLevel changes the least level of the lines that are written, for all parts of
+// the logger. It takes the names of NewLogger.
+func (l *Logger) SetLevel(level string) { l.base.SetLevel(levelOf(level)) }
+
+func levelOf(name string) log.Level {
+	level := log.ParseLevel(name)
+	if level < log.DebugLevel || level > log.ErrorLevel {
+		return log.InfoLevel
+	}
+	return level
+}
+
 // Named makes all further lines of the logger and of its parts carry the name of
 // the process.
 func (l *Logger) Named(process string) *Logger {
