--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -72,7 +72,12 @@
 	defer lines.Close()
 	logger := telemetry.NewLogger(lines, s.Log.Level, "gateway").Named(s.Name)
 	logger.Info("Starting.", "data_centre", s.DataCentre, "store", s.StoreAddress)
-	d, err := newGatewayDaemon(path, s, lines, logger)
+	tracing, err := newTracing(ctx, s.Trace, s.Name)
+	if err != nil {
+		return cli.Exit(cli.CodeUsage, "%s: trace: %w", path, err)
+	}
+	defer shutDown(ctx, tracing, logger)
+	d, err := newGatewayDaemon(path, s, lines, tracing, logger)
 	if err != nil {
 		return err
 	}
@@ -89,7 +94,7 @@
 	listener net.Listener
 }
 
-func newGatewayDaemon(path string, s *settings.Gateway, lines *telemetry.LineQueue, logger *telemetry.Logger) (*gatewayDaemon, error) {
+func newGatewayDaemon(path string, s *settings.Gateway, lines *telemetry.LineQueue, tracing *telemetry.Tracing, logger *telemetry.Logger) (*gatewayDaemon, error) {
 	listener, err := listen(path, "listen", s.Listen)
 	if err != nil {
 		return nil, err
@@ -114,6 +119,7 @@
 		Protocol: platform.Protocol{},
 		Log:      logger,
 		Metrics:  metrics,
+		Tracing:  tracing,
 		Store:    store,
 		Records:  records,
 		Self:     self,
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -84,7 +84,9 @@
 		Server: t.server.ID, Model: t.model, AtMS: started.Sub(c.received).Milliseconds(),
 		WaitMS: t.wait.Milliseconds(), ReadMS: t.read.Milliseconds(),
 	}
-	result, saved, err := c.exchange(t, &entry)
+	ctx, end := c.traceAttempt(&t)
+	result, saved, err := c.exchange(ctx, t, &entry)
+	end(result)
 	entry.result, entry.Outcome = result, result.String()
 	entry.TookMS = time.Since(started).Milliseconds()
 	if err != nil {
@@ -165,10 +167,10 @@
 	t.load.suspectUntil = time.Now().Add(suspectFor)
 }
 
-func (c *call) exchange(t target, entry *attemptLog) (attempt.Outcome, *savedAnswer, error) {
+func (c *call) exchange(ctx context.Context, t target, entry *attemptLog) (attempt.Outcome, *savedAnswer, error) {
 	defer c.g.begun(&t)
 	started := time.Now()
-	ctx, cancel := context.WithCancel(c.ctx)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	limit := 0
 	if c.service.MaxConnections > 0 {
@@ -177,7 +179,7 @@
 	if c.workspace != nil && !c.g.informed() {
 		return attempt.Stale, nil, nil
 	}
-	answer, err := c.g.Pool.Exchange(ctx, t.server.Address, limit, c.outgoing(t))
+	answer, err := c.g.Pool.Exchange(ctx, t.server.Address, limit, c.outgoing(ctx, t))
 	if err != nil {
 		if errors.Is(err, backend.ErrNotSent) {
 			c.g.suspect(t)
@@ -218,16 +220,18 @@
 	return attempt.Ended
 }
 
-func (c *call) outgoing(t target) *backend.Request {
+func (c *call) outgoing(ctx context.Context, t target) *backend.Request {
 	send := Send{ServerID: t.server.ID, Remaining: time.Until(c.deadline), Model: t.model, LastEvent: c.stream.lastID}
 	if c.workspace != nil {
 		send.Workspace = c.workspace.Name
 	}
+	header := c.g.Protocol.Outgoing(c.r.Header, send)
+	passTrace(ctx, header)
 	return &backend.Request{
 		Method: c.r.Method,
 		Target: c.r.RequestURI,
 		Host:   c.r.Host,
-		Header: c.g.Protocol.Outgoing(c.r.Header, send),
+		Header: header,
 		Body:   c.body,
 		Mine:   func(h http.Header) bool { return c.g.Protocol.Belongs(h, c.meta.ID) },
 	}
--- a/gateway/exhaustive_test.go
+++ b/gateway/exhaustive_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"hyssoploom/gateway"
 	"hyssoploom/platform/fake"
 	"hyssoploom/settings"
 )
@@ -202,7 +203,7 @@
 				register(q.store, q.service, near, r)
 				q.runners = append(q.runners, r)
 			}
-			q.entry = startAt(t, q.store, "e1", near, func(s *settings.Gateway) { s.Bounds.RetrySlack = 1 << 20 })
+			q.entry = startAt(t, q.store, "e1", near, func(s *settings.Gateway, _ *gateway.Deps) { s.Bounds.RetrySlack = 1 << 20 })
 			q.explore(nil)
 			t.Logf("%d sequences", q.played)
 			if q.played < len(q.steps) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -48,6 +48,8 @@
 	Protocol Protocol
 	Log      *telemetry.Logger
 	Metrics  *telemetry.Metrics
+	// Tracing takes a span for each request and each attempt; none when nil.
+	Tracing *telemetry.Tracing
 	// Store takes the status of roll-outs.
 	Store fleet.Store
 	// Records encodes what is written to the store.
@@ -116,6 +118,9 @@
 		releases: make(map[string]*releaseState),
 		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
+	if g.Tracing == nil {
+		g.Tracing = telemetry.NoTracing()
+	}
 	g.bounds.Store(&s.Bounds)
 	g.hub = peers.New(deps.Self, s.Seeds, g, func() map[string]fleet.Peer { return deps.State.View().Peers },
 		deps.Log.Part("peers"))
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -84,7 +84,9 @@
 	if !c.admit() || !c.readBody() {
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	ctx, end := c.trace(r.Context())
+	defer end()
+	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
 	c.ctx = ctx
 	c.run()
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -82,7 +82,7 @@
 	return startAt(t, store, name, near)
 }
 
-func startAt(t testing.TB, store *fake.Store, name, dataCentre string, adjust ...func(*settings.Gateway)) *entry {
+func startAt(t testing.TB, store *fake.Store, name, dataCentre string, adjust ...func(*settings.Gateway, *gateway.Deps)) *entry {
 	t.Helper()
 	s := &settings.Gateway{
 		Name: name, DataCentre: dataCentre, Region: regions[dataCentre], DataCentres: regions,
@@ -91,9 +91,6 @@
 			ExposureShare: 0.2, ExposureSlack: 10, RollbackMS: 5000, ColdOvershoot: 1, ColdSlack: 2, SessionS: 5,
 		},
 	}
-	for _, f := range adjust {
-		f(s)
-	}
 	client := listen(t)
 	peers := listen(t)
 	e := &entry{
@@ -106,12 +103,16 @@
 	fresh := fleet.NewFreshness(fleet.BootTime)
 	log := telemetry.Discard()
 	kv := platform.NewStore(store.Address())
-	e.Gateway = gateway.New(s, gateway.Deps{
+	deps := gateway.Deps{
 		State: e.State, Fresh: fresh, Pool: backend.NewPool(), Protocol: platform.Protocol{}, Log: log,
 		Metrics: telemetry.NewMetrics(), Store: kv, Records: records, Self: e.Peer,
 		Charges: platform.ProductStore{Store: kv}, BootID: "boot-" + name,
 		Started: time.Now().Add(-time.Minute),
-	})
+	}
+	for _, f := range adjust {
+		f(s, &deps)
+	}
+	e.Gateway = gateway.New(s, deps)
 	ctx, cancel := context.WithCancel(t.Context())
 	e.Stop = cancel
 	k, v := records.PeerItem(e.Peer)
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -33,6 +33,7 @@
 	MemoryMB    int               `toml:"memory_mb"`
 	Bounds      Bounds            `toml:"bounds"`
 	Log         Log               `toml:"log"`
+	Trace       Trace             `toml:"trace"`
 }
 
 // Bounds are the limits that the deployment promises to keep. Times are in the
@@ -84,7 +85,7 @@
 // LoadGateway reads the settings of a gateway. Its error joins one *Error for
 // each problem.
 func LoadGateway(path string) (*Gateway, error) {
-	g := &Gateway{Bounds: defaultBounds, Log: Log{Level: "info"}}
+	g := &Gateway{Bounds: defaultBounds, Log: Log{Level: defaultLogLevel}, Trace: Trace{Exporter: ExporterNone}}
 	f, err := load(path, g)
 	if err != nil {
 		return nil, err
@@ -106,7 +107,7 @@
 	if region := g.DataCentres[g.DataCentre]; region != g.Region {
 		f.fail("data_centres", "%q is in region %q, not in %q", g.DataCentre, region, g.Region)
 	}
-	f.oneOf("log.level", g.Log.Level, "debug", "info", "warn", "error")
+	f.common(g.Log, g.Trace)
 	f.bounds(&g.Bounds)
 	if err := f.err(); err != nil {
 		return nil, err
@@ -133,6 +134,7 @@
 		{"store_address", g.StoreAddress != changed.StoreAddress},
 		{"data_centres", !maps.Equal(g.DataCentres, changed.DataCentres)},
 		{"memory_mb", g.MemoryMB != changed.MemoryMB},
+		{"trace", g.Trace != changed.Trace},
 	} {
 		if s.different {
 			names = append(names, s.name)
--- a/telemetry/trace.go
+++ b/telemetry/trace.go
@@ -32,6 +32,7 @@
 // Tracing owns a tracer provider.
 type Tracing struct {
 	Tracer   trace.Tracer
+	flush    func(context.Context) error
 	shutdown func(context.Context) error
 }
 
@@ -39,6 +40,7 @@
 func NoTracing() *Tracing {
 	return &Tracing{
 		Tracer:   noop.NewTracerProvider().Tracer("hyssoploom"),
+		flush:    func(context.Context) error { return nil },
 		shutdown: func(context.Context) error { return nil },
 	}
 }
@@ -70,9 +72,12 @@
 		sdktrace.WithBatcher(spans),
 		sdktrace.WithResource(resource.NewSchemaless(attribute.String("service.name", process))),
 	)
-	return &Tracing{Tracer: provider.Tracer("hyssoploom"), shutdown: provider.Shutdown}
+	return &Tracing{Tracer: provider.Tracer("hyssoploom"), flush: provider.ForceFlush, shutdown: provider.Shutdown}
 }
 
+// Flush sends the spans that have ended so far.
+func (t *Tracing) Flush(ctx context.Context) error { return t.flush(ctx) }
+
 // Shutdown sends the spans that are still buffered.
 func (t *Tracing) Shutdown(ctx context.Context) error { return t.shutdown(ctx) }
 
