--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -130,9 +130,8 @@
 	key, value := records.PeerItem(self)
 	tree := supervise.New("gateway", logger.Part("supervisor"))
 	config := fleet.NewFollower(store, state, platform.ConfigPrefix, logger.Part("fleet"))
-	config.Fresh = fresh
+	config.Fresh, config.Wait = fresh, g.ProofWait
 	servers := fleet.NewFollower(store, state, platform.ServersPrefix, logger.Part("fleet"))
-	servers.Wait = fleet.ChangeWait
 	for _, follower := range []*fleet.Follower{config, servers} {
 		follower.Covered, follower.OnChange = g.Covered, g.PassOn
 		tree.Add(follower)
--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -10,12 +10,8 @@
 )
 
 const (
-	// ProofWait is how long a watch waits that has to prove the copy. The shorter it
-	// is, the later after a loss of the store keyed requests have to be refused; each
-	// watch is paid for.
-	ProofWait = 1100 * time.Millisecond
-	// ChangeWait is how long a watch waits that only brings changes. A connection
-	// that went silent is noticed within it.
+	// ChangeWait is how long a watch waits that proves nothing and only brings
+	// changes. A connection that went silent is noticed within it.
 	ChangeWait = 2 * time.Second
 	// watchSpacing is the pause after a watch with changes; each call is paid for,
 	// and changes often come in groups.
@@ -43,8 +39,8 @@
 	log    *telemetry.Logger
 	// Fresh, when set, takes the proofs of the copy.
 	Fresh *Freshness
-	// Wait is how long a watch waits for changes.
-	Wait time.Duration
+	// Wait returns how long a watch waits for changes.
+	Wait func() time.Duration
 	// Covered, when set, tells that a peer passes on what it reads, so that this
 	// process need not call the store itself.
 	Covered func() bool
@@ -57,7 +53,7 @@
 
 // NewFollower returns a follower of the keys under a prefix.
 func NewFollower(store Store, state *State, prefix string, log *telemetry.Logger) *Follower {
-	return &Follower{store: store, state: state, prefix: prefix, log: log, Wait: ProofWait}
+	return &Follower{store: store, state: state, prefix: prefix, log: log, Wait: func() time.Duration { return ChangeWait }}
 }
 
 // now reads the clock of the proofs.
@@ -85,7 +81,7 @@
 			revision = max(revision, f.state.CompleteUnder(f.prefix))
 			continue
 		}
-		wait := f.Wait
+		wait := f.Wait()
 		if failures > 0 {
 			wait = probeWait
 		}
--- a/gateway/duty.go
+++ b/gateway/duty.go
@@ -41,7 +41,7 @@
 	asked := time.Time{}
 	for ctx.Err() == nil {
 		wait(ctx, dutyInterval)
-		if now := time.Now(); now.Sub(asked) >= askInterval {
+		if now := time.Now(); now.Sub(asked) >= g.proofTimes().Ask {
 			g.askPeers()
 			asked = now
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -215,10 +215,28 @@
 // removed later may still be used for the time that revocation takes.
 func (g *Gateway) informed() bool {
 	age, known := g.Fresh.Age()
+	limit, limited := g.proofLimit()
+	return known && (!limited || age < limit)
+}
+
+// proofLimit is the age from which on the configuration is too old to accept keys.
+func (g *Gateway) proofLimit() (limit time.Duration, limited bool) {
 	b := g.bounds.Load()
-	return known && (age < b.Revoke()-watchLag || !b.StrictRevocation)
+	return b.Revoke() - watchLag, b.StrictRevocation
+}
+
+// proofTimes are the pauses that keep the configuration proven.
+func (g *Gateway) proofTimes() fleet.ProofTimes {
+	limit, limited := g.proofLimit()
+	if !limited {
+		limit = 0
+	}
+	return fleet.ProofTimesFor(limit)
 }
 
+// ProofWait is how long a watch of the configuration waits.
+func (g *Gateway) ProofWait() time.Duration { return g.proofTimes().Wait }
+
 // ServeReady answers the balancer's readiness check.
 func (g *Gateway) ServeReady(w http.ResponseWriter, _ *http.Request) {
 	if !g.Ready() {
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -120,7 +120,7 @@
 	for _, prefix := range []string{platform.ConfigPrefix, platform.ServersPrefix} {
 		follower := fleet.NewFollower(kv, e.State, prefix, log)
 		if prefix == platform.ConfigPrefix {
-			follower.Fresh = fresh
+			follower.Fresh, follower.Wait = fresh, e.Gateway.ProofWait
 		}
 		follower.Covered, follower.OnChange = e.Gateway.Covered, e.Gateway.PassOn
 		background(t, func() { follower.Serve(ctx) })
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -10,14 +10,6 @@
 )
 
 const (
-	// askAfter is the age of the own proof from which peers are asked for theirs;
-	// an undisturbed watch proves the copy more often.
-	askAfter = 2300 * time.Millisecond
-	// askInterval is the pause between two questions.
-	askInterval = 250 * time.Millisecond
-	// coverLimit is the age of the copy up to which an entry relies on the reader of
-	// its data centre.
-	coverLimit = 1900 * time.Millisecond
 	// farAsked is the number of peers of other regions that are asked at once.
 	farAsked = 2
 	// farPending is the change of pending work at a server that peers of other
@@ -174,7 +166,7 @@
 // so that it need not call the store itself.
 func (g *Gateway) Covered() bool {
 	age, known := g.Fresh.Age()
-	return known && age < coverLimit && g.reader().Name != g.Self.Name
+	return known && age < g.proofTimes().Cover && g.reader().Name != g.Self.Name
 }
 
 // PassOn sends changes that this entry read from the store to the others of its
@@ -199,7 +191,7 @@
 	if reader := g.reader(); reader.Name != g.Self.Name {
 		g.hub.Send(reader.Address, put)
 	}
-	if age, known := g.Fresh.Age(); known && age < askAfter {
+	if age, known := g.Fresh.Age(); known && age < g.proofTimes().AskAfter {
 		return
 	}
 	live := g.hub.Live()
--- a/gateway/requests_test.go
+++ b/gateway/requests_test.go
@@ -7,7 +7,9 @@
 	"testing"
 	"time"
 
+	"hyssoploom/gateway"
 	"hyssoploom/platform/fake"
+	"hyssoploom/settings"
 )
 
 // Guards against wrong routing, keys that are not checked, and refusals with a
@@ -234,6 +236,32 @@
 	}
 }
 
+// Guards against entries that refuse keys now and then although nothing is wrong,
+// because the deployment allows little time for revocations and changes come at
+// any moment.
+func TestShortRevocation(t *testing.T) {
+	store := newStore(t)
+	register(store, "app", near, fake.NewRunner(t, "i-1", fake.Answer(200, "hello")))
+	short := func(s *settings.Gateway, _ *gateway.Deps) { s.Bounds.RevokeMS = 3000 }
+	reader := startAt(t, store, "e1", near, short)
+	covered := startAt(t, store, "e2", near, short)
+	reader.awaitServers(1)
+	covered.awaitServers(1)
+	sent := 0
+	for begun, next := time.Now(), time.Duration(0); time.Since(begun) < 6*time.Second; time.Sleep(20 * time.Millisecond) {
+		if time.Since(begun) >= next {
+			store.Put("op/unrelated", sent)
+			next += 1030 * time.Millisecond // just before a watch of 1.1 s ends
+		}
+		for _, e := range []*entry{reader, covered} {
+			sent++
+			if a := e.send("GET", "/look/a", ""); a.status != 200 {
+				t.Fatalf("request %d was refused: %d %s", sent, a.status, a.body)
+			}
+		}
+	}
+}
+
 // Guards against an answer to one request that is passed off as that to another,
 // and against bytes after an answer that reach a caller.
 func TestAnswersOfOtherRequests(t *testing.T) {
--- /dev/null
+++ b/settings/fuzz_test.go
@@ -0,0 +1,50 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const gatewayFile = `name = "e1"
+data_centre = "fyn-a"
+region = "fyn"
+listen = "127.0.0.1:7001"
+ready_listen = "127.0.0.1:7002"
+peer_listen = "127.0.0.1:7003"
+store_address = "127.0.0.1:7004"
+[data_centres]
+fyn-a = "fyn"
+`
+
+// Guards against settings files that crash the reader, and against settings that
+// are accepted although a process could not run with them.
+func FuzzLoadGateway(f *testing.F) {
+	for _, seed := range []string{
+		gatewayFile, "", "name = 3", gatewayFile + "[bounds]\ngrace_s = -1", gatewayFile + "[bounds]\ngrace_s = nan",
+		gatewayFile + "[bounds]\nretry_ratio = inf", gatewayFile + "unknown = 1", strings.Replace(gatewayFile, "7001", "x", 1),
+		gatewayFile + "[log]\nlevel = \"loud\"", gatewayFile + "[trace]\nexporter = \"otlp\"", "\x00\xff", "[[", gatewayFile + gatewayFile,
+		gatewayFile + "[bounds]\nrevoke_ms = 1e300",
+	} {
+		f.Add(seed)
+	}
+	path := filepath.Join(f.TempDir(), "settings.toml")
+	f.Fuzz(func(t *testing.T, text string) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		g, err := LoadGateway(path)
+		if err != nil {
+			if err.Error() == "" {
+				t.Error("an error without a text")
+			}
+			return
+		}
+		b := &g.Bounds
+		if g.Name == "" || g.DataCentres[g.DataCentre] != g.Region || b.Grace() <= 0 || b.Revoke() <= 0 || b.RetryWindow() <= 0 ||
+			!(b.RetryRatio >= 0) || !(b.ExposureShare >= 0) || !(b.ColdOvershoot >= 0) || !(b.ColdSlack >= 0) || b.Session() < 0 {
+			t.Errorf("accepted: %+v", g)
+		}
+	})
+}
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"time"
 )
 
@@ -143,21 +144,34 @@
 	return names
 }
 
+// longest bounds the times of the settings; a longer one is a mistake in its unit.
+const longest = 24 * time.Hour
+
 func (f *file) bounds(b *Bounds) {
 	for key, value := range map[string]float64{
-		"bounds.grace_s": b.GraceS, "bounds.revoke_ms": b.RevokeMS, "bounds.retry_window_s": b.RetryWindowS,
+		"bounds.grace_s": b.GraceS, "bounds.revoke_ms": b.RevokeMS / 1000, "bounds.retry_window_s": b.RetryWindowS,
 	} {
-		if value <= 0 {
+		if !(value > 0) {
 			f.fail(key, "must be greater than 0")
 		}
+		f.notLongerThan(key, value)
 	}
+	f.notLongerThan("bounds.session_s", b.SessionS)
+	f.notLongerThan("bounds.rollback_ms", b.RollbackMS/1000)
 	for key, value := range map[string]float64{
 		"bounds.retry_ratio": b.RetryRatio, "bounds.retry_slack": float64(b.RetrySlack),
 		"bounds.exposure_share": b.ExposureShare, "bounds.exposure_slack": float64(b.ExposureSlack),
 		"bounds.cold_overshoot": b.ColdOvershoot, "bounds.cold_slack": b.ColdSlack, "bounds.session_s": b.SessionS,
+		"bounds.rollback_ms": b.RollbackMS,
 	} {
-		if value < 0 {
-			f.fail(key, "must not be negative")
+		if !(value >= 0) || math.IsInf(value, 0) {
+			f.fail(key, "must be a number that is not negative")
 		}
 	}
 }
+
+func (f *file) notLongerThan(key string, seconds float64) {
+	if seconds > longest.Seconds() {
+		f.fail(key, "must not be longer than %v", longest)
+	}
+}
