--- /dev/null
+++ b/gateway/drain_test.go
@@ -0,0 +1,100 @@
+package gateway_test
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"hyssoploom/platform/fake"
+)
+
+// patientStore is a store whose routes give requests 20 s.
+func patientStore(t *testing.T) *fake.Store {
+	store := fake.NewStore(t)
+	c := configuration(1)
+	for _, r := range c["routes"].([]any) {
+		r.(map[string]any)["timeoutMs"] = 20000
+	}
+	store.Put("op/config", c)
+	return store
+}
+
+// Guards against planned stops that cut answers, refuse callers before the
+// balancer knows, keep connections in use, or take longer than the grace.
+func TestDrain(t *testing.T) {
+	store := patientStore(t)
+	register(store, "app", near, fake.NewRunner(t, "i-1", fake.Answer(200, "hello")))
+	const lastEvent = 20 // 3 s: longer than the time for new connections
+	register(store, "llm", near, fake.NewRunner(t, "i-2", fake.Stream(lastEvent, true, 150*time.Millisecond)))
+	e := start(t, store, "e1")
+	e.awaitServers(2)
+	var all sync.WaitGroup
+	all.Go(func() {
+		if a := e.send("POST", "/draft/a", "x", "X-Request-Id", "long", "X-Model", "small", "X-Deadline-Ms", "6000"); a.status != 200 || a.err != nil || a.body != events(1, lastEvent) {
+			t.Errorf("the running stream was cut: status %d, %v, %d bytes", a.status, a.err, len(a.body))
+		}
+	})
+	time.Sleep(200 * time.Millisecond)
+	begun := time.Now()
+	drained := make(chan error, 1)
+	go func() { drained <- e.Gateway.Drain(t.Context()) }()
+	eventually(t, "the entry says that it is not ready", func() bool {
+		w := httptest.NewRecorder()
+		e.Gateway.ServeReady(w, nil)
+		return w.Code == http.StatusServiceUnavailable
+	})
+	for time.Since(begun) < 2*time.Second { // the balancer takes so long to notice
+		response, err := http.ReadResponse(e.raw("GET /look/a HTTP/1.1\r\nHost: "+host+"\r\nX-Request-Id: d1\r\nX-Key: "+key+"\r\n\r\n"), nil)
+		if err != nil || response.StatusCode != 200 {
+			t.Fatalf("a caller was turned away %v after the signal: %v %v", time.Since(begun), response, err)
+		}
+		if !response.Close {
+			t.Fatal("a caller may keep its connection to an entry that stops")
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	all.Wait()
+	if err := <-drained; err != nil {
+		t.Errorf("drain: %v", err)
+	}
+	if took := time.Since(begun); took > 8*time.Second {
+		t.Errorf("the drain took %v, the grace is 8 s", took)
+	}
+	if conn, err := net.Dial("tcp", strings.TrimPrefix(e.URL, "http://")); err == nil {
+		conn.Close()
+		t.Error("a stopped entry takes connections")
+	}
+}
+
+// Guards against an answer that the end of the grace cuts in such a way that it
+// looks complete, and against a process that outlives its grace.
+func TestDrainAtTheEndOfTheGrace(t *testing.T) {
+	store := patientStore(t)
+	register(store, "llm", near, fake.NewRunner(t, "i-1", fake.Stream(1000, true, 20*time.Millisecond)))
+	e := startAt(t, store, "e1", near, shortGrace)
+	e.awaitServers(1)
+	var all sync.WaitGroup
+	all.Go(func() {
+		a := e.send("POST", "/once/a", "x", "X-Request-Id", "endless", "X-Model", "small", "X-Deadline-Ms", "30000")
+		if a.status != 200 || a.err == nil {
+			t.Errorf("status %d, %v, %d bytes", a.status, a.err, len(a.body))
+		}
+		if !strings.HasPrefix(events(1, 1000), a.body) {
+			t.Error("the part that arrived is not the beginning of the answer")
+		}
+	})
+	time.Sleep(100 * time.Millisecond)
+	begun := time.Now()
+	if err := e.Gateway.Drain(t.Context()); err != nil {
+		t.Error(err)
+	}
+	if took := time.Since(begun); took > 4*time.Second {
+		t.Errorf("the drain took %v, the grace is 4 s", took)
+	}
+	e.Stop() // the process ends
+	all.Wait()
+}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -71,6 +71,11 @@
 	defer g.inflight.Begin()()
 	c := &call{g: g, w: w, r: r, view: g.State.View(), received: time.Now(), tried: make(map[string]bool), model: -1, position: -1}
 	g.Metrics.Add("requests", 1)
+	if g.draining.Load() {
+		// The caller's next request goes to another entry instead of crossing the end
+		// of this connection.
+		w.Header().Set("Connection", "close")
+	}
 	meta, err := g.Protocol.ReadMeta(r.Header)
 	c.meta = meta
 	if c.view.Config == nil {
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -134,6 +134,9 @@
 	return e
 }
 
+// shortGrace leaves little time for a drain, and much for requests.
+func shortGrace(s *settings.Gateway, _ *gateway.Deps) { s.Bounds.GraceS = 4 }
+
 // background runs f and waits for its end when the test is over.
 func background(t testing.TB, f func()) {
 	done := make(chan struct{})
