--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -194,18 +195,18 @@
 	err    error // of reading the body
 }
 
-var ids int
+var ids atomic.Int64
 
 // send makes one request; headers are pairs of name and value.
 func (e *entry) send(method, path, body string, headers ...string) answer {
 	e.t.Helper()
-	ids++
+	id := ids.Add(1)
 	request, err := http.NewRequestWithContext(e.t.Context(), method, e.URL+path, strings.NewReader(body))
 	if err != nil {
 		e.t.Fatal(err)
 	}
 	request.Host = host
-	request.Header.Set("X-Request-Id", fmt.Sprintf("r%d", ids))
+	request.Header.Set("X-Request-Id", fmt.Sprintf("r%d", id))
 	request.Header.Set("X-Key", key)
 	request.Header.Set("X-Deadline-Ms", "1500")
 	for i := 0; i < len(headers); i += 2 {
--- a/telemetry/log.go
+++ b/telemetry/log.go
@@ -3,6 +3,7 @@
 
 import (
 	"io"
+	"sync/atomic"
 
 	"github.com/phuslu/log"
 )
@@ -12,18 +13,25 @@
 type Logger struct {
 	base   *log.Logger
 	prefix string
+	// level is the least level that is written. It is kept here because the
+	// library's own cannot change while lines are written.
+	level *atomic.Uint32
 }
 
 // NewLogger returns a logger for one part. Level is one of debug, info, warn
 // and error; any other value means info.
 func NewLogger(w io.Writer, level, part string) *Logger {
-	base := &log.Logger{Level: levelOf(level), Writer: &log.IOWriter{Writer: w}}
-	return &Logger{base: base, prefix: part + ": "}
+	l := &Logger{
+		base:   &log.Logger{Level: log.DebugLevel, Writer: &log.IOWriter{Writer: w}},
+		prefix: part + ": ", level: new(atomic.Uint32),
+	}
+	l.SetLevel(level)
+	return l
 }
 
 // SetLevel changes the least level of the lines that are written, for all parts of
 // the logger. It takes the names of NewLogger.
-func (l *Logger) SetLevel(level string) { l.base.SetLevel(levelOf(level)) }
+func (l *Logger) SetLevel(level string) { l.level.Store(uint32(levelOf(level))) }
 
 func levelOf(name string) log.Level {
 	level := log.ParseLevel(name)
@@ -43,26 +51,32 @@
 // Discard returns a logger that writes nothing.
 func Discard() *Logger { return NewLogger(io.Discard, "error", "discard") }
 
-// Base returns the underlying logger, for packages that take one.
-func (l *Logger) Base() *log.Logger { return l.base }
+// Base returns the underlying logger with the level of now, for packages that take
+// one.
+func (l *Logger) Base() *log.Logger {
+	return &log.Logger{Level: log.Level(l.level.Load()), Context: l.base.Context, Writer: l.base.Writer}
+}
 
 // Part returns a logger with the same output for another part.
 func (l *Logger) Part(part string) *Logger {
-	return &Logger{base: l.base, prefix: part + ": "}
+	return &Logger{base: l.base, prefix: part + ": ", level: l.level}
 }
 
 // Debug logs msg with alternating keys and values.
-func (l *Logger) Debug(msg string, kv ...any) {
-	l.base.Debug().KeysAndValues(kv...).Msg(l.prefix + msg)
-}
+func (l *Logger) Debug(msg string, kv ...any) { l.write(log.DebugLevel, msg, kv) }
 
 // Info logs msg with alternating keys and values.
-func (l *Logger) Info(msg string, kv ...any) { l.base.Info().KeysAndValues(kv...).Msg(l.prefix + msg) }
+func (l *Logger) Info(msg string, kv ...any) { l.write(log.InfoLevel, msg, kv) }
 
 // Warn logs msg with alternating keys and values.
-func (l *Logger) Warn(msg string, kv ...any) { l.base.Warn().KeysAndValues(kv...).Msg(l.prefix + msg) }
+func (l *Logger) Warn(msg string, kv ...any) { l.write(log.WarnLevel, msg, kv) }
 
 // Error logs msg with alternating keys and values.
-func (l *Logger) Error(msg string, kv ...any) {
-	l.base.Error().KeysAndValues(kv...).Msg(l.prefix + msg)
+func (l *Logger) Error(msg string, kv ...any) { l.write(log.ErrorLevel, msg, kv) }
+
+func (l *Logger) write(level log.Level, msg string, kv []any) {
+	if uint32(level) < l.level.Load() {
+		return
+	}
+	l.base.WithLevel(level).KeysAndValues(kv...).Msg(l.prefix + msg)
 }
--- a/telemetry/queue_test.go
+++ b/telemetry/queue_test.go
@@ -50,3 +50,22 @@
 		}
 	}
 }
+
+// Guards against a level that changes while lines are written, and parts that
+// keep the old one.
+func TestSetLevel(t *testing.T) {
+	var out bytes.Buffer
+	l := NewLogger(&out, "warn", "a")
+	part := l.Part("b")
+	part.Info("Not yet.")
+	l.SetLevel("info")
+	part.Info("Now.")
+	part.Debug("Never.")
+	var all sync.WaitGroup
+	all.Go(func() { l.SetLevel("error") })
+	all.Go(func() { part.Info("Perhaps.") })
+	all.Wait()
+	if text := out.String(); strings.Contains(text, "Not yet.") || !strings.Contains(text, "b: Now.") || strings.Contains(text, "Never.") {
+		t.Error(text)
+	}
+}
