cli: platform check and platform status

check validates a gateway's settings and an operators' configuration offline; status reads the platform's store once and shows what a gateway that starts now would learn: configuration, backend servers by service, data centre, version and state, roll-outs, data centres out of service, entries, and items that are not understood.

--- /dev/null
+++ b/cli/platform.go
@@ -0,0 +1,162 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"hyssoploom/fleet"
+	"hyssoploom/platform"
+	"hyssoploom/settings"
+)
+
+// statusTime bounds the reading of the platform's store for a status.
+const statusTime = 10 * time.Second
+
+// platformCommand groups the commands for the users' platform.
+func (g *globals) platformCommand() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "platform",
+		Short: "Check and show a deployment on the users' platform",
+		Args:  Usage(cobra.NoArgs),
+		RunE:  func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
+	}
+	cmd.AddCommand(platformCheckCommand(), g.platformStatusCommand())
+	return cmd
+}
+
+// platformCheckCommand checks files without a store or a process.
+func platformCheckCommand() *cobra.Command {
+	var settingsPath, configPath string
+	cmd := &cobra.Command{
+		Use:     "check",
+		Short:   "Check a gateway's settings file and an operators' configuration offline",
+		Example: "  hyssoploom platform check --settings gateway.toml --configuration config.json",
+		Args:    Usage(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if settingsPath == "" && configPath == "" {
+				return Exit(CodeUsage, "nothing to check: set --settings or --configuration")
+			}
+			out := cmd.OutOrStdout()
+			if settingsPath != "" {
+				s, err := settings.LoadGateway(settingsPath)
+				if err != nil {
+					return Exit(CodeInvalid, "%w", err)
+				}
+				fmt.Fprintf(out, "%s: valid settings of %s in %s\n", settingsPath, s.Name, s.DataCentre)
+			}
+			if configPath == "" {
+				return nil
+			}
+			return checkConfiguration(out, configPath)
+		},
+	}
+	cmd.Flags().StringVar(&settingsPath, "settings", "", "path of a gateway's TOML settings file")
+	cmd.Flags().StringVar(&configPath, "configuration", "", "path of the operators' configuration, as the store holds it")
+	return cmd
+}
+
+// checkConfiguration decodes a configuration and reports what it refers to and
+// does not contain.
+func checkConfiguration(out io.Writer, path string) error {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return Exit(CodeUsage, "%w", err)
+	}
+	config, err := platform.DecodeConfiguration(content)
+	if err != nil {
+		return Exit(CodeInvalid, "%s: %w", path, err)
+	}
+	var problems []string
+	for _, r := range config.Routes() {
+		for _, s := range r.Services {
+			if config.Services[s.Service] == nil {
+				problems = append(problems, fmt.Sprintf("route %s: service %q does not exist", r.Name, s.Service))
+			}
+		}
+		if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+			problems = append(problems, fmt.Sprintf("route %s: prefix %q must begin and end with a slash", r.Name, r.Prefix))
+		}
+	}
+	if len(problems) > 0 {
+		return Exit(CodeInvalid, "%s: %s", path, strings.Join(problems, "; "))
+	}
+	fmt.Fprintf(out, "%s: valid configuration, version %d, %d routes, %d services\n", path, config.Version, len(config.Routes()), len(config.Services))
+	return nil
+}
+
+// platformStatusCommand shows what a gateway that starts now would learn.
+func (g *globals) platformStatusCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "status",
+		Short:   "Show the configuration, backend servers, roll-outs and entries in the platform's store",
+		Example: "  hyssoploom platform status --store kv://10.200.1.7:8223",
+		Args:    Usage(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			address, ok := strings.CutPrefix(g.storeURL, platformScheme)
+			if !ok {
+				return Exit(CodeUsage, "set --store or %s to %sHOST:PORT", EnvStore, platformScheme)
+			}
+			ctx, cancel := context.WithTimeout(cmd.Context(), statusTime)
+			defer cancel()
+			view, rejected, err := platform.ReadView(ctx, platform.NewStore(address))
+			if err != nil {
+				return Exit(CodeUnavailable, "cannot read the store at %s: %w", address, err)
+			}
+			return printStatus(cmd.OutOrStdout(), view, rejected)
+		},
+	}
+}
+
+func printStatus(out io.Writer, view *fleet.View, rejected []fleet.Rejected) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	if view.Config == nil {
+		fmt.Fprintln(w, "configuration\tnone")
+	} else {
+		fmt.Fprintf(w, "configuration\tversion %d\t%d routes\t%d services\n", view.Config.Version, len(view.Config.Routes()), len(view.Config.Services))
+	}
+	for _, service := range slices.Sorted(maps.Keys(view.ByService)) {
+		groups := make(map[string]int)
+		for _, s := range view.ByService[service] {
+			state := "ready"
+			switch {
+			case s.Draining:
+				state = "draining"
+			case s.Cold > 0:
+				state = "cold"
+			}
+			groups[s.DataCentre+"\t"+s.Version+"\t"+state]++
+		}
+		for _, group := range slices.Sorted(maps.Keys(groups)) {
+			fmt.Fprintf(w, "backend servers\t%s\t%s\t%d\n", service, group, groups[group])
+		}
+	}
+	for _, service := range slices.Sorted(maps.Keys(view.Orders)) {
+		r, _ := view.RollOut(service)
+		elapsed := ""
+		if plan := view.Plans[service]; plan.Order == r.Revision {
+			elapsed = fmt.Sprintf("at least %v of %v", time.Duration(plan.ElapsedMS)*time.Millisecond, r.Duration)
+		}
+		fmt.Fprintf(w, "roll-out\t%s\tto %s\t%s\t%s\n", service, r.Target, r.Outcome, elapsed)
+	}
+	for _, centre := range slices.Sorted(maps.Keys(view.Out)) {
+		if view.Out[centre] {
+			fmt.Fprintf(w, "out of service\t%s\n", centre)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(view.Peers)) {
+		fmt.Fprintf(w, "entry\t%s\t%s\t%s\n", name, view.Peers[name].DataCentre, view.Peers[name].Address)
+	}
+	for _, r := range rejected {
+		fmt.Fprintf(w, "not understood\t%s\t%v\n", r.Key, r.Err)
+	}
+	return w.Flush()
+}
--- a/cli/root.go
+++ b/cli/root.go
@@ -54,7 +54,7 @@
 	flags.StringVar(&g.storeURL, "store", os.Getenv(EnvStore), "base URL of the store, or "+platformScheme+"HOST:PORT on the users' platform (env "+EnvStore+")")
 	flags.StringVar(&g.writer, "writer", defaultWriter(), "name recorded as the writer of changes (env "+EnvWriter+")")
 	root.AddCommand(g.checkCommand(), g.applyCommand(), g.diffCommand(), g.getCommand(), g.statusCommand(),
-		g.quarantineCommand(), g.billCommand(), explainCommand(), versionCommand())
+		g.quarantineCommand(), g.billCommand(), explainCommand(), g.platformCommand(), versionCommand())
 	return root
 }
 
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -175,5 +175,17 @@
 	return nil
 }
 
+// Routes returns all routes in order of host and name.
+func (c *Config) Routes() []*Route {
+	var all []*Route
+	for _, list := range c.routes {
+		all = append(all, list...)
+	}
+	slices.SortFunc(all, func(a, b *Route) int {
+		return cmp.Or(strings.Compare(a.Host, b.Host), strings.Compare(a.Name, b.Name))
+	})
+	return all
+}
+
 // Workspace returns the owner of a key, or nil.
 func (c *Config) Workspace(key string) *Workspace { return c.workspaces[key] }
