--- a/cli/platform.go
+++ b/cli/platform.go
@@ -26,8 +26,10 @@
 	cmd := &cobra.Command{
 		Use:   "platform",
 		Short: "Check and show a deployment on the users' platform",
-		Args:  Usage(cobra.NoArgs),
-		RunE:  func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
+		Example: "  hyssoploom platform status --store kv://10.200.1.7:8223\n" +
+			"  hyssoploom platform check --settings gateway.toml",
+		Args: Usage(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
 	}
 	cmd.AddCommand(platformCheckCommand(), g.platformStatusCommand())
 	return cmd
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -5,12 +5,14 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
 
 	"hyssoploom/attempt"
 	"hyssoploom/fleet"
+	"hyssoploom/limits"
 	"hyssoploom/peers"
 )
 
@@ -194,7 +196,7 @@
 			panic("gateway: refusal of a request that may have run")
 		}
 	}
-	c.g.Protocol.Refuse(c.w.Header(), c.meta.ID, retryAfter)
+	c.g.Protocol.Refuse(c.w.Header(), c.meta.ID, limits.Return(retryAfter, rand.Float64()))
 	c.w.Header().Set("Content-Type", "application/json")
 	c.w.WriteHeader(status)
 	// A caller that has left cannot read the refusal; nothing is left to do.
--- /dev/null
+++ b/limits/returns_test.go
@@ -0,0 +1,53 @@
+package limits
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// Guards against callers that were refused together and come back together. It
+// plays the load that Return answers: 600 callers are refused in one moment and
+// come back to servers that take 20 of them in 10 ms; those that find no room are
+// refused again. Without a spread most are refused again and again.
+func TestReturnsAreSpread(t *testing.T) {
+	const callers, room, tick, after = 600, 20, 10 * time.Millisecond, 300 * time.Millisecond
+	refusedAgain := func(draw func() float64) (again int, last time.Duration) {
+		due := make([]time.Duration, callers)
+		for i := range due {
+			due[i] = Return(after, draw())
+		}
+		for now := time.Duration(0); len(due) > 0; now += tick {
+			taken := 0
+			var left []time.Duration
+			for _, at := range due {
+				switch {
+				case at > now:
+					left = append(left, at)
+				case taken < room:
+					taken++
+					last = now
+				default:
+					again++
+					left = append(left, now+Return(after, draw()))
+				}
+			}
+			due = left
+		}
+		return again, last
+	}
+	for seed := range uint64(10) {
+		rng := rand.New(rand.NewPCG(seed, 8))
+		together, lastTogether := refusedAgain(func() float64 { return 0.5 })
+		spread, lastSpread := refusedAgain(rng.Float64)
+		t.Logf("seed %d: refused again %d together, %d spread; all served after %v and %v", seed, together, spread, lastTogether, lastSpread)
+		if spread > together/5 || lastSpread > lastTogether/2 {
+			t.Errorf("seed %d: %d were refused again, %d without a spread; all served after %v, %v without", seed, spread, together, lastSpread, lastTogether)
+		}
+	}
+	for _, draw := range []float64{0, 0.25, 0.999} {
+		if got := Return(time.Second, draw); got < 500*time.Millisecond || got >= 1500*time.Millisecond {
+			t.Errorf("draw %v: %v", draw, got)
+		}
+	}
+}
