gateway: backend servers are told the rank of a request

The workspace's priority, or else the route's, goes on in X-Request-Priority, by which engines admit. Kept because the operators set these ranks.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -220,8 +220,16 @@
 	return attempt.Ended
 }
 
+// priority is the rank of the request; the workspace's goes before the route's.
+func (c *call) priority() int {
+	if c.workspace != nil && c.workspace.Priority >= 0 {
+		return c.workspace.Priority
+	}
+	return c.route.Priority
+}
+
 func (c *call) outgoing(ctx context.Context, t target) *backend.Request {
-	send := Send{ServerID: t.server.ID, Remaining: time.Until(c.deadline), Model: t.model, LastEvent: c.stream.lastID}
+	send := Send{ServerID: t.server.ID, Priority: c.priority(), Remaining: time.Until(c.deadline), Model: t.model, LastEvent: c.stream.lastID}
 	if c.workspace != nil {
 		send.Workspace = c.workspace.Name
 	}
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -61,7 +61,7 @@
 					map[string]any{"name": "small", "cost": 0.01}, map[string]any{"name": "large", "cost": 0.1}}}},
 		},
 		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 100000, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []any{map[string]any{"name": workspace, "apiKeys": []string{key}, "priority": 1}},
+		"tenants": []any{map[string]any{"name": workspace, "apiKeys": []string{key}, "priority": 4}},
 	}
 }
 
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -39,6 +39,8 @@
 
 // Send is what the gateway adds to a request for one backend server.
 type Send struct {
+	// Priority is the rank of the request; 0 is the most urgent.
+	Priority int
 	ServerID string
 	// Workspace is the owner of the caller's key; empty when there is none.
 	Workspace string
--- a/gateway/requests_test.go
+++ b/gateway/requests_test.go
@@ -55,6 +55,11 @@
 	if a.status != 200 || a.body != "hello" || a.header.Get("X-Response-Seal") != fake.Seal {
 		t.Fatalf("answer %+v", a)
 	}
+	// The workspace's rank goes before the route's; a public request has the route's.
+	e.send("GET", "/open/a", "", "X-Key", "", "X-Request-Priority", "9")
+	if ranks := []string{app.Arrivals()[0].Header.Get("X-Request-Priority"), app.Arrivals()[1].Header.Get("X-Request-Priority")}; ranks[0] != "4" || ranks[1] != "1" {
+		t.Errorf("ranks %v", ranks)
+	}
 	got := app.Arrivals()[0]
 	if got.Method != "POST" || got.Target != "/book/x%2Fy?q=1" || got.Host != host || got.Body != "two mats" {
 		t.Errorf("the request was changed: %+v", got)
