--- a/release/plan.go
+++ b/release/plan.go
@@ -18,6 +18,8 @@
 	// write may take: a good version is completed this long before the duration
 	// ends. Around a compaction, watches hear nothing for a second.
 	orderLag = time.Second
+	// orderLagPart bounds that time to a part of short durations.
+	orderLagPart = 8
 	// moveWindow is the part of the duration before that, in which all sessions
 	// move. A version whose failures show only then has served little more than this
 	// part of the requests when the duration ends. At most moveShare of the exposure
@@ -65,7 +67,7 @@
 
 const (
 	// alpha bounds the probability that a good version is ever found bad. The bound
-	// of the test is loose: TestGoodVersionsStay finds none in 1,000.
+	// of the test is loose: see TestGoodVersionsStay.
 	alpha = 0.05
 	// priorTimed and priorSlow are added to the timed answers of the old version:
 	// under load few of its answers can be timed.
@@ -192,7 +194,7 @@
 // finishAt is when a good version is completed although requests still run on the
 // old one, and moveAt when all sessions may move.
 func (p *Progress) finishAt() time.Duration {
-	return p.Duration - min(orderLag, p.Duration/8)
+	return p.Duration - min(orderLag, p.Duration/orderLagPart)
 }
 
 func (p *Progress) moveAt(l Limits) time.Duration {
