--- a/release/plan.go
+++ b/release/plan.go
@@ -17,7 +17,7 @@
 	// orderLag is how late entries may learn of an order, and how long the last
 	// write may take: a good version is completed this long before the duration
 	// ends. Around a compaction, watches hear nothing for a second.
-	orderLag = time.Second
+	orderLag = 1400 * time.Millisecond
 	// orderLagPart bounds that time to a part of short durations.
 	orderLagPart = 8
 	// moveWindow is the part of the duration before that, in which all sessions
