--- a/gateway/exhaustive_test.go
+++ b/gateway/exhaustive_test.go
@@ -236,6 +236,7 @@
 				q.runners = append(q.runners, r)
 			}
 			q.entry = startAt(t, q.store, "e1", near, func(s *settings.Gateway, _ *gateway.Deps) { s.Bounds.RetrySlack = 1 << 20 })
+			q.entry.awaitServers(len(q.runners))
 			q.explore(nil)
 			t.Logf("%d sequences", q.played)
 			if q.played < len(q.steps) {
