invariants: a write fault says that it was reached after the write took effect

The tap closed 'reached' before it passed the write on, so the test could kill the agent before the write to 'started' had reached the store; then the call had in fact not started and both answers were true.

Ruled out: the record's state machine and the refusal, which told the truth. The check is as strict as before: each fault is now reached at the step that the test names.

--- a/invariants/stores.go
+++ b/invariants/stores.go
@@ -34,9 +34,11 @@
 
 // writeFault is applied to the first write that it matches.
 type writeFault struct {
-	match   func(dialect.Write) bool
-	do      swapFunc
-	reached chan struct{} // closed when the write was made
+	match func(dialect.Write) bool
+	do    swapFunc
+	// reached is closed when the fault has taken effect: before a write that it
+	// holds back or drops, after a write that it lets through.
+	reached chan struct{}
 	resume  chan struct{} // closing it ends a pause
 }
 
@@ -89,7 +91,6 @@
 		return 0, errDead
 	}
 	if fault := t.take(w); fault != nil {
-		close(fault.reached)
 		return fault.do(ctx, t, w)
 	}
 	return t.Store.Swap(ctx, w)
@@ -146,6 +147,7 @@
 // process does.
 func pauseBefore(f *writeFault) swapFunc {
 	return func(ctx context.Context, t *tap, w dialect.Write) (uint64, error) {
+		close(f.reached)
 		if err := f.pause(t); err != nil {
 			return 0, err
 		}
@@ -156,6 +158,7 @@
 func pauseAfter(f *writeFault) swapFunc {
 	return func(ctx context.Context, t *tap, w dialect.Write) (uint64, error) {
 		revision, err := t.Store.Swap(ctx, w)
+		close(f.reached)
 		if err := f.pause(t); err != nil {
 			return 0, err
 		}
@@ -163,15 +166,17 @@
 	}
 }
 
-func loseResponse(*writeFault) swapFunc {
+func loseResponse(f *writeFault) swapFunc {
 	return func(ctx context.Context, t *tap, w dialect.Write) (uint64, error) {
 		_, _ = t.Store.Swap(ctx, w)
+		close(f.reached)
 		return 0, fmt.Errorf("%w: response lost", dialect.ErrUnknownOutcome)
 	}
 }
 
-func dropRequest(*writeFault) swapFunc {
+func dropRequest(f *writeFault) swapFunc {
 	return func(context.Context, *tap, dialect.Write) (uint64, error) {
+		close(f.reached)
 		return 0, fmt.Errorf("%w: request lost", dialect.ErrUnknownOutcome)
 	}
 }
