gateway: requests in the first moments of an entry wait for its first look at the store

Ruled out: the time of the first listing itself, links between entries, the balancer.

Change: until the store has been read, for at most 0.6 s after the start and a quarter of the caller's patience, requests are held; then they are refused as before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -77,6 +77,7 @@
 	bounds atomic.Pointer[settings.Bounds]
 
 	draining atomic.Bool
+	startup  *startup
 	inflight supervise.Inflight
 	server   *http.Server
 
@@ -109,6 +110,7 @@
 func New(s *settings.Gateway, deps Deps) *Gateway {
 	g := &Gateway{
 		Deps:     deps,
+		startup:  newStartup(),
 		loads:    make(map[string]*load),
 		ratios:   make(readRatios),
 		retries:  make(map[string]*limits.Retries),
@@ -163,6 +165,7 @@
 	stop := context.AfterFunc(ctx, func() { g.server.Close() })
 	defer stop()
 	go g.cleanUp(ctx)
+	go g.startup.watch(ctx, g.read)
 	if err := g.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
@@ -210,6 +213,12 @@
 	return !g.draining.Load() && g.State.View().Config != nil && g.informed()
 }
 
+// read tells whether the store has been read: the configuration, and which backend
+// servers there are.
+func (g *Gateway) read() bool {
+	return g.State.View().Config != nil && g.State.Complete() > 0 && g.informed()
+}
+
 // informed tells whether the configuration is fresh enough to accept keys: a key
 // that was removed before the newest proof is known to be, and one that was
 // removed later may still be used for the time that revocation takes.
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -71,7 +71,7 @@
 // ServeHTTP serves one request of a caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer g.inflight.Begin()()
-	c := &call{g: g, w: w, r: r, view: g.State.View(), received: time.Now(), tried: make(map[string]bool), model: -1, position: -1}
+	c := &call{g: g, w: w, r: r, received: time.Now(), tried: make(map[string]bool), model: -1, position: -1}
 	g.Metrics.Add("requests", 1)
 	if g.draining.Load() {
 		// The caller's next request goes to another entry instead of crossing the end
@@ -80,6 +80,8 @@
 	}
 	meta, err := g.Protocol.ReadMeta(r.Header)
 	c.meta = meta
+	g.startup.hold(r.Context(), meta.Patience)
+	c.view = g.State.View()
 	if c.view.Config == nil {
 		c.refuse(http.StatusServiceUnavailable, ReasonNoConfig, shortRetry)
 		return
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -84,6 +84,14 @@
 }
 
 func startAt(t testing.TB, store *fake.Store, name, dataCentre string, adjust ...func(*settings.Gateway, *gateway.Deps)) *entry {
+	t.Helper()
+	e := launch(t, store, name, dataCentre, adjust...)
+	eventually(t, "the configuration is known", e.Gateway.Ready)
+	return e
+}
+
+// launch runs a gateway that may not know anything yet.
+func launch(t testing.TB, store *fake.Store, name, dataCentre string, adjust ...func(*settings.Gateway, *gateway.Deps)) *entry {
 	t.Helper()
 	s := &settings.Gateway{
 		Name: name, DataCentre: dataCentre, Region: regions[dataCentre], DataCentres: regions,
@@ -131,7 +139,6 @@
 	background(t, func() { e.Gateway.ServeLedger(ctx) })
 	background(t, func() { e.Gateway.ServeOn(ctx, client) })
 	t.Cleanup(cancel)
-	eventually(t, "the configuration is known", e.Gateway.Ready)
 	return e
 }
 
--- /dev/null
+++ b/gateway/startup_internal_test.go
@@ -0,0 +1,67 @@
+package gateway
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// Guards against requests that are refused in the moment between the start of an
+// entry and its first look at the store, and against requests that are held
+// although the store does not answer.
+func TestStartupHold(t *testing.T) {
+	const ms = time.Millisecond
+	for _, c := range []struct {
+		name                   string
+		informedAt             time.Duration // 0 is never
+		arrival, patience, end time.Duration
+	}{
+		{"until the store was read", 140 * ms, 10 * ms, 6 * time.Second, 140 * ms},
+		{"a request after that", 140 * ms, 300 * ms, 6 * time.Second, 300 * ms},
+		{"the store does not answer", 0, 10 * ms, 6 * time.Second, startupHold},
+		{"a request after the first answer was due", 0, 2 * time.Second, 6 * time.Second, 2 * time.Second},
+		{"a caller with little patience", 0, 0, 1200 * ms, 300 * ms},
+		{"a caller without a limit", 0, 0, 0, startupHold},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				began := time.Now()
+				s := newStartup()
+				go s.watch(t.Context(), func() bool { return c.informedAt > 0 && time.Since(began) >= c.informedAt })
+				time.Sleep(c.arrival)
+				s.hold(t.Context(), c.patience)
+				if got := time.Since(began); got != c.end {
+					t.Errorf("held until %v, want %v", got, c.end)
+				}
+			})
+		})
+	}
+}
+
+// Guards against requests that are held for callers who have left, and against a
+// goroutine that outlives the entry.
+func TestStartupEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		s := newStartup()
+		ctx, stop := context.WithCancel(t.Context())
+		var watched atomic.Bool
+		go func() {
+			s.watch(ctx, func() bool { return false })
+			watched.Store(true)
+		}()
+		caller, leave := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer leave()
+		s.hold(caller, 0)
+		if got := time.Since(began); got != 50*time.Millisecond {
+			t.Errorf("held for %v after the caller had left", got-50*time.Millisecond)
+		}
+		stop()
+		synctest.Wait()
+		if !watched.Load() {
+			t.Error("the startup goes on after the entry's end")
+		}
+	})
+}
--- /dev/null
+++ b/gateway/startup_test.go
@@ -0,0 +1,41 @@
+package gateway_test
+
+import (
+	"testing"
+	"time"
+
+	"hyssoploom/platform/fake"
+)
+
+// Guards against requests that are refused because they arrive in the moment
+// between the start of an entry and its first look at the store: when all entries
+// start at once, many callers have no attempt left after such a refusal.
+func TestRequestsAtTheStart(t *testing.T) {
+	store := newStore(t)
+	app := fake.NewRunner(t, "i-1", fake.Answer(200, "hello"))
+	register(store, "app", near, app)
+	store.SetFaults(fake.StoreFaults{Delay: 100 * time.Millisecond})
+	e := launch(t, store, "e1", near)
+	if a := e.send("GET", "/look/a", ""); a.status != 200 {
+		t.Errorf("status %d %s, want 200", a.status, a.body)
+	}
+}
+
+// Guards against callers that wait for a store that does not answer.
+func TestRefusedWhileTheStoreIsSilent(t *testing.T) {
+	store := newStore(t)
+	store.SetFaults(fake.StoreFaults{Silent: true})
+	e := launch(t, store, "e1", near)
+	began := time.Now()
+	if a := e.send("GET", "/look/a", ""); a.status != 503 {
+		t.Errorf("status %d %s, want 503", a.status, a.body)
+	}
+	time.Sleep(time.Until(began.Add(time.Second)))
+	again := time.Now()
+	if a := e.send("GET", "/look/a", ""); a.status != 503 {
+		t.Errorf("status %d %s, want 503", a.status, a.body)
+	}
+	if took := time.Since(again); took > 500*time.Millisecond {
+		t.Errorf("the refusal took %v after the start", took)
+	}
+}
