gateway: one entry of each region follows the backend servers for it

Change: data centres of a region share the reader of the backend servers; the configuration stays with each data centre, since its proofs decide about keys and a large one would have to pass one entry's link many times. The reader of a data centre relies on that of the region only while its answers prove that it can read the store. A batch for a slow peer holds the newest item of each key.

Sites with one data centre in a region: unchanged.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -131,11 +131,11 @@
 	tree := supervise.New("gateway", logger.Part("supervisor"))
 	config := fleet.NewFollower(store, state, platform.ConfigPrefix, logger.Part("fleet"))
 	config.Fresh, config.Wait = fresh, g.ProofWait
+	config.Covered, config.OnChange = g.ConfigCovered, g.PassOnConfig
+	tree.Add(config)
 	servers := fleet.NewFollower(store, state, platform.ServersPrefix, logger.Part("fleet"))
-	for _, follower := range []*fleet.Follower{config, servers} {
-		follower.Covered, follower.OnChange = g.Covered, g.PassOn
-		tree.Add(follower)
-	}
+	servers.Covered, servers.OnChange = g.ServersCovered, g.PassOnServers
+	tree.Add(servers)
 	tree.Add(fleet.NewPresence(store, key, value, logger.Part("presence")))
 	peerListener, err := listen(path, "peer_listen", s.PeerListen)
 	if err != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -96,6 +97,9 @@
 	releaseRevision int64
 
 	hub *peers.Hub
+	// proofs are the times, by peer, up to which its copy of the store was proven when
+	// it last answered.
+	proofs map[string]time.Duration
 
 	// ledger writes this entry's charges; held keeps those of peers, and holds the
 	// names of these by boot id.
@@ -111,6 +115,7 @@
 	g := &Gateway{
 		Deps:     deps,
 		startup:  newStartup(),
+		proofs:   make(map[string]time.Duration),
 		loads:    make(map[string]*load),
 		ratios:   make(readRatios),
 		retries:  make(map[string]*limits.Retries),
@@ -267,6 +272,7 @@
 		g.mu.Lock()
 		g.cold.Retain(func(id string) bool { return view.Servers[id] != nil })
 		g.sessions.Forget(time.Now())
+		maps.DeleteFunc(g.proofs, func(peer string, _ time.Duration) bool { return !g.hub.Heard(peer) })
 		for id, l := range g.loads {
 			for peer := range l.remote {
 				if !g.hub.Heard(peer) {
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -28,9 +28,10 @@
 	key       = "key-1"
 	workspace = "club"
 	near, far = "fyn-a", "jylland-a"
+	beside    = "fyn-b" // in the region of near
 )
 
-var regions = map[string]string{near: "fyn", far: "jylland"}
+var regions = map[string]string{near: "fyn", beside: "fyn", far: "jylland"}
 
 // configuration is a deployment with one route of each kind.
 func configuration(version int) map[string]any {
@@ -128,10 +129,11 @@
 	store.Put(k, v)
 	for _, prefix := range []string{platform.ConfigPrefix, platform.ServersPrefix} {
 		follower := fleet.NewFollower(kv, e.State, prefix, log)
+		follower.Covered, follower.OnChange = e.Gateway.ServersCovered, e.Gateway.PassOnServers
 		if prefix == platform.ConfigPrefix {
 			follower.Fresh, follower.Wait = fresh, e.Gateway.ProofWait
+			follower.Covered, follower.OnChange = e.Gateway.ConfigCovered, e.Gateway.PassOnConfig
 		}
-		follower.Covered, follower.OnChange = e.Gateway.Covered, e.Gateway.PassOn
 		background(t, func() { follower.Serve(ctx) })
 	}
 	background(t, func() { e.Gateway.ServePeers(ctx, peers) })
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -151,47 +151,19 @@
 		return // changes alone prove nothing
 	}
 	g.State.MarkComplete("", r.Revision)
-	g.Fresh.Prove(time.Duration(r.Asked) - time.Duration(r.AgeMS)*time.Millisecond)
+	proven := time.Duration(r.Asked) - time.Duration(r.AgeMS)*time.Millisecond
+	g.Fresh.Prove(proven)
+	g.mu.Lock()
+	g.proofs[from.Name] = max(g.proofs[from.Name], proven)
+	g.mu.Unlock()
 	if len(adopted) > 0 {
 		g.Log.Info("Took changes of the store from a peer.", "peer", from.Name, "changes", len(adopted),
 			"revision", r.Revision, "age_ms", r.AgeMS)
 	}
 }
 
-// reader returns the entry that reads the store for its data centre: the first by
-// name of those that are heard.
-func (g *Gateway) reader() fleet.Peer {
-	for _, p := range g.hub.Live() {
-		if p.DataCentre == g.Self.DataCentre && p.Name < g.Self.Name {
-			return p
-		}
-	}
-	return g.Self
-}
-
-// Covered tells whether the reader of the data centre keeps this entry informed,
-// so that it need not call the store itself.
-func (g *Gateway) Covered() bool {
-	age, known := g.Fresh.Age()
-	return known && age < g.proofTimes().Cover && g.reader().Name != g.Self.Name
-}
-
-// PassOn sends changes that this entry read from the store to the others of its
-// data centre.
-func (g *Gateway) PassOn(items []fleet.Item) {
-	g.hub.Broadcast(func(to fleet.Peer, m *peers.Message) {
-		if to.DataCentre != g.Self.DataCentre {
-			return
-		}
-		if m.Reply == nil {
-			m.Reply = &peers.Reply{}
-		}
-		m.Reply.Items = append(m.Reply.Items, items...)
-	})
-}
-
-// askPeers asks the reader of the data centre for its copy of the store, and
-// other peers too while the own copy is old.
+// askPeers asks the entry that reads the store for this one for its copy, and other
+// peers too while the own copy is old.
 func (g *Gateway) askPeers() {
 	ask := &peers.Ask{At: int64(g.Fresh.Now()), Revision: g.State.Complete()}
 	if later, _ := g.State.Since(ask.Revision); len(later) > 0 {
@@ -201,8 +173,8 @@
 		}
 	}
 	put := func(_ fleet.Peer, m *peers.Message) { m.Ask = ask }
-	if reader := g.reader(); reader.Name != g.Self.Name {
-		g.hub.Send(reader.Address, put)
+	if source := g.source(); source.Name != g.Self.Name {
+		g.hub.Send(source.Address, put)
 	}
 	if age, known := g.Fresh.Age(); known && age < g.proofTimes().AskAfter {
 		return
--- a/gateway/news_internal_test.go
+++ b/gateway/news_internal_test.go
@@ -19,6 +19,18 @@
 	}
 }
 
+// Guards against a batch for a slow peer that holds each of many versions of a
+// configuration, and against an older version that replaces a newer one.
+func TestPutNewest(t *testing.T) {
+	var items []fleet.Item
+	for _, item := range []fleet.Item{{Key: "a", Revision: 3}, {Key: "b", Revision: 4}, {Key: "a", Revision: 9}, {Key: "a", Revision: 5}} {
+		items = putNewest(items, item)
+	}
+	if len(items) != 2 || items[0].Revision != 9 || items[1].Revision != 4 {
+		t.Errorf("%v", items)
+	}
+}
+
 // Guards against failures of a new version that are forgotten when the entry that
 // saw them starts again, and against counts that are added twice.
 func TestEvidenceOutlivesItsEntry(t *testing.T) {
--- /dev/null
+++ b/gateway/readers.go
@@ -0,0 +1,100 @@
+package gateway
+
+import (
+	"slices"
+
+	"hyssoploom/fleet"
+	"hyssoploom/peers"
+)
+
+// One entry of each data centre reads the configuration from the store, and one of
+// each region the backend servers, which change more often: each call is paid for,
+// and each change wakes every watch. Nothing is elected: the reader is the first by
+// name of the entries that hear each other, and two readers at once only cost calls.
+
+// first returns the first by name of this entry and the live ones that match.
+func (g *Gateway) first(matches func(fleet.Peer) bool) fleet.Peer {
+	for _, p := range g.hub.Live() {
+		if p.Name < g.Self.Name && matches(p) {
+			return p
+		}
+	}
+	return g.Self
+}
+
+// centreReader returns the entry that reads the configuration for its data centre.
+func (g *Gateway) centreReader() fleet.Peer { return g.first(g.sameCentre) }
+
+// regionReader returns the entry that reads the backend servers for its region.
+func (g *Gateway) regionReader() fleet.Peer { return g.first(g.near) }
+
+func (g *Gateway) sameCentre(p fleet.Peer) bool { return p.DataCentre == g.Self.DataCentre }
+
+// source returns the entry whose copy of the store this one asks for: the reader of
+// the data centre, which asks that of the region.
+func (g *Gateway) source() fleet.Peer {
+	if reader := g.centreReader(); reader.Name != g.Self.Name {
+		return reader
+	}
+	return g.regionReader()
+}
+
+// ConfigCovered tells whether the reader of the data centre keeps this entry
+// informed of the configuration, so that it need not call the store itself.
+func (g *Gateway) ConfigCovered() bool {
+	age, known := g.Fresh.Age()
+	return known && age < g.proofTimes().Cover && g.centreReader().Name != g.Self.Name
+}
+
+// ServersCovered tells whether the reader of the region keeps this entry informed
+// of the backend servers. The reader of a data centre proves the configuration by
+// its own calls, so that only the answers of the region's reader tell that it can
+// still read the store.
+func (g *Gateway) ServersCovered() bool {
+	if g.centreReader().Name != g.Self.Name {
+		return g.ConfigCovered()
+	}
+	reader := g.regionReader()
+	if reader.Name == g.Self.Name {
+		return false
+	}
+	g.mu.Lock()
+	proven, known := g.proofs[reader.Name]
+	g.mu.Unlock()
+	return known && g.Fresh.Now()-proven < g.proofTimes().Cover
+}
+
+// PassOnConfig sends changes of the configuration that this entry read from the
+// store to the others of its data centre.
+func (g *Gateway) PassOnConfig(items []fleet.Item) { g.passOn(items, g.sameCentre) }
+
+// PassOnServers sends changes of the backend servers that this entry read from the
+// store to the others of its region.
+func (g *Gateway) PassOnServers(items []fleet.Item) { g.passOn(items, g.near) }
+
+func (g *Gateway) passOn(items []fleet.Item, to func(fleet.Peer) bool) {
+	g.hub.Broadcast(func(p fleet.Peer, m *peers.Message) {
+		if !to(p) {
+			return
+		}
+		if m.Reply == nil {
+			m.Reply = &peers.Reply{}
+		}
+		for _, item := range items {
+			m.Reply.Items = putNewest(m.Reply.Items, item)
+		}
+	})
+}
+
+// putNewest adds an item to a batch in place of an older one of the same key, so that
+// a batch for a peer that reads slowly does not grow with each change.
+func putNewest(items []fleet.Item, item fleet.Item) []fleet.Item {
+	i := slices.IndexFunc(items, func(other fleet.Item) bool { return other.Key == item.Key })
+	if i < 0 {
+		return append(items, item)
+	}
+	if items[i].Revision < item.Revision {
+		items[i] = item
+	}
+	return items
+}
--- /dev/null
+++ b/gateway/readers_test.go
@@ -0,0 +1,55 @@
+package gateway_test
+
+import (
+	"testing"
+	"time"
+
+	"hyssoploom/platform"
+	"hyssoploom/platform/fake"
+)
+
+// Guards against data centres of one region that each pay for the calls that follow
+// the backend servers, and against one that no longer learns of them when the entry
+// that reads them for the region is cut off from the store.
+func TestOneReaderOfServersInARegion(t *testing.T) {
+	// Each entry has a store of its own, so that only one can be cut off.
+	first, second := newStore(t), newStore(t)
+	put := func(key string, value any) {
+		first.Put(key, value)
+		second.Put(key, value)
+	}
+	reader := startAt(t, first, "e1", near)
+	covered := startAt(t, second, "e2", beside)
+	put("state/hyssoploom/entries/e1", reader.Peer)
+	put("state/hyssoploom/entries/e2", covered.Peer)
+	eventually(t, "the reader of the region covers the other data centre", covered.Gateway.ServersCovered)
+	if covered.Gateway.ConfigCovered() {
+		t.Error("the other data centre does not read the configuration")
+	}
+	if reader.Gateway.ServersCovered() {
+		t.Error("the reader of the region does not read the backend servers")
+	}
+
+	watches := "/kv-watch " + platform.ServersPrefix
+	time.Sleep(2500 * time.Millisecond) // a watch from before ends
+	before := second.Calls(watches)
+	for range 5 {
+		put("servers/i-1", fake.NewRunner(t, "i-1", nil).Entry("app", near))
+		time.Sleep(200 * time.Millisecond)
+	}
+	covered.awaitServers(1)
+	if n := second.Calls(watches) - before; n > 0 {
+		t.Errorf("the covered data centre made %d calls", n)
+	}
+
+	first.SetFaults(fake.StoreFaults{Silent: true})
+	for range 5 {
+		put("servers/unrelated", 1)
+	}
+	cut := time.Now()
+	second.Put("servers/i-2", fake.NewRunner(t, "i-2", nil).Entry("app", near))
+	covered.awaitServers(2)
+	if took := time.Since(cut); took > 3500*time.Millisecond {
+		t.Errorf("the change came after %v", took)
+	}
+}
