gateway: entries share how much of a roll-out has passed

The entry first in turn had started again at 4.75 s, 2.75 s after the order, and counted the duration from then; the next one was .77 s late by its own time and waited another 600 ms for the first, which the store turned away. Ruled out: evidence (199 good answers, none bad), sessions in use.

Change: evidence between entries carries the time since the order, and the earliest order counts; a steady clock never runs ahead. The next entry in turn waits 250 ms instead of 600 ms.

--- a/gateway/duty.go
+++ b/gateway/duty.go
@@ -14,8 +14,10 @@
 	// dutyInterval is the pause between looks at the roll-outs.
 	dutyInterval = 100 * time.Millisecond
 	// dutyStagger is how much longer each further entry waits before it publishes
-	// a state that the entries before it have not.
-	dutyStagger = 600 * time.Millisecond
+	// a state that the entries before it have not. A state reaches the others through
+	// the store in about 150 ms; in the time between finishAt and the deadline several
+	// entries have their turn, since those before may not reach the store.
+	dutyStagger = 250 * time.Millisecond
 	// dutyRetry is the pause after a write of unknown outcome.
 	dutyRetry = 500 * time.Millisecond
 	// evidenceInterval is the pause between counts without a new failure; failures
--- a/gateway/news_internal_test.go
+++ b/gateway/news_internal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"hyssoploom/fleet"
 	"hyssoploom/peers"
@@ -55,3 +56,22 @@
 		t.Errorf("after the restart: %+v", e)
 	}
 }
+
+// Guards against an entry that starts during a roll-out, or was paused, and
+// completes it too late because it counts the duration from when it learned of the
+// order.
+func TestElapsedTimeOfARollOutIsShared(t *testing.T) {
+	now := time.Now()
+	order := fleet.Order{Service: "s", Target: "v2", Duration: 24 * time.Second, Revision: 9}
+	early := &releaseState{RollOut: fleet.RollOut{Order: order}, started: now.Add(-5 * time.Second), peers: make(map[string]release.Evidence)}
+	late := &releaseState{RollOut: fleet.RollOut{Order: order}, started: now, peers: make(map[string]release.Evidence)}
+	for _, r := range []*releaseState{early, late} {
+		g := &Gateway{Deps: Deps{Log: telemetry.Discard()}, releases: map[string]*releaseState{"s": r}}
+		for _, told := range []*releaseState{early, late} {
+			g.adoptEvidence("peer", evidenceOf(told, "", told.own.Old))
+		}
+		if got := now.Sub(r.started); got < 4900*time.Millisecond || got > 5*time.Second {
+			t.Errorf("%v of the roll-out have passed, want 5 s", got)
+		}
+	}
+}
--- a/gateway/releases.go
+++ b/gateway/releases.go
@@ -53,15 +53,18 @@
 	}
 	r.RollOut = current
 	if plan := view.Plans[service]; plan.Order == current.Revision {
-		// The plan of an entry that saw the order earlier sets the time.
-		elapsed := time.Duration(plan.ElapsedMS) * time.Millisecond
-		if started := plan.Seen.Add(-elapsed); started.Before(r.started) {
-			r.started = started
-		}
+		r.ordered(plan.Seen.Add(-time.Duration(plan.ElapsedMS) * time.Millisecond))
 	}
 	return r
 }
 
+// ordered takes over the time of the order from an entry that learned of it earlier.
+func (r *releaseState) ordered(at time.Time) {
+	if at.Before(r.started) {
+		r.started = at
+	}
+}
+
 // evidence is that of the whole fleet.
 func (r *releaseState) evidence() release.Evidence {
 	total := r.own.Add(r.gone)
@@ -288,7 +291,7 @@
 func evidenceOf(r *releaseState, version string, t release.Tally) peers.Evidence {
 	return peers.Evidence{
 		Service: r.Service, Order: r.Revision, Version: version, Sent: t.Sent, Good: t.Good, Bad: t.Bad,
-		Timed: t.Timed, Slow: t.Slow,
+		Timed: t.Timed, Slow: t.Slow, ElapsedMS: time.Since(r.started).Milliseconds(),
 	}
 }
 
@@ -298,6 +301,7 @@
 	if r == nil || r.Revision != e.Order {
 		return // the peer repeats its counts with each change
 	}
+	r.ordered(time.Now().Add(-time.Duration(e.ElapsedMS) * time.Millisecond))
 	evidence := r.peers[from]
 	known := evidence.Old
 	if e.Version == r.Target {
--- a/peers/message.go
+++ b/peers/message.go
@@ -108,6 +108,9 @@
 	Bad     int    `msgpack:"b"`
 	Timed   int    `msgpack:"t"`
 	Slow    int    `msgpack:"l"`
+	// ElapsedMS is the time since the order by the sender's steady clock, which never
+	// runs ahead: an entry that learns of the order late, or is paused, counts less.
+	ElapsedMS int64 `msgpack:"e"`
 }
 
 // empty tells whether there is nothing to send.
