--- a/gateway/news.go
+++ b/gateway/news.go
@@ -61,10 +61,10 @@
 // Receive implements peers.Handler.
 func (g *Gateway) Receive(m *peers.Message) {
 	if m.Ask != nil {
-		g.answer(m.From, m.Ask)
+		g.answer(*m.From, m.Ask)
 	}
 	if m.Reply != nil {
-		g.adopt(m.From, m.Reply)
+		g.adopt(*m.From, m.Reply)
 	}
 	g.holdCharges(m)
 	g.mu.Lock()
--- a/peers/hub.go
+++ b/peers/hub.go
@@ -128,10 +128,10 @@
 		if err != nil {
 			return // the peer's own side of the link logs the loss
 		}
-		if m.From.Name != "" {
-			from = m.From
+		if m.From != nil {
+			from = *m.From
 		}
-		m.From = from
+		m.From = &from
 		h.note(from)
 		h.handler.Receive(m)
 	}
@@ -351,7 +351,7 @@
 	defer raw.Close()
 	l.setUp(true)
 	greeting := l.hub.handler.Greeting() // takes locks under which news is queued
-	greeting.From = l.hub.self
+	greeting.From = &l.hub.self
 	if err := l.write(raw, greeting); err != nil {
 		return err
 	}
--- a/peers/message.go
+++ b/peers/message.go
@@ -6,6 +6,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -20,97 +21,101 @@
 // maxFrame bounds one message in bytes; a snapshot of the store is the largest.
 const maxFrame = 16 << 20
 
-// Message is a batch of news of one entry. Absent parts have not changed.
+// frameHeader is the size in bytes of the length before a message.
+const frameHeader = 4
+
+// Message is a batch of news of one entry. Absent parts have not changed. Fields are
+// encoded by position, without their names: new ones go to the end.
 type Message struct {
 	// From tells who sends. Only the first message of a connection carries it; the
 	// hub fills it in for the others.
-	From fleet.Peer `msgpack:"f,omitempty"`
+	From *fleet.Peer
 	// Ask is sent by an entry that cannot read the store itself.
-	Ask *Ask `msgpack:"a,omitempty"`
+	Ask *Ask
 	// Reply answers an Ask.
-	Reply *Reply `msgpack:"y,omitempty"`
+	Reply *Reply
 	// Loads are the sender's own requests at backend servers.
-	Loads []Load `msgpack:"w,omitempty"`
+	Loads []Load
 	// Reads are prompts that the sender has sent to engines.
-	Reads []Read `msgpack:"r,omitempty"`
+	Reads []Read
 	// Sessions are uses of sessions during a roll-out.
-	Sessions []SessionUse `msgpack:"s,omitempty"`
+	Sessions []SessionUse
 	// Evidence is the sender's count of answers by version.
-	Evidence []Evidence `msgpack:"e,omitempty"`
+	Evidence []Evidence
 	// Charges are rows that the sender has not written to the store yet, and
 	// Durable those that it has. Boot identifies the sender's process.
-	Boot    string          `msgpack:"b,omitempty"`
-	Charges []ledger.Row    `msgpack:"c,omitempty"`
-	Durable []ledger.RowRef `msgpack:"d,omitempty"`
+	Boot    string
+	Charges []ledger.Row
+	Durable []ledger.RowRef
 }
 
 // Ask asks a peer for what it knows of the store.
 type Ask struct {
 	// At is the time by the asker's own clock, in nanoseconds.
-	At int64 `msgpack:"t"`
+	At int64
 	// Revision is the revision up to which the asker's copy is complete, and Held
 	// the revisions of later items that it has all the same.
-	Revision int64            `msgpack:"r"`
-	Held     map[string]int64 `msgpack:"h,omitempty"`
+	Revision int64
+	Held     map[string]int64
 }
 
 // Reply is a peer's copy of the store since the asker's.
 type Reply struct {
 	// Asked is the At of the Ask, so that the time on the way only makes the copy
 	// look older than it is; 0 when the sender passes on changes unasked.
-	Asked int64 `msgpack:"t"`
+	Asked int64
 	// AgeMS is the time in milliseconds since the copy was known to be complete,
 	// and Revision the store's revision that it then had.
-	AgeMS    int64        `msgpack:"a"`
-	Revision int64        `msgpack:"r"`
-	Items    []fleet.Item `msgpack:"i"`
+	AgeMS    int64
+	Revision int64
+	Items    []fleet.Item
 }
 
 // Load is the work of one entry at one backend server.
 type Load struct {
-	Server    string `msgpack:"s"`
-	PendingMS int64  `msgpack:"p"`
-	Running   int    `msgpack:"n"`
+	Server    string
+	PendingMS int64
+	Running   int
 }
 
 // Read tells that an engine has been sent the leading parts of a prompt.
 type Read struct {
-	Server string `msgpack:"s"`
-	Model  string `msgpack:"m"`
-	Parts  []Part `msgpack:"p"`
+	Server string
+	Model  string
+	Parts  []Part
 }
 
 // Part is a leading piece of a prompt.
 type Part struct {
 	// Key is a hash of all parts up to this one.
-	Key uint64 `msgpack:"k"`
+	Key uint64
 	// Tokens is the length of this part alone.
-	Tokens int `msgpack:"t"`
+	Tokens int
 }
 
 // SessionUse tells which version serves a session.
 type SessionUse struct {
-	Service string `msgpack:"v"`
-	Session uint64 `msgpack:"s"`
-	Version string `msgpack:"r"`
+	Service string
+	Session uint64
+	Version string
 	// Running tells that the use has begun; else it has ended.
-	Running bool `msgpack:"n"`
+	Running bool
 }
 
 // Evidence counts the answers that one entry got from a version since an order.
 type Evidence struct {
-	Service string `msgpack:"s"`
+	Service string
 	// Order is the revision of the order of the roll-out.
-	Order   int64  `msgpack:"o"`
-	Version string `msgpack:"v"`
-	Sent    int    `msgpack:"n"`
-	Good    int    `msgpack:"g"`
-	Bad     int    `msgpack:"b"`
-	Timed   int    `msgpack:"t"`
-	Slow    int    `msgpack:"l"`
+	Order   int64
+	Version string
+	Sent    int
+	Good    int
+	Bad     int
+	Timed   int
+	Slow    int
 	// ElapsedMS is the time since the order by the sender's steady clock, which never
 	// runs ahead: an entry that learns of the order late, or is paused, counts less.
-	ElapsedMS int64 `msgpack:"e"`
+	ElapsedMS int64
 }
 
 // empty tells whether there is nothing to send.
@@ -121,18 +126,22 @@
 
 // writeMessage writes a length-prefixed message.
 func writeMessage(w io.Writer, m *Message) error {
-	body, err := msgpack.Marshal(m)
-	if err != nil {
+	var frame bytes.Buffer
+	frame.Write(make([]byte, frameHeader))
+	encoder := msgpack.NewEncoder(&frame)
+	encoder.UseCompactInts(true)
+	encoder.UseArrayEncodedStructs(true)
+	if err := encoder.Encode(m); err != nil {
 		return fmt.Errorf("encode message: %w", err)
 	}
-	frame := binary.BigEndian.AppendUint32(make([]byte, 0, 4+len(body)), uint32(len(body)))
-	_, err = w.Write(append(frame, body...))
+	binary.BigEndian.PutUint32(frame.Bytes(), uint32(frame.Len()-frameHeader))
+	_, err := w.Write(frame.Bytes())
 	return err
 }
 
 // readMessage reads one message.
 func readMessage(r *bufio.Reader) (*Message, error) {
-	var header [4]byte
+	var header [frameHeader]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
 		return nil, err
 	}
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -165,7 +165,7 @@
 // Guards against frames that stop a process or take its memory.
 func FuzzReadMessage(f *testing.F) {
 	var valid bytes.Buffer
-	if err := writeMessage(&valid, &Message{From: fleet.Peer{Name: "a"}, Loads: []Load{{Server: "s", Running: 1}}, Ask: &Ask{At: 5}}); err != nil {
+	if err := writeMessage(&valid, &Message{From: &fleet.Peer{Name: "a"}, Loads: []Load{{Server: "s", Running: 1}}, Ask: &Ask{At: 5}}); err != nil {
 		f.Fatal(err)
 	}
 	f.Add(valid.Bytes())
