peers: news crosses to each other region once and is passed on there

Cause: each entry sent its news to each entry of the other regions, on the grown sites 20 copies of everything (docs/CAPACITY.md named this as what 420 entries need and was not built).

Change: each entry chooses a relay in each other region, spread by rendezvous hashing; the relay passes the news on to the entries near it, with its origin. Heartbeats, questions, replies and charges stay direct, so that who is there does not depend on relays. A relay that is not connected or silent for 2 s is replaced and greeted. Since messages may now overtake each other, evidence names its process: lower counts of the same process are old, not a restart.

--- a/gateway/news.go
+++ b/gateway/news.go
@@ -34,13 +34,7 @@
 		if !far && !g.near(to) {
 			return
 		}
-		for i := range m.Loads {
-			if m.Loads[i].Server == work.Server {
-				m.Loads[i] = work
-				return
-			}
-		}
-		m.Loads = append(m.Loads, work)
+		m.PutLoad(work)
 	})
 }
 
--- a/gateway/news_internal_test.go
+++ b/gateway/news_internal_test.go
@@ -6,7 +6,6 @@
 
 	"hyssoploom/fleet"
 	"hyssoploom/peers"
-	"hyssoploom/release"
 	"hyssoploom/telemetry"
 )
 
@@ -35,19 +34,23 @@
 // Guards against failures of a new version that are forgotten when the entry that
 // saw them starts again, and against counts that are added twice.
 func TestEvidenceOutlivesItsEntry(t *testing.T) {
-	r := &releaseState{RollOut: fleet.RollOut{Order: fleet.Order{Target: "v2"}}, peers: make(map[string]release.Evidence)}
+	r := &releaseState{RollOut: fleet.RollOut{Order: fleet.Order{Target: "v2"}}, peers: make(map[string]peerEvidence)}
 	g := &Gateway{Deps: Deps{Log: telemetry.Discard()}, releases: map[string]*releaseState{"s": r}}
+	process := uint64(1)
 	tell := func(version string, sent, good, bad int) {
-		g.adoptEvidence("e2", peers.Evidence{Service: "s", Version: version, Sent: sent, Good: good, Bad: bad})
+		g.adoptEvidence("e2", peers.Evidence{Service: "s", Version: version, Sent: sent, Good: good, Bad: bad, Process: process})
 	}
 	tell("", 50, 50, 0)
 	tell("v2", 4, 2, 2)
 	tell("", 60, 60, 0)
 	tell("v2", 5, 2, 3)
-	if e := r.evidence(); e.Old.Good != 60 || e.Target.Bad != 3 {
+	tell("", 55, 55, 0) // an older message that came another way
+	tell("v2", 4, 2, 2)
+	if e := r.evidence(); e.Old.Good != 60 || e.Target.Bad != 3 || e.Target.Sent != 5 {
 		t.Fatalf("before the restart: %+v", e)
 	}
-	tell("", 0, 0, 0) // the entry has started again
+	process = 2 // the entry has started again
+	tell("", 0, 0, 0)
 	tell("v2", 0, 0, 0)
 	tell("", 10, 10, 0)
 	tell("v2", 2, 1, 1)
@@ -55,6 +58,11 @@
 	if e := r.evidence(); e.Old.Good != 70 || e.Target.Bad != 4 || e.Target.Good != 3 {
 		t.Errorf("after the restart: %+v", e)
 	}
+	process = 3 // and has served more than before by the time of its first message
+	tell("", 80, 80, 0)
+	if e := r.evidence(); e.Old.Good != 150 {
+		t.Errorf("after the second restart: %+v", e)
+	}
 }
 
 // Guards against an entry that starts during a roll-out, or was paused, and
@@ -63,12 +71,14 @@
 func TestElapsedTimeOfARollOutIsShared(t *testing.T) {
 	now := time.Now()
 	order := fleet.Order{Service: "s", Target: "v2", Duration: 24 * time.Second, Revision: 9}
-	early := &releaseState{RollOut: fleet.RollOut{Order: order}, started: now.Add(-5 * time.Second), peers: make(map[string]release.Evidence)}
-	late := &releaseState{RollOut: fleet.RollOut{Order: order}, started: now, peers: make(map[string]release.Evidence)}
+	early := &releaseState{RollOut: fleet.RollOut{Order: order}, started: now.Add(-5 * time.Second), peers: make(map[string]peerEvidence)}
+	late := &releaseState{RollOut: fleet.RollOut{Order: order}, started: now, peers: make(map[string]peerEvidence)}
 	for _, r := range []*releaseState{early, late} {
 		g := &Gateway{Deps: Deps{Log: telemetry.Discard()}, releases: map[string]*releaseState{"s": r}}
 		for _, told := range []*releaseState{early, late} {
-			g.adoptEvidence("peer", evidenceOf(told, "", told.own.Old))
+			for _, e := range g.evidenceOf(told) {
+				g.adoptEvidence("peer", e)
+			}
 		}
 		if got := now.Sub(r.started); got < 4900*time.Millisecond || got > 5*time.Second {
 			t.Errorf("%v of the roll-out have passed, want 5 s", got)
--- a/gateway/releases.go
+++ b/gateway/releases.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"hyssoploom/attempt"
 	"hyssoploom/fleet"
 	"hyssoploom/peers"
@@ -17,7 +19,7 @@
 	// started is when the order was given, by the steady clock.
 	started time.Time
 	own     release.Evidence
-	peers   map[string]release.Evidence
+	peers   map[string]peerEvidence // by name
 	// gone is the evidence of processes that ended; their successors count anew.
 	gone release.Evidence
 	// bad is set for good once the new version has been found to fail.
@@ -28,6 +30,12 @@
 	told   time.Time // of the last regular message
 }
 
+// peerEvidence is the evidence of one process of a peer.
+type peerEvidence struct {
+	release.Evidence
+	process uint64
+}
+
 // releaseOf returns the state of a service's roll-out, or nil without an order.
 // The caller holds g.mu.
 func (g *Gateway) releaseOf(view *fleet.View, service string) *releaseState {
@@ -42,7 +50,7 @@
 	}
 	r := g.releases[service]
 	if r == nil || r.Revision != current.Revision {
-		r = &releaseState{RollOut: current, started: time.Now(), peers: make(map[string]release.Evidence)}
+		r = &releaseState{RollOut: current, started: time.Now(), peers: make(map[string]peerEvidence)}
 		g.releases[service] = r
 		g.Log.Info("A roll-out was ordered.", "service", service, "target", current.Target,
 			"duration", current.Duration.String(), "revision", current.Revision)
@@ -69,7 +77,7 @@
 func (r *releaseState) evidence() release.Evidence {
 	total := r.own.Add(r.gone)
 	for _, e := range r.peers {
-		total = total.Add(e)
+		total = total.Add(e.Evidence)
 	}
 	return total
 }
@@ -278,21 +286,24 @@
 // tellEvidence tells the peers this entry's counts.
 func (g *Gateway) tellEvidence(r *releaseState) {
 	r.untold = false
-	old := evidenceOf(r, "", r.own.Old)
-	target := evidenceOf(r, r.Target, r.own.Target)
+	evidence := g.evidenceOf(r)
 	g.hub.Broadcast(func(_ fleet.Peer, m *peers.Message) {
 		m.Evidence = slices.DeleteFunc(m.Evidence, func(e peers.Evidence) bool { return e.Service == r.Service })
-		m.Evidence = append(m.Evidence, old, target)
+		m.Evidence = append(m.Evidence, evidence...)
 	})
 }
 
-// evidenceOf builds the message of one tally; all versions but the target count
-// as one, with an empty name.
-func evidenceOf(r *releaseState, version string, t release.Tally) peers.Evidence {
-	return peers.Evidence{
-		Service: r.Service, Order: r.Revision, Version: version, Sent: t.Sent, Good: t.Good, Bad: t.Bad,
-		Timed: t.Timed, Slow: t.Slow, ElapsedMS: time.Since(r.started).Milliseconds(),
+// evidenceOf builds the messages of this entry's counts; all versions but the target
+// count as one, with an empty name.
+func (g *Gateway) evidenceOf(r *releaseState) []peers.Evidence {
+	message := func(version string, t release.Tally) peers.Evidence {
+		return peers.Evidence{
+			Service: r.Service, Order: r.Revision, Version: version, Sent: t.Sent, Good: t.Good, Bad: t.Bad,
+			Timed: t.Timed, Slow: t.Slow, ElapsedMS: time.Since(r.started).Milliseconds(),
+			Process: xxhash.Sum64String(g.BootID),
+		}
 	}
+	return []peers.Evidence{message("", r.own.Old), message(r.Target, r.own.Target)}
 }
 
 // adoptEvidence takes over a peer's counts. The caller holds g.mu.
@@ -302,22 +313,21 @@
 		return // the peer repeats its counts with each change
 	}
 	r.ordered(time.Now().Add(-time.Duration(e.ElapsedMS) * time.Millisecond))
-	evidence := r.peers[from]
-	known := evidence.Old
+	peer := r.peers[from]
+	if peer.process != e.Process {
+		r.gone = r.gone.Add(peer.Evidence) // the peer has started again
+		peer = peerEvidence{process: e.Process}
+	}
+	known := &peer.Old
 	if e.Version == r.Target {
-		known = evidence.Target
+		known = &peer.Target
 	}
 	tally := release.Tally{Sent: e.Sent, Good: e.Good, Bad: e.Bad, Timed: e.Timed, Slow: e.Slow}
-	if tally.Sent < known.Sent {
-		r.gone = r.gone.Add(evidence) // the peer has started again
-		evidence = release.Evidence{}
-	}
-	if e.Version == r.Target {
-		evidence.Target = tally
-	} else {
-		evidence.Old = tally
+	if tally.Answers() < known.Answers() {
+		return // an older message that came another way
 	}
-	r.peers[from] = evidence
+	*known = tally
+	r.peers[from] = peer
 	g.judge(r)
 }
 
@@ -328,6 +338,6 @@
 			continue
 		}
 		m.Sessions = append(m.Sessions, g.sessionUses(r)...)
-		m.Evidence = append(m.Evidence, evidenceOf(r, "", r.own.Old), evidenceOf(r, r.Target, r.own.Target))
+		m.Evidence = append(m.Evidence, g.evidenceOf(r)...)
 	}
 }
--- a/peers/hub.go
+++ b/peers/hub.go
@@ -55,6 +55,9 @@
 	links map[string]*link      // by address
 	heard map[string]heardPeer  // by name
 	conns map[net.Conn]struct{} // accepted
+	// relays are the links over which each other region is told what all entries have
+	// to know.
+	relays map[string]*link
 }
 
 type heardPeer struct {
@@ -68,6 +71,7 @@
 	return &Hub{
 		self: self, seeds: seeds, handler: handler, listed: listed, log: log,
 		links: make(map[string]*link), heard: make(map[string]heardPeer), conns: make(map[net.Conn]struct{}),
+		relays: make(map[string]*link),
 	}
 }
 
@@ -134,6 +138,7 @@
 		m.From = &from
 		h.note(from)
 		h.handler.Receive(m)
+		h.receiveRelayed(m)
 	}
 }
 
@@ -185,15 +190,6 @@
 	return len(names)
 }
 
-// Broadcast queues news for all peers; add puts it into the message for one.
-func (h *Hub) Broadcast(add func(to fleet.Peer, m *Message)) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for _, l := range h.links {
-		l.queue(add)
-	}
-}
-
 // Send queues news for one peer and tells whether the peer is connected.
 func (h *Hub) Send(address string, add func(to fleet.Peer, m *Message)) bool {
 	h.mu.Lock()
@@ -257,11 +253,13 @@
 	}
 	delete(wanted, h.self.Address)
 	for address, p := range wanted {
-		if h.links[address] == nil {
-			l := &link{hub: h, peer: p, done: make(chan struct{})}
-			h.links[address] = l
-			go l.run(ctx)
+		if l := h.links[address]; l != nil {
+			l.identify(p)
+			continue
 		}
+		l := &link{hub: h, address: address, peer: p, done: make(chan struct{})}
+		h.links[address] = l
+		go l.run(ctx)
 	}
 	for address, l := range h.links {
 		if _, ok := wanted[address]; !ok {
@@ -273,12 +271,18 @@
 
 // link sends to one peer.
 type link struct {
-	hub  *Hub
-	peer fleet.Peer
-	done chan struct{}
+	hub     *Hub
+	address string
+	done    chan struct{}
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// peer is only an address until a seed has been heard of.
+	peer    fleet.Peer
 	pending Message
+	// relayed is news that the peer passes on in its region; greet asks for a greeting
+	// of that region first.
+	relayed Message
+	greet   bool
 	up      bool
 	// told are the revisions of the items that this connection has carried.
 	told map[string]int64
@@ -293,14 +297,35 @@
 		return false
 	}
 	add(l.peer, &l.pending)
-	l.pending.Loads = newest(l.pending.Loads)
-	l.pending.Reads = newest(l.pending.Reads)
-	l.pending.Sessions = newest(l.pending.Sessions)
-	l.pending.Charges = newest(l.pending.Charges)
-	l.pending.Durable = newest(l.pending.Durable)
+	l.pending.bound()
 	return true
 }
 
+// identify notes who is at the address of a seed.
+func (l *link) identify(peer fleet.Peer) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.peer.Name == "" {
+		l.peer = peer
+	}
+}
+
+// to returns the peer of the link.
+func (l *link) to() fleet.Peer {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.peer
+}
+
+// bound drops the oldest of each kind of news that waits.
+func (m *Message) bound() {
+	m.Loads = newest(m.Loads)
+	m.Reads = newest(m.Reads)
+	m.Sessions = newest(m.Sessions)
+	m.Charges = newest(m.Charges)
+	m.Durable = newest(m.Durable)
+}
+
 // untold returns the items that the connection has not carried in this revision,
 // and notes them. Messages of a connection arrive in order or not at all. The
 // caller holds l.mu.
@@ -329,7 +354,7 @@
 func (l *link) run(ctx context.Context) {
 	for {
 		if err := l.connect(ctx); err != nil && ctx.Err() == nil {
-			l.hub.log.Debug("Link to a peer ended.", "peer", l.peer.Name, "address", l.peer.Address, "error", err.Error())
+			l.hub.log.Debug("Link to a peer ended.", "peer", l.to().Name, "address", l.address, "error", err.Error())
 		}
 		select {
 		case <-ctx.Done():
@@ -344,7 +369,7 @@
 // connect dials the peer and sends batches until the connection fails.
 func (l *link) connect(ctx context.Context) error {
 	dialer := net.Dialer{Timeout: dialTimeout, Control: sockets.UserTimeout(silentAfter)}
-	raw, err := dialer.DialContext(ctx, "tcp", l.peer.Address)
+	raw, err := dialer.DialContext(ctx, "tcp", l.address)
 	if err != nil {
 		return err
 	}
@@ -357,13 +382,14 @@
 	}
 	defer l.setUp(false)
 	pause := farFlush
-	if l.peer.Region == l.hub.self.Region {
+	if l.hub.near(l.to()) {
 		pause = nearFlush
 	}
 	ticker := time.NewTicker(pause)
 	defer ticker.Stop()
 	sent := time.Time{}
 	for {
+		l.greetRegion()
 		if m := l.batch(time.Since(sent) >= heartbeat); m != nil {
 			if err := l.write(raw, m); err != nil {
 				return err
@@ -391,17 +417,21 @@
 func (l *link) setUp(up bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.pending, l.up, l.told = Message{}, up, nil
+	l.pending, l.relayed, l.greet, l.up, l.told = Message{}, Message{}, false, up, nil
 }
 
 // batch takes what is queued; nil when there is nothing to send.
 func (l *link) batch(due bool) *Message {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.pending.empty() && !due {
+	m := l.pending
+	if !l.relayed.empty() {
+		relayed := l.relayed
+		m.Relay = &relayed
+	}
+	if m.empty() && !due {
 		return nil // a message without news is a heartbeat
 	}
-	m := l.pending
-	l.pending = Message{}
+	l.pending, l.relayed = Message{}, Message{}
 	return &m
 }
--- a/peers/message.go
+++ b/peers/message.go
@@ -47,6 +47,11 @@
 	Boot    string
 	Charges []ledger.Row
 	Durable []ledger.RowRef
+	// Relay is news for all entries of the receiver's region, which passes it on to
+	// them, and Via such news of entries of other regions, each with the name of its
+	// origin.
+	Relay *Message
+	Via   []Message
 }
 
 // Ask asks a peer for what it knows of the store.
@@ -116,12 +121,15 @@
 	// ElapsedMS is the time since the order by the sender's steady clock, which never
 	// runs ahead: an entry that learns of the order late, or is paused, counts less.
 	ElapsedMS int64
+	// Process identifies the sender's process. Counts of one process only grow: lower
+	// ones are an older message that took another way.
+	Process uint64
 }
 
 // empty tells whether there is nothing to send.
 func (m *Message) empty() bool {
 	return m.Ask == nil && m.Reply == nil && len(m.Loads) == 0 && len(m.Reads) == 0 &&
-		len(m.Sessions) == 0 && m.Boot == "" && len(m.Evidence) == 0
+		len(m.Sessions) == 0 && m.Boot == "" && len(m.Evidence) == 0 && m.Relay == nil && len(m.Via) == 0
 }
 
 // writeMessage writes a length-prefixed message.
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"net"
 	"sync"
 	"testing"
@@ -51,18 +52,24 @@
 }
 
 func startNode(t *testing.T, name string, seeds []string, listed func() map[string]fleet.Peer, greeting Message) *node {
+	t.Helper()
+	return startIn(t, t.Context(), "fyn", name, seeds, listed, greeting)
+}
+
+// startIn starts a node of a region that runs until ctx ends.
+func startIn(t *testing.T, ctx context.Context, region, name string, seeds []string, listed func() map[string]fleet.Peer, greeting Message) *node {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	r := &recorder{greeting: greeting}
-	self := fleet.Peer{Name: name, Address: listener.Addr().String(), Region: "fyn"}
+	self := fleet.Peer{Name: name, Address: listener.Addr().String(), Region: region}
 	n := &node{New(self, seeds, r, listed, telemetry.Discard()), r, listener}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		n.Serve(t.Context(), listener)
+		n.Serve(ctx, listener)
 	}()
 	t.Cleanup(func() { <-done })
 	return n
--- a/release/plan.go
+++ b/release/plan.go
@@ -60,6 +60,9 @@
 	return Tally{t.Sent + o.Sent, t.Good + o.Good, t.Bad + o.Bad, t.Timed + o.Timed, t.Slow + o.Slow}
 }
 
+// Answers counts the sends and what is known of their answers; it grows with each.
+func (t Tally) Answers() int { return t.Sent + t.Good + t.Bad + t.Timed + t.Slow }
+
 // counts are those of a comparison of passed with all answers.
 func counts(passed, all int) rollout.Counts {
 	return rollout.Counts{Answers: uint64(all), Rated: uint64(all), Passed: uint64(passed)}
