--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -55,6 +55,7 @@
 	prompt    []peers.Part // of meta.Parts
 	body      []byte
 	received  time.Time
+	held      time.Duration // until the entry had read the store
 	deadline  time.Time
 
 	tried    map[string]bool // servers that cannot take the request any more
@@ -81,6 +82,7 @@
 	meta, err := g.Protocol.ReadMeta(r.Header)
 	c.meta = meta
 	g.startup.hold(r.Context(), meta.Patience)
+	c.held = time.Since(c.received)
 	c.view = g.State.View()
 	if c.view.Config == nil {
 		c.refuse(http.StatusServiceUnavailable, ReasonNoConfig, shortRetry)
@@ -232,6 +234,6 @@
 	age, _ := c.g.Fresh.Age()
 	c.g.Log.Info("Request ended.", "request", c.meta.ID, "route", route, "workspace", workspace,
 		"outcome", outcome, "status", status, "ms", took.Milliseconds(),
-		"config", version, "config_age_ms", age.Milliseconds(),
+		"config", version, "config_age_ms", age.Milliseconds(), "held_ms", c.held.Milliseconds(),
 		"prompt_tokens", c.meta.PromptTokens, "max_output", c.meta.MaxOutput, "hint", c.meta.OutputHint, "attempts", c.log)
 }
--- a/peers/relay.go
+++ b/peers/relay.go
@@ -58,12 +58,14 @@
 			best, rank = l, r
 		}
 	}
-	if best != nil && old != nil {
-		best.greetLater()
+	if best == nil {
+		return nil
 	}
-	if best != nil {
-		h.relays[region] = best
+	if old != nil {
+		best.greetLater()
 	}
+	h.relays[region] = best
+	h.log.Info("Chose a relay.", "region", region, "peer", best.to().Name)
 	return best
 }
 
