peers: large messages are compressed; gateway: fewer peers are asked for a copy of the store

An entry with an old copy asked all near peers and two of 20 far ones four times a second, each time other ones, until the first answer had crossed its 10 Mbit/s link.

Change: messages from 16 KB on are compressed (flate); three near peers are asked, and two far ones only when no near one has answered for 0.5 s more.

--- a/fleet/proofs.go
+++ b/fleet/proofs.go
@@ -15,18 +15,20 @@
 	Ask time.Duration
 	// Cover is the age of the copy up to which an entry relies on that reader.
 	Cover time.Duration
-	// AskAfter is the age from which other peers are asked too.
-	AskAfter time.Duration
+	// AskAfter is the age from which other peers are asked too, and AskFarAfter that
+	// from which those of other regions are, to which bytes are paid for.
+	AskAfter, AskFarAfter time.Duration
 }
 
 // longestProofTimes are enough for any limit; shorter limits get parts of them.
 var longestProofTimes = ProofTimes{
 	Wait: 1100 * time.Millisecond, Ask: 250 * time.Millisecond, Cover: 1900 * time.Millisecond, AskAfter: 2300 * time.Millisecond,
+	AskFarAfter: 2800 * time.Millisecond,
 }
 
 const (
 	// The parts of the limit that the times may take.
-	waitPart, askPart, coverPart, askAfterPart = 0.28, 0.065, 0.49, 0.59
+	waitPart, askPart, coverPart, askAfterPart, askFarAfterPart = 0.28, 0.065, 0.49, 0.59, 0.72
 )
 
 // ProofTimesFor returns the times for a copy that must not be older than limit; 0
@@ -42,5 +44,6 @@
 	return ProofTimes{
 		Wait: part(t.Wait, waitPart), Ask: part(t.Ask, askPart),
 		Cover: part(t.Cover, coverPart), AskAfter: part(t.AskAfter, askAfterPart),
+		AskFarAfter: part(t.AskFarAfter, askFarAfterPart),
 	}
 }
--- a/fleet/proofs_test.go
+++ b/fleet/proofs_test.go
@@ -18,7 +18,7 @@
 		if oldest >= limit {
 			t.Errorf("limit %v: the copy may be %v old", limit, oldest)
 		}
-		if !(p.Wait+p.Ask < p.Cover && p.Cover < p.AskAfter && p.AskAfter < limit) {
+		if !(p.Wait+p.Ask < p.Cover && p.Cover < p.AskAfter && p.AskAfter < p.AskFarAfter && p.AskFarAfter+p.Ask < limit) {
 			t.Errorf("limit %v: %+v", limit, p)
 		}
 	}
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -13,8 +13,9 @@
 const (
 	// maxHeld bounds the items that a question names as held.
 	maxHeld = 200
-	// farAsked is the number of peers of other regions that are asked at once.
-	farAsked = 2
+	// nearAsked and farAsked are the numbers of peers of the own and of other regions
+	// that are asked at once. Each of them answers with all that this entry lacks.
+	nearAsked, farAsked = 3, 2
 	// farPending is the change of pending work at a server that peers of other
 	// regions are told of; the way costs more than a smaller difference.
 	farPending = 150 * time.Millisecond
@@ -173,15 +174,27 @@
 	if age, known := g.Fresh.Age(); known && age < g.proofTimes().AskAfter {
 		return
 	}
-	live := g.hub.Live()
+	for _, p := range g.asked(g.hub.Live()) {
+		g.hub.Send(p.Address, put)
+	}
+}
+
+// asked chooses the live peers that are asked for their copy of the store while the
+// own one is old.
+func (g *Gateway) asked(live []fleet.Peer) []fleet.Peer {
 	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
-	far := 0
+	var near, far []fleet.Peer
 	for _, p := range live {
-		if !g.near(p) {
-			if far++; far > farAsked {
-				continue
-			}
+		if g.near(p) {
+			near = append(near, p)
+		} else {
+			far = append(far, p)
 		}
-		g.hub.Send(p.Address, put)
 	}
+	chosen := near[:min(len(near), nearAsked)]
+	age, known := g.Fresh.Age()
+	if known && len(near) > 0 && age < g.proofTimes().AskFarAfter {
+		return chosen
+	}
+	return append(chosen, far[:min(len(far), farAsked)]...)
 }
--- a/gateway/news_internal_test.go
+++ b/gateway/news_internal_test.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
 	"hyssoploom/fleet"
 	"hyssoploom/peers"
+	"hyssoploom/settings"
 	"hyssoploom/telemetry"
 )
 
@@ -19,6 +21,54 @@
 	}
 }
 
+// Guards against an entry with an old copy that has all peers of all regions send it
+// the configuration, and against one that asks nobody who may know.
+func TestWhoIsAsked(t *testing.T) {
+	now := time.Hour
+	fresh := fleet.NewFreshness(func() time.Duration { return now })
+	g := &Gateway{Deps: Deps{Fresh: fresh, Self: fleet.Peer{Name: "self", Region: "fyn"}}}
+	g.bounds.Store(&settings.Bounds{RevokeMS: 5000, StrictRevocation: true})
+	peersOf := func(region string, n int) (list []fleet.Peer) {
+		for i := range n {
+			list = append(list, fleet.Peer{Name: region + strconv.Itoa(i), Region: region})
+		}
+		return list
+	}
+	count := func(near, far int) (n, f int) {
+		for _, p := range g.asked(append(peersOf("fyn", near), peersOf("jylland", far)...)) {
+			if p.Region == "fyn" {
+				n++
+			} else {
+				f++
+			}
+		}
+		return n, f
+	}
+	for _, c := range []struct {
+		name            string
+		age             time.Duration // 0 is no copy
+		near, far       int
+		asked, askedFar int
+	}{
+		{"old", 2400 * time.Millisecond, 9, 20, nearAsked, 0},
+		{"older", 2900 * time.Millisecond, 9, 20, nearAsked, farAsked},
+		{"old, alone in its region", 2400 * time.Millisecond, 0, 2, 0, 2},
+		{"no copy", 0, 9, 20, nearAsked, farAsked},
+		{"alone", 2900 * time.Millisecond, 0, 0, 0, 0},
+	} {
+		if c.age > 0 {
+			now += time.Hour
+			fresh.Prove(now - c.age)
+		} else {
+			g.Fresh = fleet.NewFreshness(func() time.Duration { return now })
+		}
+		if n, f := count(c.near, c.far); n != c.asked || f != c.askedFar {
+			t.Errorf("%s: asks %d near and %d far, want %d and %d", c.name, n, f, c.asked, c.askedFar)
+		}
+		g.Fresh = fresh
+	}
+}
+
 // Guards against a batch for a slow peer that holds each of many versions of a
 // configuration, and against an older version that replaces a newer one.
 func TestPutNewest(t *testing.T) {
--- /dev/null
+++ b/peers/frame_test.go
@@ -0,0 +1,77 @@
+package peers
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"hyssoploom/fleet"
+)
+
+// Guards against a configuration that costs its whole size on each link, small
+// messages that get larger, and messages that change on the way.
+func TestFrames(t *testing.T) {
+	var routes strings.Builder
+	for i := range 1500 {
+		fmt.Fprintf(&routes, `{"name":"r-%d","host":"h%d.example","prefix":"/a%d/","kind":"streaming","timeoutMs":6000}`, i*7919, i, i)
+	}
+	reply := func(value string) *Message {
+		return &Message{Reply: &Reply{Asked: 5, Revision: 9, Items: []fleet.Item{{Key: "op/config", Value: []byte(value), Revision: 9}}}}
+	}
+	for _, c := range []struct {
+		name    string
+		value   string
+		atMost  int // bytes of the frame
+		atLeast int
+	}{
+		{"large", routes.String(), routes.Len() / 3, 1},
+		{"small", "{}", 60, 1},
+		{"empty", "", 60, 1},
+		{"just below the limit", strings.Repeat("x", compressFrom-100), compressFrom, compressFrom - 100},
+	} {
+		var w bytes.Buffer
+		if err := writeMessage(&w, reply(c.value)); err != nil {
+			t.Fatal(err)
+		}
+		if w.Len() > c.atMost || w.Len() < c.atLeast {
+			t.Errorf("%s: %d bytes, want %d to %d", c.name, w.Len(), c.atLeast, c.atMost)
+		}
+		m, err := readMessage(bufio.NewReader(&w))
+		if err != nil || m.Reply == nil || string(m.Reply.Items[0].Value) != c.value || m.Reply.Asked != 5 {
+			t.Errorf("%s: read %+v, %v", c.name, m, err)
+		}
+	}
+}
+
+// Guards against a peer that fills the memory of this entry, with a long frame or a
+// short one that becomes long, and against one that sends what is no message.
+func TestHostileFrames(t *testing.T) {
+	bomb, err := compress(make([]byte, maxFrame+1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	frame := func(header uint32, body []byte) []byte {
+		return append(binary.BigEndian.AppendUint32(nil, header), body...)
+	}
+	body := bomb.Bytes()[frameHeader:]
+	for _, c := range []struct {
+		name  string
+		frame []byte
+		large bool
+	}{
+		{"long", frame(maxFrame+1, nil), true},
+		{"long after decompression", frame(compressedBit|uint32(len(body)), body), true},
+		{"not compressed", frame(compressedBit|3, []byte("xyz")), false},
+		{"no message", frame(3, []byte("\xc1\xc1\xc1")), false},
+		{"cut", frame(9, []byte("xyz")), false},
+	} {
+		_, err := readMessage(bufio.NewReader(bytes.NewReader(c.frame)))
+		if err == nil || c.large && !errors.Is(err, errTooLarge) {
+			t.Errorf("%s: %v", c.name, err)
+		}
+	}
+}
--- a/peers/message.go
+++ b/peers/message.go
@@ -5,25 +5,10 @@
 package peers
 
 import (
-	"bufio"
-	"bytes"
-	"encoding/binary"
-	"errors"
-	"fmt"
-	"io"
-
-	"github.com/vmihailenco/msgpack/v5"
-
 	"hyssoploom/fleet"
 	"hyssoploom/ledger"
 )
 
-// maxFrame bounds one message in bytes; a snapshot of the store is the largest.
-const maxFrame = 16 << 20
-
-// frameHeader is the size in bytes of the length before a message.
-const frameHeader = 4
-
 // Message is a batch of news of one entry. Absent parts have not changed. Fields are
 // encoded by position, without their names: new ones go to the end.
 type Message struct {
@@ -131,39 +116,3 @@
 	return m.Ask == nil && m.Reply == nil && len(m.Loads) == 0 && len(m.Reads) == 0 &&
 		len(m.Sessions) == 0 && m.Boot == "" && len(m.Evidence) == 0 && m.Relay == nil && len(m.Via) == 0
 }
-
-// writeMessage writes a length-prefixed message.
-func writeMessage(w io.Writer, m *Message) error {
-	var frame bytes.Buffer
-	frame.Write(make([]byte, frameHeader))
-	encoder := msgpack.NewEncoder(&frame)
-	encoder.UseCompactInts(true)
-	encoder.UseArrayEncodedStructs(true)
-	if err := encoder.Encode(m); err != nil {
-		return fmt.Errorf("encode message: %w", err)
-	}
-	binary.BigEndian.PutUint32(frame.Bytes(), uint32(frame.Len()-frameHeader))
-	_, err := w.Write(frame.Bytes())
-	return err
-}
-
-// readMessage reads one message.
-func readMessage(r *bufio.Reader) (*Message, error) {
-	var header [frameHeader]byte
-	if _, err := io.ReadFull(r, header[:]); err != nil {
-		return nil, err
-	}
-	size := binary.BigEndian.Uint32(header[:])
-	if size > maxFrame {
-		return nil, errors.New("message is too large")
-	}
-	body := make([]byte, size)
-	if _, err := io.ReadFull(r, body); err != nil {
-		return nil, err
-	}
-	m := &Message{}
-	if err := msgpack.Unmarshal(body, m); err != nil {
-		return nil, fmt.Errorf("decode message: %w", err)
-	}
-	return m, nil
-}
