release: a version with few answers is judged by the time in which all use it, and by kinds of routes

Ruled out: lost evidence (the counts of all entries agree to one), late news.

Change: with fewer than 60 answers of the new version a roll-out waits until 1.4 s before its end, so that the answers of the last step count; failures are tested on all routes, on those that hardly ever fail and on the others. TestGoodVersionsStay draws kinds of routes too and keeps its goal of one false alarm in 1,000.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -91,6 +91,9 @@
 	// sessions and releases are the state of roll-outs; releases is by service.
 	sessions *release.Sessions
 	paces    *release.Paces
+	// routes are those of the configuration's version routesOf and older ones.
+	routes   release.Routes
+	routesOf int64
 	releases map[string]*releaseState
 	// releaseRevision is that of the view from which releases were brought up to
 	// date.
@@ -122,6 +125,7 @@
 		cold:     limits.NewCold(coldLimits(&s.Bounds)),
 		sessions: release.NewSessions(s.Bounds.Session()),
 		paces:    release.NewPaces(),
+		routes:   make(release.Routes),
 		releases: make(map[string]*releaseState),
 		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
@@ -272,6 +276,7 @@
 		g.mu.Lock()
 		g.cold.Retain(func(id string) bool { return view.Servers[id] != nil })
 		g.sessions.Forget(time.Now())
+		g.retainRoutes(view.Config)
 		maps.DeleteFunc(g.proofs, func(peer string, _ time.Duration) bool { return !g.hub.Heard(peer) })
 		for id, l := range g.loads {
 			for peer := range l.remote {
@@ -288,6 +293,20 @@
 	}
 }
 
+// retainRoutes forgets the routes that a new configuration no longer has. The caller
+// holds g.mu.
+func (g *Gateway) retainRoutes(config *fleet.Config) {
+	if config == nil || config.Version == g.routesOf {
+		return
+	}
+	g.routesOf = config.Version
+	names := make(map[string]bool)
+	for _, route := range config.Routes() {
+		names[route.Name] = true
+	}
+	maps.DeleteFunc(g.routes, func(name string, _ release.RouteRecord) bool { return !names[name] })
+}
+
 // budget returns the retry budget of a service. The caller holds g.mu.
 func (g *Gateway) budget(service string) *limits.Retries {
 	r := g.retries[service]
--- a/gateway/releases.go
+++ b/gateway/releases.go
@@ -191,12 +191,25 @@
 		g.sessions.End(time.Now(), key)
 		g.tellUse(r, key, s.Version, false)
 	}
+	answered, failed := result == attempt.Delivered || result == attempt.Unsure, result == attempt.Failed
 	if r == nil || r.Outcome != fleet.InProgress {
 		if result == attempt.Delivered {
 			g.paces.Observe(timing)
 		}
+		if answered || failed {
+			g.routes.Observe(c.route.Name, failed)
+		}
 		return
 	}
+	if tally := r.tally(s.Version); (answered || failed) && g.routes.Steady(c.route.Name) {
+		tally.Steady++
+		if failed {
+			tally.Odd++
+		}
+	}
+	if s.Version != r.Target && (answered || failed) {
+		g.routes.Observe(c.route.Name, failed)
+	}
 	g.count(r, s, result, timing)
 	r.untold = true
 	g.judge(r)
@@ -247,6 +260,7 @@
 	r.bad = true
 	g.Log.Warn(reason, "service", r.Service, "target", r.Target,
 		"target_good", e.Target.Good, "target_bad", e.Target.Bad, "old_good", e.Old.Good, "old_bad", e.Old.Bad,
+		"target_steady", e.Target.Steady, "target_odd", e.Target.Odd, "old_steady", e.Old.Steady, "old_odd", e.Old.Odd,
 		"target_timed", e.Target.Timed, "target_slow", e.Target.Slow, "old_timed", e.Old.Timed, "old_slow", e.Old.Slow)
 }
 
@@ -300,7 +314,7 @@
 		return peers.Evidence{
 			Service: r.Service, Order: r.Revision, Version: version, Sent: t.Sent, Good: t.Good, Bad: t.Bad,
 			Timed: t.Timed, Slow: t.Slow, ElapsedMS: time.Since(r.started).Milliseconds(),
-			Process: xxhash.Sum64String(g.BootID),
+			Process: xxhash.Sum64String(g.BootID), Steady: t.Steady, Odd: t.Odd,
 		}
 	}
 	return []peers.Evidence{message("", r.own.Old), message(r.Target, r.own.Target)}
@@ -322,7 +336,7 @@
 	if e.Version == r.Target {
 		known = &peer.Target
 	}
-	tally := release.Tally{Sent: e.Sent, Good: e.Good, Bad: e.Bad, Timed: e.Timed, Slow: e.Slow}
+	tally := release.Tally{Sent: e.Sent, Good: e.Good, Bad: e.Bad, Timed: e.Timed, Slow: e.Slow, Steady: e.Steady, Odd: e.Odd}
 	if tally.Answers() < known.Answers() {
 		return // an older message that came another way
 	}
--- a/peers/message.go
+++ b/peers/message.go
@@ -109,6 +109,9 @@
 	// Process identifies the sender's process. Counts of one process only grow: lower
 	// ones are an older message that took another way.
 	Process uint64
+	// Steady and Odd are those of release.Tally.
+	Steady int
+	Odd    int
 }
 
 // empty tells whether there is nothing to send.
--- a/release/plan.go
+++ b/release/plan.go
@@ -41,6 +41,10 @@
 	// leastEvidence is the number of answers of the new version that the fleet
 	// needs before more sessions move to it.
 	leastEvidence = 15
+	// ampleEvidence is the number of answers of the new version from which it may be
+	// completed before the time runs out: with 15 answers, a version that fails in one
+	// of three cannot be told from one that fails in one of seven.
+	ampleEvidence = 60
 	// latePart is the part of the duration after which lateEvidence answers are
 	// enough: a service with few requests would never be completed otherwise.
 	latePart     = 0.72
@@ -53,15 +57,21 @@
 	// Timed counts the answers whose pace says something about the version, and
 	// Slow those of them that took much longer than the fastest ones.
 	Timed, Slow int
+	// Steady counts the answers on routes that hardly ever fail, and Odd those of them
+	// that failed: a few failures there say more than many on other routes.
+	Steady, Odd int
 }
 
 // Add returns the sum of two tallies.
 func (t Tally) Add(o Tally) Tally {
-	return Tally{t.Sent + o.Sent, t.Good + o.Good, t.Bad + o.Bad, t.Timed + o.Timed, t.Slow + o.Slow}
+	return Tally{t.Sent + o.Sent, t.Good + o.Good, t.Bad + o.Bad, t.Timed + o.Timed, t.Slow + o.Slow,
+		t.Steady + o.Steady, t.Odd + o.Odd}
 }
 
 // Answers counts the sends and what is known of their answers; it grows with each.
-func (t Tally) Answers() int { return t.Sent + t.Good + t.Bad + t.Timed + t.Slow }
+func (t Tally) Answers() int {
+	return t.Sent + t.Good + t.Bad + t.Timed + t.Slow + t.Steady + t.Odd
+}
 
 // counts are those of a comparison of passed with all answers.
 func counts(passed, all int) rollout.Counts {
@@ -101,8 +111,7 @@
 func (e Evidence) Bad() bool { return e.fails() || e.isSlow() }
 
 func (e Evidence) fails() bool {
-	target, old := e.failures()
-	return worse(target, old, failMargin)
+	return e.anyFailures(func(target, old rollout.Counts) bool { return worse(target, old, failMargin) })
 }
 
 func (e Evidence) isSlow() bool {
@@ -113,14 +122,25 @@
 // Doubtful tells whether a version that was not found bad should not be completed
 // either. It is asked once, at the end, and needs less evidence than Bad.
 func (e Evidence) Doubtful() bool {
-	target, old := e.failures()
 	slowTarget, slowOld := e.slowness()
-	return farWorse(target, old, failMargin) || farWorse(slowTarget, slowOld, slowMargin)
+	return farWorse(slowTarget, slowOld, slowMargin) ||
+		e.anyFailures(func(target, old rollout.Counts) bool { return farWorse(target, old, failMargin) })
+}
+
+// anyFailures asks about the failures on all routes, on steady ones and on the others:
+// a version may fail on one kind of route only, and the old one may fail there too.
+func (e Evidence) anyFailures(differ func(target, old rollout.Counts) bool) bool {
+	t, o := e.Target, e.Old
+	return differ(failures(t.Good+t.Bad, t.Bad), failures(o.Good+o.Bad, o.Bad)) ||
+		differ(failures(t.Steady, t.Odd), failures(o.Steady, o.Odd)) ||
+		differ(failures(t.Good+t.Bad-t.Steady, t.Bad-t.Odd), failures(o.Good+o.Bad-o.Steady, o.Bad-o.Odd))
 }
 
-// failures are the answers of both versions, those that failed as not passed.
-func (e Evidence) failures() (target, old rollout.Counts) {
-	return counts(e.Target.Good, e.Target.Good+e.Target.Bad), counts(e.Old.Good, e.Old.Good+e.Old.Bad)
+// failures are answers of which some failed. Counts of peers come as they are, so that
+// a part may be larger than the whole for a moment.
+func failures(answers, failed int) rollout.Counts {
+	answers = max(answers, 0)
+	return counts(answers-min(max(failed, 0), answers), answers)
 }
 
 // slowness are the timed answers of both versions, slow ones as not passed.
@@ -246,11 +266,12 @@
 	return a.withinBudget(a.Limits, a.Entries)
 }
 
-// Complete tells whether a roll-out is finished: all sessions use the new
-// version and the old one is idle, or the time runs out.
+// Complete tells whether a roll-out is finished: all sessions use the new version, the
+// old one is idle and the new one has answered often, or the time runs out. With few
+// answers, those of the time in which all sessions use it are waited for.
 func (p *Progress) Complete(l Limits) bool {
 	if !p.TargetReady || !p.trusted() || p.Elapsed < p.moveAt(l) {
 		return false
 	}
-	return p.OldRunning == 0 || p.Elapsed >= p.finishAt()
+	return p.OldRunning == 0 && p.Evidence.Target.Good+p.Evidence.Target.Bad >= ampleEvidence || p.Elapsed >= p.finishAt()
 }
--- a/release/release_test.go
+++ b/release/release_test.go
@@ -221,17 +221,27 @@
 	for seed := range uint64(releases) {
 		rng := rand.New(rand.NewPCG(seed, 21))
 		failing, slow := rng.Float64()*0.3, rng.Float64()*0.4
+		steady, odd := rng.Float64(), rng.Float64()*steadyShare // share of steady routes, failures there
 		var e Evidence
 		draw := func(t *Tally) {
-			if rng.Float64() < failing {
-				t.Bad++
-			} else {
-				t.Good++
-			}
 			t.Timed++
 			if rng.Float64() < slow {
 				t.Slow++
 			}
+			rate := failing
+			onSteady := rng.Float64() < steady
+			if onSteady {
+				rate = odd
+				t.Steady++
+			}
+			if rng.Float64() >= rate {
+				t.Good++
+				return
+			}
+			t.Bad++
+			if onSteady {
+				t.Odd++
+			}
 		}
 		bad := false
 		for range 120 {
@@ -252,14 +262,17 @@
 
 // Guards against bad versions that are completed because the old one fails now
 // and then too, or because only a part of the answers is slow. The counts are
-// those of bench days (rollout-two-services on aljibe-hub and rollout-slow, seed
-// 426858050839, on maatte-net) at the moment of their completion.
+// those of bench days (rollout-two-services on aljibe-hub, on maatte-net with seed
+// 453946927622, and rollout-slow, seed 426858050839, on maatte-net) at the moment of
+// their completion; steady routes were not told apart then.
 func TestBadVersionIsNotCompleted(t *testing.T) {
 	for _, c := range []struct {
 		name string
 		e    Evidence
 	}{
 		{"failing", Evidence{Old: Tally{Good: 353, Bad: 73, Timed: 342, Slow: 4}, Target: Tally{Good: 17, Bad: 16, Timed: 15, Slow: 4}}},
+		{"failing, few answers", Evidence{Old: Tally{Good: 415, Bad: 64, Steady: 330, Odd: 1}, Target: Tally{Good: 10, Bad: 7, Steady: 11, Odd: 5}}},
+		{"failing on a route that fails now and then", Evidence{Old: Tally{Good: 421, Bad: 62, Steady: 185, Odd: 1}, Target: Tally{Good: 8, Bad: 7, Steady: 6}}},
 		{"slow", Evidence{Old: Tally{Good: 1949, Timed: 918, Slow: 158}, Target: Tally{Good: 118, Timed: 87, Slow: 54}}},
 	} {
 		if !c.e.Bad() && !c.e.Doubtful() {
@@ -289,6 +302,8 @@
 		{"first half", 9 * time.Second, 100, 0, true, false},
 		{"before the last step", 17700 * time.Millisecond, 100, 0, true, false},
 		{"all moved", 18400 * time.Millisecond, 100, 0, true, true},
+		{"all moved, few answers", 18400 * time.Millisecond, 20, 0, true, false},
+		{"few answers, time runs out", 19100 * time.Millisecond, 20, 0, true, true},
 		{"old requests run", 18400 * time.Millisecond, 100, 3, true, false},
 		{"time runs out", 19100 * time.Millisecond, 100, 3, true, true},
 		{"no evidence", 19100 * time.Millisecond, 0, 0, true, false},
--- /dev/null
+++ b/release/routes_test.go
@@ -0,0 +1,25 @@
+package release
+
+import "testing"
+
+// Guards against routes that count as steady by too few answers, although they fail
+// now and then, or for good because of what they were long ago.
+func TestSteadyRoutes(t *testing.T) {
+	routes := make(Routes)
+	observe := func(route string, answers, every int) {
+		for i := range answers {
+			routes.Observe(route, every > 0 && i%every == 0)
+		}
+	}
+	observe("new", steadyAnswers-1, 0)
+	observe("steady", 100, 0)
+	observe("rare", 200, 250)
+	observe("failing", 100, 7)
+	observe("mended", 100, 2)
+	observe("mended", 20*routeMemory, 0)
+	for route, want := range map[string]bool{"unknown": false, "new": false, "steady": true, "rare": true, "failing": false, "mended": true} {
+		if got := routes.Steady(route); got != want {
+			t.Errorf("%s: %v", route, got)
+		}
+	}
+}
