--- a/gateway/releases.go
+++ b/gateway/releases.go
@@ -191,28 +191,36 @@
 		g.sessions.End(time.Now(), key)
 		g.tellUse(r, key, s.Version, false)
 	}
-	answered, failed := result == attempt.Delivered || result == attempt.Unsure, result == attempt.Failed
+	g.observeRoute(r, s.Version, c.route.Name, result)
 	if r == nil || r.Outcome != fleet.InProgress {
 		if result == attempt.Delivered {
 			g.paces.Observe(timing)
 		}
-		if answered || failed {
-			g.routes.Observe(c.route.Name, failed)
-		}
 		return
 	}
-	if tally := r.tally(s.Version); (answered || failed) && g.routes.Steady(c.route.Name) {
+	g.count(r, s, result, timing)
+	r.untold = true
+	g.judge(r)
+}
+
+// observeRoute notes whether an answer on a route failed, and counts those on steady
+// routes as evidence of a roll-out in progress.
+func (g *Gateway) observeRoute(r *releaseState, version, route string, result attempt.Outcome) {
+	failed := result == attempt.Failed
+	if !failed && result != attempt.Delivered && result != attempt.Unsure {
+		return
+	}
+	rolling := r != nil && r.Outcome == fleet.InProgress
+	if rolling && g.routes.Steady(route) {
+		tally := r.tally(version)
 		tally.Steady++
 		if failed {
 			tally.Odd++
 		}
 	}
-	if s.Version != r.Target && (answered || failed) {
-		g.routes.Observe(c.route.Name, failed)
+	if !rolling || version != r.Target {
+		g.routes.Observe(route, failed)
 	}
-	g.count(r, s, result, timing)
-	r.untold = true
-	g.judge(r)
 }
 
 // count adds an answer to the evidence of a roll-out.
