gateway: log the shared parts of prompts whose answers were lost

The log could not tell a part that crashes engines from engines that end for other reasons: it named engines and errors, not what their requests had in common. The record of a lost answer now lists the ids of the shared parts, at most eight.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -43,6 +43,9 @@
 	AtMS   int64  `json:"at_ms"`
 	TookMS int64  `json:"took_ms"`
 	Error  string `json:"error,omitempty"`
+	// Parts are the shared parts of the prompt, listed when the answer was lost: the
+	// same part in the lost answers of several servers is what they have in common.
+	Parts []string `json:"parts,omitempty"`
 }
 
 // run sends the request until it is answered, can no longer be retried, or its deadline
@@ -97,6 +100,9 @@
 	if err != nil {
 		entry.Error = err.Error()
 	}
+	if result == attempt.Broken {
+		entry.Parts = c.sharedPartIDs()
+	}
 	c.attempts = append(c.attempts, entry)
 	c.g.Metrics.Add("attempt_"+entry.Outcome, 1)
 	if entry.FirstMS > 0 {
@@ -106,6 +112,19 @@
 	return result, saved
 }
 
+// maxLoggedParts limits the parts of a prompt in the log record of an attempt.
+const maxLoggedParts = 8
+
+// sharedPartIDs returns the ids of the parts of the prompt that other requests may have
+// in common with it, at most maxLoggedParts of them.
+func (c *clientRequest) sharedPartIDs() []string {
+	var ids []string
+	for _, p := range c.meta.Parts[:min(max(len(c.meta.Parts)-1, 0), maxLoggedParts)] {
+		ids = append(ids, p.ID)
+	}
+	return ids
+}
+
 // startAttempt counts a request at its server and informs the peers.
 func (g *Gateway) startAttempt(c *clientRequest, t *target) {
 	t.load.pending += t.work
