gateway: block the parts of prompts under which engines crash

Cause: what a crash shows was lost with the request. The entry took the end of an engine for a fault of the engine, sent the request to the next one, and neither the next request nor another entry knew of it.

Requests that lose their server before their answer begins are now suspects, if the server refuses connections. What the suspects of two crashes have in common, less the parts of answers that begin elsewhere, is blocked: on all entries, for the workspace that used it, from a second workspace on for all. Requests with it are refused at once, those that wait at engines cancelled. Blocks outlast the entries in one key of the store, under a lease.

--- a/backend/exchange_test.go
+++ b/backend/exchange_test.go
@@ -72,6 +72,40 @@
 	return string(body), err
 }
 
+// Guards against taking a server that still listens for a crashed one, and against checks
+// that waste a connection or exceed the limit of connections.
+func TestRefuses(t *testing.T) {
+	address := serve(t, func(conn net.Conn, n int) {
+		for readHead(conn) {
+			io.WriteString(conn, okResponse("a", fmt.Sprint("connection ", n)))
+		}
+	})
+	p := NewPool(Config{})
+	if p.Refuses(t.Context(), address, 1) {
+		t.Fatal("a listening server counts as crashed")
+	}
+	if body, err := exchange(t, p, address, getRequest("a")); err != nil || body != "connection 1" || p.Dials() != 1 {
+		t.Errorf("%q, %v after %d dials", body, err, p.Dials())
+	}
+	if p.Refuses(t.Context(), address, 1) {
+		t.Fatal("a listening server counts as crashed")
+	}
+	if p.hosts[address].open != 1 {
+		t.Errorf("%d connections are open, at most 1 may be", p.hosts[address].open)
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener.Close()
+	if !p.Refuses(t.Context(), listener.Addr().String(), 0) {
+		t.Error("an address without a listener does not count as crashed")
+	}
+	if p.hosts[listener.Addr().String()] != nil {
+		t.Error("the check left state behind")
+	}
+}
+
 // Guards against idle connections that are not reused, so that each request dials a new
 // one.
 func TestConnectionIsReused(t *testing.T) {
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"hyssoploom/internal/sockets"
@@ -122,6 +123,39 @@
 	return newConn(p, address, netConn), nil
 }
 
+// crashCheckTimeout limits the dial of Refuses. The longest round trip takes 60 ms.
+const crashCheckTimeout = 150 * time.Millisecond
+
+// Refuses reports whether nothing listens at an address any more. A connection that is
+// established by the check is kept for later requests, unless limit connections are open;
+// 0 means no limit.
+func (p *Pool) Refuses(ctx context.Context, address string, limit int) bool {
+	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
+	defer cancel()
+	netConn, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+	}
+	p.mu.Lock()
+	h := p.hosts[address]
+	if h == nil {
+		h = &hostConns{}
+		p.hosts[address] = h
+	}
+	h.open++
+	p.dials++
+	over := limit > 0 && h.open > limit
+	p.mu.Unlock()
+	c := newConn(p, address, netConn)
+	if over {
+		c.close()
+		return false
+	}
+	c.expires = time.Now().Add(defaultIdleTimeout)
+	p.putIdle(c)
+	return false
+}
+
 // takeIdleOrReserve removes the most recently used idle connection from the pool and
 // returns it. If there is none, it reserves a slot for the connection that the caller
 // dials, unless limit connections are open already.
--- /dev/null
+++ b/crashcause/tracker.go
@@ -0,0 +1,474 @@
+// Package crashcause finds the parts of prompts under which model engines crash, so that
+// no further request with such a part is sent. It does no I/O and takes the time as an
+// argument. Its types are not safe for concurrent use.
+//
+// A crash has one cause, but breaks the answers of all requests at the engine. The
+// requests whose answers were about to begin are the suspects. A part that is in an
+// answer that has begun elsewhere is not the cause; what remains is the part that the
+// suspects of several crashes have in common.
+package crashcause
+
+import (
+	"container/list"
+	"slices"
+	"time"
+)
+
+const (
+	// Retention is how long crashes and blocks are kept.
+	Retention = 10 * time.Minute
+	// soundWindow is how long before a crash an answer has to begin to show that the
+	// parts of its prompt did not cause the crash. It is short, because a part may become
+	// harmful with a new version of a model.
+	soundWindow = 2 * time.Second
+	// SettleTime is the time after a crash in which suspects whose answers have begun
+	// arrive from other entries. Only after it do requests without any sign of an answer
+	// count as suspects.
+	SettleTime = 300 * time.Millisecond
+	// begunPoints are the points of a part for a crash in which it is in a prompt whose
+	// answer had begun or that is the only suspect, and waitingPoints those for other
+	// crashes in which it is a suspect. From blockPoints the part is blocked.
+	begunPoints, waitingPoints, blockPoints = 2, 1, 4
+	// maxCrashes, maxSuspects (per crash), MaxBlocks, MaxParts (per prompt, without the
+	// parts that are known to be sound), maxWorkspaces (per block) and maxSound bound the
+	// memory.
+	maxCrashes    = 64
+	maxSuspects   = 32
+	MaxBlocks     = 32
+	MaxParts      = 16
+	maxWorkspaces = 2
+	maxSound      = 4096
+	// maxSuspected is more than the parts that all suspects and blocks can have.
+	maxSuspected = 2 * (maxCrashes*maxSuspects + MaxBlocks) * MaxParts
+)
+
+// Suspect is a request that was at an engine when it crashed, and whose caller had
+// received nothing of the answer.
+type Suspect struct {
+	// Server identifies the process that crashed.
+	Server string
+	// Begun means that the head of the answer had arrived.
+	Begun bool
+	// Workspace is a hash of the workspace of the request.
+	Workspace uint64
+	// Parts are hashes of the parts of the prompt that other requests may share.
+	Parts []uint64
+}
+
+// Block makes entries reject the requests whose prompts contain all its parts. There is
+// more than one part while it is not known which of them causes the crashes.
+type Block struct {
+	Parts []uint64
+	// Workspaces are those whose requests have crashed engines. A block of one workspace
+	// does not apply to the others, so that none can make the requests of another one
+	// fail. A block of two applies to all.
+	Workspaces []uint64
+	// Since is when the block was formed.
+	Since time.Time
+}
+
+// appliesTo reports whether the block rejects a request.
+func (b *Block) appliesTo(workspace uint64, parts []uint64) bool {
+	return (len(b.Workspaces) >= maxWorkspaces || slices.Contains(b.Workspaces, workspace)) && containsAll(parts, b.Parts)
+}
+
+func (b *Block) addWorkspace(workspace uint64) {
+	if len(b.Workspaces) < maxWorkspaces && !slices.Contains(b.Workspaces, workspace) {
+		b.Workspaces = append(b.Workspaces, workspace)
+	}
+}
+
+func (b *Block) clone() Block {
+	return Block{Parts: slices.Clone(b.Parts), Workspaces: slices.Clone(b.Workspaces), Since: b.Since}
+}
+
+// crash holds the suspects of one crash, without the parts that are known to be sound.
+type crash struct {
+	server   string
+	at       time.Time
+	suspects []Suspect
+	// explained means that a block explains the crash. Suspects that arrive later do not
+	// count.
+	explained bool
+}
+
+func (c *crash) explain() { c.explained, c.suspects = true, nil }
+
+// Tracker holds the evidence and the blocks of one entry.
+type Tracker struct {
+	crashes []*crash // oldest first
+	blocks  []*Block // oldest first
+	// suspected holds the parts of the suspects and blocks, and may hold parts that are in
+	// neither any more. Most answers have none of them.
+	suspected map[uint64]struct{}
+	// sound holds for each part when an answer to a prompt with it last began, the most
+	// recent first in soundOrder.
+	sound      map[uint64]*list.Element
+	soundOrder *list.List // of soundPart
+}
+
+type soundPart struct {
+	part uint64
+	at   time.Time
+}
+
+// New returns a tracker without evidence.
+func New() *Tracker {
+	return &Tracker{suspected: make(map[uint64]struct{}), sound: make(map[uint64]*list.Element), soundOrder: list.New()}
+}
+
+// RecordAnswer records that an answer to a prompt has begun, here or at another entry. It
+// returns the parts that were under suspicion: the other entries have to learn of them.
+func (t *Tracker) RecordAnswer(now time.Time, parts []uint64) (cleared []uint64) {
+	for _, p := range parts {
+		if e := t.sound[p]; e != nil {
+			e.Value = soundPart{p, now}
+			t.soundOrder.MoveToFront(e)
+		} else {
+			t.sound[p] = t.soundOrder.PushFront(soundPart{p, now})
+		}
+		if t.clear(p) {
+			cleared = append(cleared, p)
+		}
+	}
+	for t.soundOrder.Len() > maxSound {
+		oldest := t.soundOrder.Remove(t.soundOrder.Back()).(soundPart)
+		delete(t.sound, oldest.part)
+	}
+	return cleared
+}
+
+// clear removes a part from all suspects and blocks and reports whether it was there.
+func (t *Tracker) clear(part uint64) bool {
+	if _, ok := t.suspected[part]; !ok {
+		return false
+	}
+	delete(t.suspected, part)
+	found := false
+	isPart := func(p uint64) bool { return p == part }
+	for _, c := range t.crashes {
+		for i := range c.suspects {
+			s := &c.suspects[i]
+			before := len(s.Parts)
+			s.Parts = slices.DeleteFunc(s.Parts, isPart)
+			found = found || len(s.Parts) < before
+		}
+		c.suspects = slices.DeleteFunc(c.suspects, func(s Suspect) bool { return len(s.Parts) == 0 })
+	}
+	for _, b := range t.blocks {
+		before := len(b.Parts)
+		b.Parts = slices.DeleteFunc(b.Parts, isPart)
+		found = found || len(b.Parts) < before
+	}
+	t.blocks = slices.DeleteFunc(t.blocks, func(b *Block) bool { return len(b.Parts) == 0 })
+	t.dropImplied()
+	return found
+}
+
+// Suspects returns the suspects of the crashes that no block explains.
+func (t *Tracker) Suspects() []Suspect {
+	var all []Suspect
+	for _, c := range t.crashes {
+		for _, s := range c.suspects {
+			s.Parts = slices.Clone(s.Parts)
+			all = append(all, s)
+		}
+	}
+	return all
+}
+
+// Add records a suspect that this entry or another one has observed. It returns the
+// suspect without the parts that are known to be sound, and those sound parts; without
+// any parts left, the suspect is of no interest.
+func (t *Tracker) Add(now time.Time, s Suspect) (remaining Suspect, sound []uint64) {
+	remaining = s
+	remaining.Parts = nil
+	for _, p := range s.Parts {
+		switch {
+		case t.isSound(now, p):
+			sound = append(sound, p)
+		case len(remaining.Parts) < MaxParts && !slices.Contains(remaining.Parts, p):
+			remaining.Parts = append(remaining.Parts, p)
+		}
+	}
+	if len(remaining.Parts) == 0 {
+		return remaining, sound
+	}
+	c := t.crashOf(now, s.Server)
+	if c.explained {
+		return remaining, sound
+	}
+	t.suspect(remaining.Parts)
+	stored := remaining
+	stored.Parts = slices.Clone(remaining.Parts)
+	if len(c.suspects) < maxSuspects {
+		c.suspects = append(c.suspects, stored)
+	} else if s.Begun {
+		if i := slices.IndexFunc(c.suspects, func(o Suspect) bool { return !o.Begun }); i >= 0 {
+			c.suspects[i] = stored
+		}
+	}
+	return remaining, sound
+}
+
+func (t *Tracker) suspect(parts []uint64) {
+	for _, p := range parts {
+		t.suspected[p] = struct{}{}
+	}
+	if len(t.suspected) <= maxSuspected {
+		return
+	}
+	clear(t.suspected)
+	for _, c := range t.crashes {
+		for _, s := range c.suspects {
+			for _, p := range s.Parts {
+				t.suspected[p] = struct{}{}
+			}
+		}
+	}
+	for _, b := range t.blocks {
+		for _, p := range b.Parts {
+			t.suspected[p] = struct{}{}
+		}
+	}
+	for _, p := range parts {
+		t.suspected[p] = struct{}{}
+	}
+}
+
+// isSound reports whether an answer to a prompt with a part has begun so recently that
+// the part is not the cause of a crash at now.
+func (t *Tracker) isSound(now time.Time, part uint64) bool {
+	e := t.sound[part]
+	return e != nil && now.Sub(e.Value.(soundPart).at) < soundWindow
+}
+
+// crashOf returns the crash of a server, adding it if it is new.
+func (t *Tracker) crashOf(now time.Time, server string) *crash {
+	for _, c := range t.crashes {
+		if c.server == server {
+			return c
+		}
+	}
+	if len(t.crashes) >= maxCrashes {
+		drop := max(slices.IndexFunc(t.crashes, func(c *crash) bool { return c.explained }), 0)
+		t.crashes = slices.Delete(t.crashes, drop, drop+1)
+	}
+	c := &crash{server: server, at: now}
+	t.crashes = append(t.crashes, c)
+	return c
+}
+
+// Evaluate forms and changes blocks by the evidence and drops what is too old. It returns
+// the blocks that are new or have changed.
+func (t *Tracker) Evaluate(now time.Time) (changed []Block) {
+	t.crashes = slices.DeleteFunc(t.crashes, func(c *crash) bool { return now.Sub(c.at) > Retention })
+	t.blocks = slices.DeleteFunc(t.blocks, func(b *Block) bool { return now.Sub(b.Since) > Retention })
+	for _, b := range t.blocks {
+		if t.extend(now, b) {
+			changed = append(changed, b.clone())
+		}
+	}
+	for b := t.form(now); b != nil; b = t.form(now) {
+		t.insert(b)
+		changed = append(changed, b.clone())
+	}
+	t.dropImplied()
+	return changed
+}
+
+// insert adds a block, in place of the oldest one if there are too many.
+func (t *Tracker) insert(b *Block) {
+	if len(t.blocks) >= MaxBlocks {
+		t.blocks = slices.Delete(t.blocks, 0, 1)
+	}
+	t.blocks = append(t.blocks, b)
+	t.suspect(b.Parts)
+}
+
+// dropImplied drops the blocks that reject no more than another one. All entries with the
+// same evidence thus keep the same blocks.
+func (t *Tracker) dropImplied() {
+	for i := 0; i < len(t.blocks); {
+		implied := slices.ContainsFunc(t.blocks, func(o *Block) bool { return o != t.blocks[i] && o.Implies(t.blocks[i]) })
+		if implied {
+			t.blocks = slices.Delete(t.blocks, i, i+1)
+		} else {
+			i++
+		}
+	}
+}
+
+// Implies reports whether b rejects all requests that o rejects.
+func (b *Block) Implies(o *Block) bool {
+	return containsAll(o.Parts, b.Parts) && (len(b.Workspaces) >= maxWorkspaces || containsAll(b.Workspaces, o.Workspaces))
+}
+
+// candidates returns the suspects of a crash that may have caused it: those whose answers
+// had begun, if there are any.
+func (c *crash) candidates(now time.Time) []Suspect {
+	var begun []Suspect
+	for _, s := range c.suspects {
+		if s.Begun {
+			begun = append(begun, s)
+		}
+	}
+	if len(begun) > 0 {
+		return begun
+	}
+	if now.Sub(c.at) < SettleTime {
+		return nil
+	}
+	return c.suspects
+}
+
+// extend looks for crashes that a block explains. A crash of another workspace widens the
+// block, and a crash under only some of its parts narrows the parts down.
+func (t *Tracker) extend(now time.Time, b *Block) (changed bool) {
+	workspaces, parts := len(b.Workspaces), len(b.Parts)
+	for _, c := range t.crashes {
+		explained := false
+		for _, s := range c.candidates(now) {
+			common := intersect(b.Parts, s.Parts)
+			if len(common) == len(b.Parts) || s.Begun && len(common) > 0 {
+				b.Parts = common
+				b.addWorkspace(s.Workspace)
+				explained = true
+			}
+		}
+		if explained {
+			c.explain()
+		}
+	}
+	return len(b.Workspaces) > workspaces || len(b.Parts) < parts
+}
+
+// form returns a new block for the part with the most points, or nil if no part has
+// enough.
+func (t *Tracker) form(now time.Time) *Block {
+	points := make(map[uint64]int)
+	best := uint64(0)
+	for _, c := range t.crashes {
+		seen := make(map[uint64]bool)
+		candidates := c.candidates(now)
+		for _, s := range candidates {
+			value := waitingPoints
+			if s.Begun || len(candidates) == 1 {
+				value = begunPoints
+			}
+			for _, p := range s.Parts {
+				if seen[p] {
+					continue
+				}
+				seen[p] = true
+				points[p] += value
+				if points[p] > points[best] || points[p] == points[best] && p < best {
+					best = p
+				}
+			}
+		}
+	}
+	if points[best] < blockPoints {
+		return nil
+	}
+	b := &Block{Since: now}
+	for _, c := range t.crashes {
+		explained := false
+		for _, s := range c.candidates(now) {
+			if !slices.Contains(s.Parts, best) {
+				continue
+			}
+			if b.Parts == nil {
+				b.Parts = slices.Clone(s.Parts)
+			}
+			b.Parts = intersect(b.Parts, s.Parts)
+			b.addWorkspace(s.Workspace)
+			explained = true
+		}
+		if explained {
+			c.explain()
+		}
+	}
+	return b
+}
+
+// Blocked returns the block that rejects a request, if there is one.
+func (t *Tracker) Blocked(now time.Time, workspace uint64, parts []uint64) (Block, bool) {
+	if len(t.blocks) == 0 {
+		return Block{}, false
+	}
+	for _, b := range t.blocks {
+		if now.Sub(b.Since) <= Retention && b.appliesTo(workspace, parts) {
+			return b.clone(), true
+		}
+	}
+	return Block{}, false
+}
+
+// Blocks returns the blocks in force.
+func (t *Tracker) Blocks(now time.Time) []Block {
+	var all []Block
+	for _, b := range t.blocks {
+		if now.Sub(b.Since) <= Retention {
+			all = append(all, b.clone())
+		}
+	}
+	return all
+}
+
+// Merge adds blocks that other entries have formed. Parts that have been found sound
+// since then do not count. It reports whether anything changed.
+func (t *Tracker) Merge(now time.Time, blocks []Block) (changed bool) {
+	for _, received := range blocks {
+		b := received.clone()
+		b.Parts = slices.DeleteFunc(b.Parts[:min(len(b.Parts), MaxParts)], func(p uint64) bool {
+			e := t.sound[p]
+			return e != nil && e.Value.(soundPart).at.After(b.Since)
+		})
+		if len(b.Parts) == 0 || len(b.Workspaces) == 0 || now.Sub(b.Since) > Retention {
+			continue
+		}
+		changed = t.mergeBlock(&b) || changed
+	}
+	return changed
+}
+
+// mergeBlock adds a block unless another one implies it.
+func (t *Tracker) mergeBlock(b *Block) (changed bool) {
+	for _, known := range t.blocks {
+		if known.Implies(b) {
+			return false
+		}
+		if containsAll(b.Parts, known.Parts) { // and from another workspace
+			for _, w := range b.Workspaces {
+				known.addWorkspace(w)
+			}
+			t.dropImplied()
+			return true
+		}
+	}
+	t.insert(b)
+	t.dropImplied()
+	return true
+}
+
+// containsAll reports whether all elements of subset are in parts.
+func containsAll(parts, subset []uint64) bool {
+	for _, p := range subset {
+		if !slices.Contains(parts, p) {
+			return false
+		}
+	}
+	return true
+}
+
+// intersect returns the elements of a that are also in b.
+func intersect(a, b []uint64) []uint64 {
+	var common []uint64
+	for _, p := range a {
+		if slices.Contains(b, p) {
+			common = append(common, p)
+		}
+	}
+	return common
+}
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -149,6 +149,7 @@
 	}
 	tree.Add(supervise.Func{Name: "peers", Run: func(ctx context.Context) error { return g.ServePeers(ctx, peerListener) }})
 	tree.Add(supervise.Func{Name: "duty", Run: g.ServeRollouts})
+	tree.Add(supervise.Func{Name: "blocks", Run: g.ServeBlocks})
 	tree.Add(supervise.Func{Name: "ledger", Run: g.ServeLedger})
 	tree.Add(supervise.HTTP("ready", readyListener, http.HandlerFunc(g.ServeReady)))
 	if s.MetricsListen != "" {
--- a/fleet/records.go
+++ b/fleet/records.go
@@ -67,6 +67,26 @@
 	ReceivedAt time.Time `json:"-"`
 }
 
+// PromptBlock makes entries reject the requests whose prompts contain certain parts,
+// because backend servers crash under them.
+type PromptBlock struct {
+	// Parts are hashes of the parts of the prompt, and Workspaces of the workspaces whose
+	// requests have crashed servers.
+	Parts      []uint64 `json:"parts"`
+	Workspaces []uint64 `json:"workspaces"`
+	// AgeMS is the time in milliseconds since the block was formed.
+	AgeMS int64 `json:"age_ms"`
+}
+
+// PromptBlocks are the published blocks.
+type PromptBlocks struct {
+	Blocks []PromptBlock
+	// Revision is the store revision of the record, and ReceivedAt when this process
+	// received it.
+	Revision   int64
+	ReceivedAt time.Time
+}
+
 // Peer is another entry of the fleet.
 type Peer struct {
 	Name       string `json:"name"`
@@ -108,6 +128,8 @@
 	StatusUpdate struct{ Status Status }
 	// RolloutProgressUpdate sets the published elapsed time of a rollout.
 	RolloutProgressUpdate struct{ Progress RolloutProgress }
+	// PromptBlocksUpdate sets the published blocks.
+	PromptBlocksUpdate struct{ Blocks PromptBlocks }
 	// PeerUpdate adds or changes an entry.
 	PeerUpdate struct{ Peer Peer }
 	// PeerRemoved removes an entry.
@@ -122,5 +144,6 @@
 func (OrderRemoved) update()          {}
 func (StatusUpdate) update()          {}
 func (RolloutProgressUpdate) update() {}
+func (PromptBlocksUpdate) update()    {}
 func (PeerUpdate) update()            {}
 func (PeerRemoved) update()           {}
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -48,6 +48,8 @@
 	Orders   map[string]Order
 	Statuses map[string]Status
 	Progress map[string]RolloutProgress
+	// PromptBlocks holds the published blocks of parts of prompts.
+	PromptBlocks PromptBlocks
 	// Peers holds the registered entries by name.
 	Peers map[string]Peer
 	// Revision is the highest store revision that has been received.
@@ -194,6 +196,8 @@
 		v.Statuses[u.Status.Service] = u.Status
 	case RolloutProgressUpdate:
 		v.Progress[u.Progress.Service] = u.Progress
+	case PromptBlocksUpdate:
+		v.PromptBlocks = u.Blocks
 	case PeerUpdate:
 		v.Peers[u.Peer.Name] = u.Peer
 	case PeerRemoved:
@@ -304,6 +308,7 @@
 		Orders:       maps.Clone(v.Orders),
 		Statuses:     maps.Clone(v.Statuses),
 		Progress:     maps.Clone(v.Progress),
+		PromptBlocks: v.PromptBlocks,
 		Peers:        maps.Clone(v.Peers),
 		Revision:     v.Revision,
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
 	"hyssoploom/attempt"
 	"hyssoploom/backend"
+	"hyssoploom/crashcause"
 	"hyssoploom/release"
 )
 
@@ -25,11 +27,14 @@
 
 // attemptLog is the log record of one attempt.
 type attemptLog struct {
-	Server     string `json:"server"`
-	Model      string `json:"model,omitempty"`
-	Outcome    string `json:"outcome"`
-	result     attempt.Outcome
-	Confidence int `json:"confidence,omitempty"`
+	Server  string `json:"server"`
+	Model   string `json:"model,omitempty"`
+	Outcome string `json:"outcome"`
+	result  attempt.Outcome
+	// headReceived means that the head of the response has arrived, and begun that the
+	// first part of the answer has been forwarded.
+	headReceived, begun bool
+	Confidence          int `json:"confidence,omitempty"`
 	// FirstMS is the time to the response headers; Events is the number of forwarded
 	// events.
 	FirstMS int64 `json:"first_ms,omitempty"`
@@ -59,6 +64,14 @@
 	policy := attempt.Policy{Repeatable: c.route.Repeatable(), MaxRuns: c.route.MaxAttempts, MaxRefusals: maxRefusals}
 	var failure *bufferedResponse
 	last, sent := attempt.Run(policy, &c.progress, func() (attempt.Outcome, bool) {
+		if c.crashes > 1 {
+			// Wait until it is known whether this request caused the crashes.
+			sleep(c.ctx, crashcause.SettleTime)
+			c.g.evaluateNow()
+		}
+		if c.rejectedByBlock() {
+			return 0, false
+		}
 		target, ok := c.selectServer()
 		if !ok {
 			return 0, false
@@ -102,6 +115,7 @@
 	}
 	if result == attempt.Broken {
 		entry.Parts = c.sharedPartIDs()
+		c.reportCrash(t, &entry, err)
 	}
 	c.attempts = append(c.attempts, entry)
 	c.g.Metrics.Add("attempt_"+entry.Outcome, 1)
@@ -116,11 +130,12 @@
 const maxLoggedParts = 8
 
 // sharedPartIDs returns the ids of the parts of the prompt that other requests may have
-// in common with it, at most maxLoggedParts of them.
+// in common with it, at most maxLoggedParts of them, each with the hash by which blocks
+// name it.
 func (c *clientRequest) sharedPartIDs() []string {
 	var ids []string
-	for _, p := range c.meta.Parts[:min(max(len(c.meta.Parts)-1, 0), maxLoggedParts)] {
-		ids = append(ids, p.ID)
+	for i, hash := range c.sharedParts[:min(len(c.sharedParts), maxLoggedParts)] {
+		ids = append(ids, fmt.Sprintf("%s/%016x", c.meta.Parts[i].ID, hash))
 	}
 	return ids
 }
@@ -220,10 +235,9 @@
 	started := time.Now()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	limit := 0
-	if c.service.MaxConnections > 0 {
-		limit = max(c.service.MaxConnections/(c.g.EntryCount()+1), 1)
-	}
+	c.g.addUnanswered(c, cancel)
+	defer c.g.removeUnanswered(c)
+	limit := c.connectionLimit()
 	if c.workspace != nil && !c.g.configFresh() {
 		return attempt.Stale, nil, nil
 	}
@@ -235,11 +249,12 @@
 			}
 			return c.endedOr(attempt.NotSent), nil, err
 		}
-		if c.ctx.Err() == nil {
+		if ctx.Err() == nil {
 			c.g.markSuspect(t)
 		}
 		return c.endedOr(attempt.Broken), nil, err
 	}
+	entry.headReceived = true
 	headerTime := time.Since(started)
 	entry.FirstMS = headerTime.Milliseconds()
 	if t.wait < maxIdleWait && response.Status == http.StatusOK {
@@ -259,6 +274,15 @@
 	return c.deliver(t, response, meta, entry)
 }
 
+// connectionLimit returns this entry's share of the connections that a backend server
+// accepts, 0 if there is no limit.
+func (c *clientRequest) connectionLimit() int {
+	if c.service.MaxConnections <= 0 {
+		return 0
+	}
+	return max(c.service.MaxConnections/(c.g.EntryCount()+1), 1)
+}
+
 // endedOr returns o, or the corresponding ended outcome if the client has disconnected
 // or the deadline has passed.
 func (c *clientRequest) endedOr(o attempt.Outcome) attempt.Outcome {
@@ -306,6 +330,8 @@
 		c.forwardFailure(failure)
 	case c.progress.MayHaveRun():
 		c.reject(http.StatusBadGateway, ReasonAnswerLost, 0)
+	case c.blockedFor > 0:
+		c.reject(http.StatusServiceUnavailable, ReasonPartBlocked, c.blockedFor)
 	case c.progress.Received > 0:
 		c.reject(http.StatusServiceUnavailable, ReasonRejectedByServers, transientRetryAfter)
 	default:
--- /dev/null
+++ b/gateway/crashes.go
@@ -0,0 +1,236 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"hyssoploom/crashcause"
+	"hyssoploom/fleet"
+	"hyssoploom/peers"
+)
+
+// crashCheckInterval is the time after which a server is checked again for a crash. All
+// requests that break at the same moment share one check.
+const crashCheckInterval = time.Second
+
+// crashCheck is a check whether a backend server has crashed.
+type crashCheck struct {
+	at      time.Time
+	done    chan struct{} // closed when crashed is set
+	crashed bool
+}
+
+// hashSharedParts returns hashes of the parts of a prompt except the last, which belongs to
+// the request itself. Unlike those of hashPrefixes they do not depend on the parts before.
+func hashSharedParts(parts []PromptPart) []uint64 {
+	var hashes []uint64
+	for _, p := range parts[:max(len(parts)-1, 0)] {
+		hashes = append(hashes, xxhash.Sum64String(p.ID))
+	}
+	return hashes
+}
+
+// workspaceHash identifies the workspace of the request among the entries; 0 on public
+// routes.
+func (c *clientRequest) workspaceHash() uint64 {
+	if c.workspace == nil {
+		return 0
+	}
+	return xxhash.Sum64String(c.workspace.Name)
+}
+
+// rejectedByBlock reports whether a block rejects the request.
+func (c *clientRequest) rejectedByBlock() bool {
+	if len(c.sharedParts) == 0 {
+		return false
+	}
+	g := c.g
+	view := g.State.View()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	g.mergePublishedBlocks(now, view)
+	b, blocked := g.crashes.Blocked(now, c.workspaceHash(), c.sharedParts)
+	if !blocked {
+		return false
+	}
+	c.blockedFor = max(crashcause.Retention-now.Sub(b.Since), transientRetryAfter)
+	g.Metrics.Add("prompt_blocked", 1)
+	return true
+}
+
+// recordAnswer records that the answer to the request has begun.
+func (c *clientRequest) recordAnswer() {
+	if len(c.sharedParts) == 0 {
+		return
+	}
+	g := c.g
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.unanswered, c)
+	if cleared := g.crashes.RecordAnswer(time.Now(), c.sharedParts); len(cleared) > 0 {
+		g.blocks.changed(time.Now())
+		g.hub.Broadcast(func(_ fleet.Peer, m *peers.Message) { m.SoundParts = append(m.SoundParts, cleared...) })
+	}
+}
+
+// reportCrash records the request as a suspect if its connection ended before the answer
+// began because the server has crashed.
+func (c *clientRequest) reportCrash(t target, entry *attemptLog, err error) {
+	if len(c.sharedParts) == 0 || entry.begun || !isConnectionEnd(err) || !c.g.hasCrashed(c.ctx, t, c.connectionLimit()) {
+		return
+	}
+	c.crashes++
+	suspect := crashcause.Suspect{
+		Server: t.server.ID + "/" + strconv.FormatInt(t.server.StartedAtMS, 10),
+		Begun:  entry.headReceived, Workspace: c.workspaceHash(), Parts: c.sharedParts,
+	}
+	g := c.g
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	suspect, _ = g.crashes.Add(now, suspect)
+	if len(suspect.Parts) == 0 {
+		return
+	}
+	g.hub.Broadcast(func(_ fleet.Peer, m *peers.Message) {
+		m.CrashSuspects = append(m.CrashSuspects, peers.CrashSuspect(suspect))
+	})
+	g.evaluateCrashes(now)
+}
+
+// isConnectionEnd reports whether an exchange failed because the server closed or reset the
+// connection.
+func isConnectionEnd(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
+		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
+// hasCrashed checks whether the process of a server has ended. limit is the largest number
+// of connections to the server.
+func (g *Gateway) hasCrashed(ctx context.Context, t target, limit int) bool {
+	g.mu.Lock()
+	check := t.load.crashCheck
+	if check != nil && time.Since(check.at) < crashCheckInterval {
+		g.mu.Unlock()
+		select {
+		case <-check.done:
+			return check.crashed
+		case <-ctx.Done():
+			return false
+		}
+	}
+	check = &crashCheck{at: time.Now(), done: make(chan struct{})}
+	t.load.crashCheck = check
+	g.mu.Unlock()
+	check.crashed = g.Pool.Refuses(context.WithoutCancel(ctx), t.server.Address, limit)
+	close(check.done)
+	return check.crashed
+}
+
+// evaluateNow updates the blocks.
+func (g *Gateway) evaluateNow() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.evaluateCrashes(time.Now())
+}
+
+// evaluateCrashes updates the blocks and informs the peers. The caller must hold g.mu.
+func (g *Gateway) evaluateCrashes(now time.Time) {
+	changed := g.crashes.Evaluate(now)
+	if len(changed) == 0 {
+		return
+	}
+	for _, b := range changed {
+		g.Log.Warn("Backend servers crash under a part of prompts; requests with it are rejected.",
+			"parts", fmt.Sprintf("%016x", b.Parts), "workspaces", len(b.Workspaces))
+	}
+	g.Metrics.Add("prompt_blocks", int64(len(changed)))
+	messages := blockMessages(now, changed)
+	g.hub.Broadcast(func(_ fleet.Peer, m *peers.Message) { m.Blocks = append(m.Blocks, messages...) })
+	g.blocks.changed(now)
+	g.cancelBlocked(now)
+}
+
+// addUnanswered registers the function that cancels the attempt of a request.
+func (g *Gateway) addUnanswered(c *clientRequest, cancel context.CancelFunc) {
+	if len(c.sharedParts) == 0 {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.unanswered[c] = cancel
+}
+
+func (g *Gateway) removeUnanswered(c *clientRequest) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.unanswered, c)
+}
+
+// cancelBlocked cancels the requests that wait at servers and are rejected by now, before
+// their answers begin. The caller must hold g.mu.
+func (g *Gateway) cancelBlocked(now time.Time) {
+	for c, cancel := range g.unanswered {
+		if _, blocked := g.crashes.Blocked(now, c.workspaceHash(), c.sharedParts); blocked {
+			cancel()
+			delete(g.unanswered, c)
+		}
+	}
+}
+
+// receiveCrashes applies what a peer has observed. The caller must hold g.mu.
+func (g *Gateway) receiveCrashes(now time.Time, m *peers.Message) {
+	if len(m.CrashSuspects) == 0 && len(m.SoundParts) == 0 && len(m.Blocks) == 0 {
+		return
+	}
+	g.crashes.RecordAnswer(now, m.SoundParts)
+	var sound []uint64
+	for _, s := range m.CrashSuspects {
+		_, parts := g.crashes.Add(now, crashcause.Suspect(s))
+		sound = append(sound, parts...)
+	}
+	if len(sound) > 0 {
+		g.hub.Broadcast(func(_ fleet.Peer, m *peers.Message) { m.SoundParts = append(m.SoundParts, sound...) })
+	}
+	if g.crashes.Merge(now, decodeBlocks(now, m.Blocks)) {
+		g.blocks.changed(now)
+		g.cancelBlocked(now)
+	}
+	g.evaluateCrashes(now)
+}
+
+// addCrashes adds the evidence and the blocks to the initial state for a peer. The caller
+// must hold g.mu.
+func (g *Gateway) addCrashes(m *peers.Message) {
+	for _, s := range g.crashes.Suspects() {
+		m.CrashSuspects = append(m.CrashSuspects, peers.CrashSuspect(s))
+	}
+	now := time.Now()
+	m.Blocks = blockMessages(now, g.crashes.Blocks(now))
+}
+
+func blockMessages(now time.Time, blocks []crashcause.Block) []fleet.PromptBlock {
+	var messages []fleet.PromptBlock
+	for _, b := range blocks {
+		messages = append(messages, fleet.PromptBlock{Parts: b.Parts, Workspaces: b.Workspaces, AgeMS: now.Sub(b.Since).Milliseconds()})
+	}
+	return messages
+}
+
+// decodeBlocks returns the blocks of a message or record that was received at now.
+func decodeBlocks(now time.Time, messages []fleet.PromptBlock) []crashcause.Block {
+	var blocks []crashcause.Block
+	for _, m := range messages {
+		blocks = append(blocks, crashcause.Block{Parts: m.Parts, Workspaces: m.Workspaces,
+			Since: now.Add(-time.Duration(m.AgeMS) * time.Millisecond)})
+	}
+	return blocks
+}
--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -98,3 +98,136 @@
 		})
 	}
 }
+
+// crashUntilBlocked makes an entry block harmfulPart.
+func crashUntilBlocked(e *entry) {
+	e.t.Helper()
+	for range 4 {
+		if a := e.stream("system", harmfulPart); a.status == http.StatusServiceUnavailable {
+			return
+		}
+	}
+	e.t.Fatal("the harmful part is not blocked")
+}
+
+// Guards against entries that forget a harmful part when all of them are restarted.
+func TestBlockOutlastsAllEntries(t *testing.T) {
+	store := newStore(t)
+	f := newCrashingFleet(t, store, 8, true)
+	e := start(t, store, "e1")
+	e.awaitServers(len(f.servers))
+	crashUntilBlocked(e)
+	eventually(t, "the block is in the store", func() bool { return store.Get("state/hyssoploom/prompt-blocks") != nil })
+	e.Stop()
+	before := f.harmful.Load()
+	again := start(t, store, "e1")
+	again.awaitServers(len(f.servers))
+	if a := again.stream("system", harmfulPart); a.status != http.StatusServiceUnavailable || f.harmful.Load() != before {
+		t.Errorf("after the restart, a request with the harmful part got %d; %d reached a server", a.status, f.harmful.Load()-before)
+	}
+	if a := again.stream("system"); a.status != 200 {
+		t.Errorf("a request without the part got %d", a.status)
+	}
+}
+
+// Guards against an entry that joins during an outage of the store and sends requests with
+// a part that its peers have blocked.
+func TestJoiningEntryTakesBlocksFromPeers(t *testing.T) {
+	store := newStore(t)
+	f := newCrashingFleet(t, store, 8, true)
+	first, second := start(t, store, "e1"), start(t, store, "e2")
+	first.awaitServers(len(f.servers))
+	second.awaitServers(len(f.servers))
+	store.SetFaults(fake.StoreFaults{DropWriteResponses: true})
+	crashUntilBlocked(first)
+	eventually(t, "the other entry blocks the part", func() bool {
+		return second.stream("system", harmfulPart).status == http.StatusServiceUnavailable
+	})
+	store.Delete("state/hyssoploom/prompt-blocks")
+	joined := start(t, store, "e3")
+	joined.awaitServers(len(f.servers))
+	eventually(t, "the new entry knows its peers", func() bool { return joined.Gateway.EntryCount() == 3 })
+	eventually(t, "the new entry blocks the part", func() bool {
+		return joined.stream("system", harmfulPart).status == http.StatusServiceUnavailable
+	})
+	if n := f.harmful.Load(); n > maxHarmfulRequests {
+		t.Errorf("%d requests with the harmful part reached servers", n)
+	}
+}
+
+// Guards against a workspace whose requests make those of another one fail, and against a
+// part that crashes servers for each workspace anew.
+func TestBlockOfOneWorkspace(t *testing.T) {
+	store := fake.NewStore(t)
+	c := configuration(1)
+	var tenants []any
+	for i := range 4 {
+		tenants = append(tenants, map[string]any{"name": fmt.Sprint("club-", i), "apiKeys": []string{fmt.Sprint("key-", i)}})
+	}
+	c["tenants"] = tenants
+	store.Put("op/config", c)
+	f := newCrashingFleet(t, store, 12, true)
+	e := start(t, store, "e1")
+	e.awaitServers(len(f.servers))
+	send := func(workspace int, part string) int {
+		return e.send("POST", "/draft/a", "prompt", "X-Model", "small", "X-Token-Counts", "100,20", "X-Key", fmt.Sprint("key-", workspace),
+			"X-Prompt-Prefix", fmt.Sprintf("%s:40,own%d:20", part, ids.Add(1))).status
+	}
+	send(0, harmfulPart)
+	if status := send(0, harmfulPart); status != http.StatusServiceUnavailable {
+		t.Fatalf("the part is not blocked for the workspace whose requests crashed servers: %d", status)
+	}
+	crashes := f.crashes.Load()
+	if status := send(1, harmfulPart); status == http.StatusServiceUnavailable {
+		t.Error("the part is blocked for another workspace that has not used it")
+	}
+	if n := f.crashes.Load() - crashes; n != 1 {
+		t.Errorf("the first request of another workspace crashed %d servers, want 1", n)
+	}
+	for workspace := range 4 {
+		if status := send(workspace, harmfulPart); status != http.StatusServiceUnavailable {
+			t.Errorf("workspace %d: %d after the crashes of two workspaces", workspace, status)
+		}
+	}
+}
+
+// Guards against a block of parts under which servers break off answers without crashing.
+func TestBrokenAnswersBlockNothing(t *testing.T) {
+	store := newStore(t)
+	for i := range 6 {
+		register(store, "llm", ownDC, fake.NewBackendServer(t, fmt.Sprintf("i-%d", i), fake.Stream(0, false, 0)))
+	}
+	e := start(t, store, "e1")
+	e.awaitServers(6)
+	for range 4 {
+		if a := e.stream("system", "document"); a.status == http.StatusServiceUnavailable {
+			t.Fatalf("rejected: %q", a.body)
+		}
+	}
+}
+
+// Guards against requests that wait at servers with a part that has been blocked, and crash
+// them later.
+func TestWaitingRequestsAreCancelled(t *testing.T) {
+	store := newStore(t)
+	waits := make(chan struct{}, 1)
+	register(store, "llm", otherRegionDC, fake.NewBackendServer(t, "i-slow", func(conn net.Conn, r fake.Request) bool {
+		waits <- struct{}{}
+		return fake.Hang(5*time.Second)(conn, r)
+	}))
+	e := start(t, store, "e1")
+	e.awaitServers(1)
+	ended := make(chan clientResponse, 1)
+	begun := time.Now()
+	go func() { ended <- e.stream("system", harmfulPart) }()
+	<-waits
+	f := newCrashingFleet(t, store, 4, true)
+	e.awaitServers(1 + len(f.servers))
+	crashUntilBlocked(e)
+	if a := <-ended; a.status != http.StatusBadGateway || !strings.Contains(a.body, `"unknown"`) {
+		t.Errorf("%d %q", a.status, a.body)
+	}
+	if took := time.Since(begun); took > 1200*time.Millisecond { // the deadline is at 1500 ms
+		t.Errorf("the request was cancelled after %v", took)
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"hyssoploom/backend"
+	"hyssoploom/crashcause"
 	"hyssoploom/fleet"
 	"hyssoploom/ledger"
 	"hyssoploom/limits"
@@ -70,6 +71,7 @@
 type Records interface {
 	StatusItem(fleet.Status) (key string, value []byte)
 	RolloutProgressItem(fleet.RolloutProgress) (key string, value []byte)
+	PromptBlocksItem([]fleet.PromptBlock) (key string, value []byte)
 }
 
 // Gateway is a reverse proxy that routes the requests of clients to backend servers.
@@ -103,6 +105,12 @@
 	// updated.
 	rolloutsRevision int64
 
+	// crashes finds the parts of prompts under which engines crash. unanswered holds the
+	// functions that cancel the requests whose answers have not begun.
+	crashes    *crashcause.Tracker
+	unanswered map[*clientRequest]context.CancelFunc
+	blocks     blockPublisher
+
 	hub *peers.Hub
 	// peerVerifiedAt holds, by peer name, the time up to which the peer's copy of the
 	// store was verified to be current when it last replied.
@@ -132,6 +140,8 @@
 		latencies:      release.NewLatencyBaselines(),
 		routes:         make(release.RouteStats),
 		rollouts:       make(map[string]*rolloutState),
+		crashes:        crashcause.New(),
+		unanswered:     make(map[*clientRequest]context.CancelFunc),
 		rng:            rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	if g.Tracing == nil {
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -32,6 +32,7 @@
 	ReasonRejectedByServers Reason = "refused_by_backend_servers"
 	ReasonAnswerLost        Reason = "answer_lost"
 	ReasonTimeout           Reason = "timeout"
+	ReasonPartBlocked       Reason = "prompt_part_blocked"
 )
 
 const (
@@ -55,6 +56,7 @@
 	workspace   *fleet.Workspace // nil on public routes
 	meta        RequestMeta
 	prompt      []peers.PrefixPart // prefix hashes of meta.Parts
+	sharedParts []uint64           // hashes of the parts that other requests may have too
 	body        []byte
 	received    time.Time
 	startupWait time.Duration // time spent waiting for the initial read of the store
@@ -70,6 +72,10 @@
 	stream     streamState
 	attempts   []attemptLog
 	heldMemory int64 // taken from Gateway.responseMemory
+	// crashes counts the servers that crashed before they answered the request.
+	crashes int
+	// blockedFor is how long a block still rejects the request; 0 if none does.
+	blockedFor time.Duration
 }
 
 // ServeHTTP handles one client request.
@@ -140,6 +146,7 @@
 	c.deadline = c.received.Add(timeout)
 	c.service = config.Services[c.chooseService()]
 	c.prompt = hashPrefixes(c.meta.Parts)
+	c.sharedParts = hashSharedParts(c.meta.Parts)
 	if c.meta.Model == AnyModel && len(c.route.Models) > 0 {
 		c.model = 0
 	}
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -139,6 +139,7 @@
 	}
 	background(t, func() { e.Gateway.ServePeers(ctx, peers) })
 	background(t, func() { e.Gateway.ServeRollouts(ctx) })
+	background(t, func() { e.Gateway.ServeBlocks(ctx) })
 	background(t, func() { e.Gateway.ServeLedger(ctx) })
 	background(t, func() { e.Gateway.ServeOn(ctx, client) })
 	t.Cleanup(cancel)
--- a/gateway/load.go
+++ b/gateway/load.go
@@ -41,6 +41,8 @@
 	suspectUntil time.Time
 	// boundLoggedAt is when a bound that the server exceeded was last logged.
 	boundLoggedAt time.Time
+	// crashCheck is the last check whether the server has crashed; nil before the first.
+	crashCheck *crashCheck
 	// staleAddress is the address at which a different server responded.
 	staleAddress string
 	cache        *prefixCache
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -59,6 +59,9 @@
 		}
 		return attempt.Failed, saved, fmt.Errorf("status %d", response.Status)
 	}
+	if success {
+		c.recordAnswer()
+	}
 	c.writeResponse(saved)
 	return attempt.Delivered, nil, nil
 }
@@ -153,6 +156,10 @@
 			continue
 		}
 		entry.Events++
+		if isProgress && !entry.begun {
+			entry.begun = true
+			c.recordAnswer()
+		}
 		if _, err := c.w.Write(event); err != nil {
 			return attempt.Ended, nil, err
 		}
--- /dev/null
+++ b/gateway/unframed_test.go
@@ -0,0 +1,83 @@
+package gateway_test
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"hyssoploom/platform/fake"
+)
+
+const streamHeader = "Content-Type: text/event-stream"
+
+// unframed returns a handler that sends a response with neither a length nor chunks and
+// ends it by closing the connection, or by resetting it.
+func unframed(body string, reset bool, header ...string) fake.Handler {
+	return func(conn net.Conn, r fake.Request) bool {
+		fake.WriteHeader(conn, r, header...)
+		io.WriteString(conn, body)
+		if reset {
+			time.Sleep(50 * time.Millisecond) // the bytes before the reset arrive
+			conn.(*net.TCPConn).SetLinger(0)
+		}
+		return false
+	}
+}
+
+// Guards against losing complete responses that end with their connection, and against
+// responses that were broken off but look complete to the caller.
+func TestResponsesThatEndWithTheirConnection(t *testing.T) {
+	const partial = "id: 4\ndata: tok"
+	chunkedPartial := func(conn net.Conn, r fake.Request) bool {
+		fake.WriteHeader(conn, r, "Transfer-Encoding: chunked", streamHeader)
+		fake.WriteChunk(conn, events(1, 3)+partial)
+		io.WriteString(conn, "0\r\n\r\n")
+		return true
+	}
+	for _, c := range []struct {
+		name          string
+		path          string
+		first, second fake.Handler
+		status        int
+		body          string
+		cut           bool
+	}{
+		{"response", "/look/a", unframed("the whole body", false), nil, 200, "the whole body", false},
+		{"response, reset, repeatable", "/look/a", unframed("the wh", true), fake.Respond(200, "the whole body"), 200, "the whole body", false},
+		{"response, reset, not repeatable", "/book/a", unframed("the wh", true), fake.Respond(200, "the whole body"), 502, "", false},
+		{"stream", "/draft/a", unframed(events(1, 4), false, streamHeader), nil, 200, events(1, 4), false},
+		{"stream, not resumable", "/once/a", unframed(events(1, 4), false, streamHeader), nil, 200, events(1, 4), false},
+		{"stream that ends inside an event", "/draft/a", unframed(events(1, 3)+partial, false, streamHeader), fake.Stream(6, true, 0), 200, events(1, 6), false},
+		{"stream that ends inside an event, not resumable", "/once/a", unframed(events(1, 3)+partial, false, streamHeader), fake.Stream(6, true, 0), 200, events(1, 3), true},
+		{"stream that ends inside its first event, no other server", "/draft/a", unframed("id: 1\nda", false, streamHeader), nil, 200, "", true},
+		{"stream that ends before the blank line of its last event", "/once/a", unframed(events(1, 3)+"id: 4\ndata: token 4\n", false, streamHeader), nil, 200, events(1, 3), true},
+		{"stream, reset between events", "/draft/a", unframed(events(1, 3), true, streamHeader), fake.Stream(6, true, 0), 200, events(1, 6), false},
+		{"stream, reset between events, not resumable", "/once/a", unframed(events(1, 3), true, streamHeader), nil, 200, events(1, 3), true},
+		{"stream in chunks that ends inside an event", "/draft/a", chunkedPartial, fake.Stream(6, true, 0), 200, events(1, 6), false},
+		{"stream in chunks that ends inside an event, not resumable", "/once/a", chunkedPartial, fake.Stream(6, true, 0), 200, events(1, 3), true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			store := newStore(t)
+			service := "llm"
+			if c.path == "/look/a" || c.path == "/book/a" {
+				service = "app"
+			}
+			register(store, service, ownDC, fake.NewBackendServer(t, "i-1", c.first))
+			servers := 1
+			if c.second != nil {
+				register(store, service, otherRegionDC, fake.NewBackendServer(t, "i-2", c.second))
+				servers++
+			}
+			e := start(t, store, "e1")
+			e.awaitServers(servers)
+			a := e.send("POST", c.path, "prompt", "X-Model", "small")
+			if a.status != c.status || c.status == 200 && a.body != c.body {
+				t.Errorf("status %d, body %q, want %d, %q", a.status, a.body, c.status, c.body)
+			}
+			if (a.err != nil) != c.cut {
+				t.Errorf("error at the end of the response: %v", a.err)
+			}
+		})
+	}
+}
--- a/gateway/updates.go
+++ b/gateway/updates.go
@@ -90,6 +90,7 @@
 	for _, e := range m.Evidence {
 		g.mergeEvidence(m.From.Name, e)
 	}
+	g.receiveCrashes(now, m)
 }
 
 // registeredLoad returns the load record of a registered server, or nil if the server
@@ -114,6 +115,7 @@
 		}
 	}
 	g.addRollouts(m)
+	g.addCrashes(m)
 	return m
 }
 
--- a/peers/link.go
+++ b/peers/link.go
@@ -68,6 +68,9 @@
 	m.Sessions = keepNewest(m.Sessions)
 	m.Charges = keepNewest(m.Charges)
 	m.Durable = keepNewest(m.Durable)
+	m.CrashSuspects = keepNewest(m.CrashSuspects)
+	m.SoundParts = keepNewest(m.SoundParts)
+	m.Blocks = keepNewest(m.Blocks)
 }
 
 // unsentItems returns the items whose revision has not been sent on this connection
--- a/peers/message.go
+++ b/peers/message.go
@@ -39,6 +39,20 @@
 	// its origin in From.
 	ToRelay *Message
 	Relayed []Message
+	// CrashSuspects holds requests that were at a backend server when it crashed.
+	// SoundParts holds parts of prompts that are not the cause. Blocks holds the parts
+	// that are rejected.
+	CrashSuspects []CrashSuspect
+	SoundParts    []uint64
+	Blocks        []fleet.PromptBlock
+}
+
+// CrashSuspect is the message form of crashcause.Suspect.
+type CrashSuspect struct {
+	Server    string
+	Begun     bool
+	Workspace uint64
+	Parts     []uint64
 }
 
 // SyncRequest asks a peer for the items of the store that the sender lacks.
@@ -125,5 +139,6 @@
 // empty reports whether the message carries no updates.
 func (m *Message) empty() bool {
 	return m.SyncRequest == nil && m.Reply == nil && len(m.Loads) == 0 && len(m.PrefixUses) == 0 &&
-		len(m.Sessions) == 0 && m.Boot == "" && len(m.Evidence) == 0 && m.ToRelay == nil && len(m.Relayed) == 0
+		len(m.Sessions) == 0 && m.Boot == "" && len(m.Evidence) == 0 && m.ToRelay == nil && len(m.Relayed) == 0 &&
+		len(m.CrashSuspects) == 0 && len(m.SoundParts) == 0 && len(m.Blocks) == 0
 }
--- a/peers/relay.go
+++ b/peers/relay.go
@@ -154,6 +154,9 @@
 	for _, e := range later.Evidence {
 		m.PutEvidence(e)
 	}
+	m.CrashSuspects = append(m.CrashSuspects, later.CrashSuspects...)
+	m.SoundParts = append(m.SoundParts, later.SoundParts...)
+	m.Blocks = append(m.Blocks, later.Blocks...)
 }
 
 // PutLoad adds the load on a server, replacing an earlier value.
--- a/peers/relay_test.go
+++ b/peers/relay_test.go
@@ -163,3 +163,12 @@
 		t.Errorf("the region received no updates for %v", took)
 	}
 }
+
+// Guards against updates about crashes that are lost between regions.
+func TestMergeKeepsCrashes(t *testing.T) {
+	m := &Message{CrashSuspects: []CrashSuspect{{Server: "a"}}}
+	m.merge(&Message{CrashSuspects: []CrashSuspect{{Server: "b"}}, SoundParts: []uint64{1}, Blocks: []fleet.PromptBlock{{Parts: []uint64{2}}}})
+	if len(m.CrashSuspects) != 2 || len(m.SoundParts) != 1 || len(m.Blocks) != 1 || m.empty() {
+		t.Errorf("%+v", m)
+	}
+}
