gateway: log the limits that backend servers name

The header Server-Limit was forwarded without being read, so that the log could not tell whether an entry knew of a limit when it exceeded it.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -263,6 +263,7 @@
 	c.g.prefillDone(&t)
 	defer response.Body.Close()
 	meta := c.g.Protocol.ReadResponse(response.Status, response.Header, t.server.ID)
+	c.g.observeLimit(&t, &meta)
 	if meta.NotRun {
 		if meta.WrongServer {
 			c.g.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -341,7 +341,7 @@
 func (g *Gateway) load(server *fleet.BackendServer, service *fleet.Service) *load {
 	l := g.loads[server.ID]
 	if l == nil {
-		l = &load{}
+		l = &load{namedLimit: -1}
 		if service != nil && service.Engine != nil {
 			l.cache = newPrefixCache(int(float64(service.Engine.CacheTokens) * prefixCacheShare))
 		}
--- a/gateway/load.go
+++ b/gateway/load.go
@@ -41,6 +41,9 @@
 	suspectUntil time.Time
 	// boundLoggedAt is when a bound that the server exceeded was last logged.
 	boundLoggedAt time.Time
+	// namedLimit is the limit that the server last named, in requests per second; -1 if it
+	// names none.
+	namedLimit float64
 	// crashCheck is the last check whether the server has crashed; nil before the first.
 	crashCheck *crashCheck
 	// staleAddress is the address at which a different server responded.
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -63,6 +63,10 @@
 	WrongServer bool
 	// Sealed is set if the response is known to come from the server itself.
 	Sealed bool
+	// Limited is set if the server names the requests per second that it takes from all
+	// entries together; RequestsPerSecond is this limit.
+	Limited           bool
+	RequestsPerSecond float64
 	// Confidence is the model's confidence in its response, from 0 to 100; -1 if it
 	// reports none.
 	Confidence int
