limits, gateway: keep to the limits that backend servers name

Cause: nothing acted on Server-Limit.

Each entry now tells the others the limits that it sees and its requests to limited servers, and sends only what is left of a limit; within the delay of the reports its rank among the entries decides. A server at its limit is no candidate; without any, the request is refused at once with the time until one takes it.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -263,7 +263,9 @@
 	c.g.prefillDone(&t)
 	defer response.Body.Close()
 	meta := c.g.Protocol.ReadResponse(response.Status, response.Header, t.server.ID)
-	c.g.observeLimit(&t, &meta)
+	if !meta.WrongServer {
+		c.g.observeLimit(&t, &meta, started)
+	}
 	if meta.NotRun {
 		if meta.WrongServer {
 			c.g.mu.Lock()
@@ -333,6 +335,8 @@
 		c.reject(http.StatusBadGateway, ReasonAnswerLost, 0)
 	case c.blockedFor > 0:
 		c.reject(http.StatusServiceUnavailable, ReasonPartBlocked, c.blockedFor)
+	case c.limitedFor > 0:
+		c.reject(http.StatusServiceUnavailable, ReasonServersLimited, c.limitedFor)
 	case c.progress.Received > 0:
 		c.reject(http.StatusServiceUnavailable, ReasonRejectedByServers, transientRetryAfter)
 	default:
--- a/gateway/candidates.go
+++ b/gateway/candidates.go
@@ -55,6 +55,7 @@
 	if c.progress.Received > 0 && !retryBudget.Take(now, entries, 0) {
 		return target{}, false
 	}
+	c.limitedFor = 0
 	servers, candidates := c.candidates(t.model, now, entries)
 	i := placing.Choose(candidates, c.affinityKey(), g.rng)
 	if i < 0 {
@@ -65,13 +66,14 @@
 	t.load = g.load(t.server, c.service)
 	t.running = t.load.running + t.load.remoteRunning
 	g.coldLimiter.RecordSent(now, t.server.ID)
+	g.recordLimitedSend(now, t.server.ID)
 	g.startAttempt(c, &t)
 	return t, true
 }
 
 // candidates returns the servers that may take the request, restricted to the version
-// that a rollout assigns to it. If that version has no such server left, the other
-// version's servers are returned.
+// that a rollout assigns to it and to those below the limits that they name. If that
+// version has no such server left, the other version's servers are returned.
 func (c *clientRequest) candidates(model string, now time.Time, entries int) ([]*fleet.BackendServer, []placing.Candidate) {
 	var servers []*fleet.BackendServer
 	for _, s := range c.view.ByService[c.service.Name] {
@@ -79,7 +81,7 @@
 			servers = append(servers, s)
 		}
 	}
-	servers = c.filterByVersion(servers, now, entries)
+	servers = c.filterByLimit(c.filterByVersion(servers, now, entries), now)
 	candidates := make([]placing.Candidate, len(servers))
 	for i, s := range servers {
 		candidates[i] = c.candidate(s, model, now)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -90,6 +90,7 @@
 	loads         map[string]*load // by server id
 	retryBudgets  map[string]*limits.RetryBudget
 	coldLimiter   *limits.ColdLimiter
+	serverLimiter *limits.ServerLimiter
 	prefillRatios prefillRatioTracker
 	rng           *rand.Rand
 	// sessions, latencies and routes are the inputs of rollout decisions; rollouts is
@@ -136,6 +137,7 @@
 		prefillRatios:  make(prefillRatioTracker),
 		retryBudgets:   make(map[string]*limits.RetryBudget),
 		coldLimiter:    limits.NewColdLimiter(coldConfig(&s.Bounds)),
+		serverLimiter:  limits.NewServerLimiter(),
 		sessions:       release.NewSessions(s.Bounds.SessionIdleTimeout()),
 		latencies:      release.NewLatencyBaselines(),
 		routes:         make(release.RouteStats),
@@ -294,6 +296,7 @@
 		g.Pool.Retain(func(address string) bool { return addresses[address] })
 		g.mu.Lock()
 		g.coldLimiter.Retain(func(id string) bool { return view.Servers[id] != nil })
+		g.serverLimiter.Retain(time.Now(), func(id string) bool { return view.Servers[id] != nil })
 		g.sessions.RemoveExpired(time.Now())
 		g.pruneRoutes(view.Config)
 		maps.DeleteFunc(g.peerVerifiedAt, func(peer string, _ time.Duration) bool { return !g.hub.IsLive(peer) })
@@ -341,7 +344,7 @@
 func (g *Gateway) load(server *fleet.BackendServer, service *fleet.Service) *load {
 	l := g.loads[server.ID]
 	if l == nil {
-		l = &load{namedLimit: -1}
+		l = &load{}
 		if service != nil && service.Engine != nil {
 			l.cache = newPrefixCache(int(float64(service.Engine.CacheTokens) * prefixCacheShare))
 		}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -33,6 +33,7 @@
 	ReasonAnswerLost        Reason = "answer_lost"
 	ReasonTimeout           Reason = "timeout"
 	ReasonPartBlocked       Reason = "prompt_part_blocked"
+	ReasonServersLimited    Reason = "backend_server_limits"
 )
 
 const (
@@ -76,6 +77,9 @@
 	crashes int
 	// blockedFor is how long a block still rejects the request; 0 if none does.
 	blockedFor time.Duration
+	// limitedFor is the time until a server may take the request again, if all are at the
+	// limits that they name; otherwise 0.
+	limitedFor time.Duration
 }
 
 // ServeHTTP handles one client request.
--- a/gateway/load.go
+++ b/gateway/load.go
@@ -41,9 +41,12 @@
 	suspectUntil time.Time
 	// boundLoggedAt is when a bound that the server exceeded was last logged.
 	boundLoggedAt time.Time
-	// namedLimit is the limit that the server last named, in requests per second; -1 if it
-	// names none.
-	namedLimit float64
+	// limitRank is this entry's rank among those that share the server's limit, and
+	// limitRankEpoch the epoch for which it holds.
+	limitRank      int
+	limitRankEpoch int64
+	// limitReportedAt is when the peers were last told of the server's limit.
+	limitReportedAt time.Time
 	// crashCheck is the last check whether the server has crashed; nil before the first.
 	crashCheck *crashCheck
 	// staleAddress is the address at which a different server responded.
--- a/gateway/serverlimits_test.go
+++ b/gateway/serverlimits_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net"
+	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -104,3 +106,67 @@
 		t.Errorf("the server got only %d requests in 4 s", n)
 	}
 }
+
+// Guards against requests that wait for a server that takes no more, against refusals
+// without the time at which it does, and against limits that outlast what the server says.
+func TestAllServersAtTheirLimits(t *testing.T) {
+	store := newStore(t)
+	limited := &limitedServer{perSecond: 3}
+	server := fake.NewBackendServer(t, "i-1", limited.handle)
+	register(store, "app", ownDC, server)
+	e := start(t, store, "e1")
+	e.awaitServers(1)
+	served, refused := 0, 0
+	for _, a := range load([]*entry{e}, 50, 2*time.Second) {
+		switch {
+		case a.status == 200:
+			served++
+		case a.status == http.StatusServiceUnavailable && strings.Contains(a.body, `"backend_server_limits"`) &&
+			strings.Contains(a.body, `"not_run"`) && a.header.Get("Retry-After") != "":
+			refused++
+		default:
+			t.Fatalf("%d %q", a.status, a.body)
+		}
+	}
+	if n := len(limited.arrivals); n != served {
+		t.Errorf("%d requests reached the server and %d were answered", n, served)
+	}
+	if refused == 0 || served < 3 {
+		t.Errorf("%d requests were served and %d refused", served, refused)
+	}
+	begun := time.Now()
+	if a := e.send("GET", "/look/a", ""); a.status == http.StatusServiceUnavailable && time.Since(begun) > 200*time.Millisecond {
+		t.Errorf("the refusal took %v", time.Since(begun))
+	}
+	server.SetHandler(fake.Respond(200, "hello"))
+	eventually(t, "the server takes a request again", func() bool { return e.send("GET", "/look/a", "").status == 200 })
+	for range 30 {
+		if a := e.send("GET", "/look/a", ""); a.status != 200 {
+			t.Fatalf("%d %q after the server has stopped to name a limit", a.status, a.body)
+		}
+	}
+}
+
+// Guards against an entry that learns of a limit only by exceeding it: it joins while the
+// others use the whole limit.
+func TestJoiningEntryKnowsServerLimits(t *testing.T) {
+	store := newStore(t)
+	limited := &limitedServer{perSecond: 2}
+	register(store, "app", ownDC, fake.NewBackendServer(t, "i-1", limited.handle))
+	first := start(t, store, "e1")
+	first.awaitServers(1)
+	eventually(t, "the first entry is at the limit", func() bool { return first.send("GET", "/look/a", "").status == http.StatusServiceUnavailable })
+	joined := start(t, store, "e2")
+	joined.awaitServers(1)
+	eventually(t, "the entries know each other", func() bool { return joined.Gateway.EntryCount() == 2 && first.Gateway.EntryCount() == 2 })
+	time.Sleep(500 * time.Millisecond) // the initial state arrives
+	limited.mu.Lock()
+	before := len(limited.arrivals)
+	limited.mu.Unlock()
+	load([]*entry{joined}, 50, time.Second)
+	limited.mu.Lock()
+	defer limited.mu.Unlock()
+	if n := len(limited.arrivals) - before; float64(n) > limited.perSecond*limitWindow.Seconds() {
+		t.Errorf("the entry that joined sent %d requests in a second to a server that takes %.0f", n, limited.perSecond)
+	}
+}
--- a/gateway/updates.go
+++ b/gateway/updates.go
@@ -91,6 +91,7 @@
 		g.mergeEvidence(m.From.Name, e)
 	}
 	g.receiveCrashes(now, m)
+	g.receiveLimits(now, m)
 }
 
 // registeredLoad returns the load record of a registered server, or nil if the server
@@ -116,6 +117,7 @@
 	}
 	g.addRollouts(m)
 	g.addCrashes(m)
+	g.addLimits(m)
 	return m
 }
 
--- a/limits/window.go
+++ b/limits/window.go
@@ -1,7 +1,7 @@
 // Package limits implements one entry's shares of the limits that apply to the
-// whole fleet: retries, and requests to cold backend servers. The shares of all
-// entries together stay within each limit. It does no I/O and takes the time as an
-// argument. Its types are not safe for concurrent use.
+// whole fleet: retries, and requests to cold backend servers and to servers that name a
+// limit. The shares of all entries together stay within each limit. It does no I/O and
+// takes the time as an argument. Its types are not safe for concurrent use.
 package limits
 
 import "time"
--- a/peers/link.go
+++ b/peers/link.go
@@ -71,6 +71,8 @@
 	m.CrashSuspects = keepNewest(m.CrashSuspects)
 	m.SoundParts = keepNewest(m.SoundParts)
 	m.Blocks = keepNewest(m.Blocks)
+	m.ServerLimits = keepNewest(m.ServerLimits)
+	m.ServerSends = keepNewest(m.ServerSends)
 }
 
 // unsentItems returns the items whose revision has not been sent on this connection
--- a/peers/message.go
+++ b/peers/message.go
@@ -45,6 +45,28 @@
 	CrashSuspects []CrashSuspect
 	SoundParts    []uint64
 	Blocks        []fleet.PromptBlock
+	// ServerLimits holds the limits that backend servers name. ServerSends holds the
+	// requests that the sender has sent to limited servers since its last message.
+	ServerLimits []ServerLimit
+	ServerSends  []ServerSends
+}
+
+// ServerLimit is the limit that a backend server named in its last answer.
+type ServerLimit struct {
+	Server string
+	// PerSecond is the number of requests per second from all entries together. Lifted
+	// means that the server names no limit any more.
+	PerSecond float64
+	Lifted    bool
+	// Sent is the number of requests of all entries that the sender counts against the
+	// limit.
+	Sent int
+}
+
+// ServerSends counts the requests of one entry to one server.
+type ServerSends struct {
+	Server string
+	Count  int
 }
 
 // CrashSuspect is the message form of crashcause.Suspect.
@@ -140,5 +162,6 @@
 func (m *Message) empty() bool {
 	return m.SyncRequest == nil && m.Reply == nil && len(m.Loads) == 0 && len(m.PrefixUses) == 0 &&
 		len(m.Sessions) == 0 && m.Boot == "" && len(m.Evidence) == 0 && m.ToRelay == nil && len(m.Relayed) == 0 &&
-		len(m.CrashSuspects) == 0 && len(m.SoundParts) == 0 && len(m.Blocks) == 0
+		len(m.CrashSuspects) == 0 && len(m.SoundParts) == 0 && len(m.Blocks) == 0 &&
+		len(m.ServerLimits) == 0 && len(m.ServerSends) == 0
 }
--- a/peers/relay.go
+++ b/peers/relay.go
@@ -157,6 +157,32 @@
 	m.CrashSuspects = append(m.CrashSuspects, later.CrashSuspects...)
 	m.SoundParts = append(m.SoundParts, later.SoundParts...)
 	m.Blocks = append(m.Blocks, later.Blocks...)
+	for _, limit := range later.ServerLimits {
+		m.PutServerLimit(limit)
+	}
+	for _, sends := range later.ServerSends {
+		m.AddServerSends(sends)
+	}
+}
+
+// PutServerLimit adds the limit of a server, replacing an earlier one.
+func (m *Message) PutServerLimit(limit ServerLimit) {
+	i := slices.IndexFunc(m.ServerLimits, func(other ServerLimit) bool { return other.Server == limit.Server })
+	if i < 0 {
+		m.ServerLimits = append(m.ServerLimits, limit)
+		return
+	}
+	m.ServerLimits[i] = limit
+}
+
+// AddServerSends adds requests to those that the message already reports.
+func (m *Message) AddServerSends(sends ServerSends) {
+	i := slices.IndexFunc(m.ServerSends, func(other ServerSends) bool { return other.Server == sends.Server })
+	if i < 0 {
+		m.ServerSends = append(m.ServerSends, sends)
+		return
+	}
+	m.ServerSends[i].Count += sends.Count
 }
 
 // PutLoad adds the load on a server, replacing an earlier value.
