gateway: judge the freshness of the backend servers by itself

Cause: an entry read the configuration itself while the store turned its reader away, and took the servers for just as fresh, though they are read by other calls.

The copy of the servers has an age of its own, in this entry and in the replies of peers.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -110,26 +110,27 @@
 	records := &platform.Records{Regions: s.DataCentres}
 	store := platform.NewStore(s.StoreAddress)
 	state := fleet.NewState(records, time.Now, platform.ConfigPrefix, platform.ServersPrefix)
-	freshness := fleet.NewFreshness(fleet.BootTime)
+	freshness, serversFreshness := fleet.NewFreshness(fleet.BootTime), fleet.NewFreshness(fleet.BootTime)
 	metrics := telemetry.NewMetrics()
 	pool := backend.NewPool(backend.Config{})
 	metrics.Func("log_lines_dropped", func() any { return logQueue.Dropped() })
 	metrics.Func("backend_dials", func() any { return pool.Dials() })
 	self := fleet.Peer{Name: s.Name, Address: s.PeerAddress, DataCentre: s.DataCentre, Region: s.Region}
 	g := gateway.New(s, gateway.Deps{
-		State:       state,
-		Fresh:       freshness,
-		Pool:        pool,
-		Protocol:    platform.Protocol{},
-		Log:         logger,
-		Metrics:     metrics,
-		Tracing:     tracing,
-		Store:       store,
-		Records:     records,
-		Self:        self,
-		ChargeStore: platform.StoreAdapter{Store: store},
-		BootID:      uniqueid.ForProcess(s.Name),
-		StartTime:   time.Now(),
+		State:        state,
+		Fresh:        freshness,
+		ServersFresh: serversFreshness,
+		Pool:         pool,
+		Protocol:     platform.Protocol{},
+		Log:          logger,
+		Metrics:      metrics,
+		Tracing:      tracing,
+		Store:        store,
+		Records:      records,
+		Self:         self,
+		ChargeStore:  platform.StoreAdapter{Store: store},
+		BootID:       uniqueid.ForProcess(s.Name),
+		StartTime:    time.Now(),
 	})
 	key, value := records.PeerItem(self)
 	tree := supervise.New("gateway", logger.WithComponent("supervisor"))
@@ -139,6 +140,7 @@
 	config.SuppliedByPeer, config.OnChange = g.ConfigSuppliedByPeer, g.BroadcastConfig
 	tree.Add(config)
 	servers := fleet.NewFollower(store, state, platform.ServersPrefix, logger.WithComponent("fleet"))
+	servers.Fresh, servers.WatchWait = serversFreshness, g.ConfigWatchTimeout
 	servers.IsReader, servers.RewatchDelay = g.IsServersReader, fleet.ServersRewatchDelay
 	servers.SuppliedByPeer, servers.OnChange = g.ServersSuppliedByPeer, g.BroadcastServers
 	tree.Add(servers)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -44,12 +44,15 @@
 
 // Deps holds the dependencies of a Gateway.
 type Deps struct {
-	State    *fleet.State
-	Fresh    *fleet.Freshness
-	Pool     *backend.Pool
-	Protocol Protocol
-	Log      *telemetry.Logger
-	Metrics  *telemetry.Metrics
+	State *fleet.State
+	// Fresh tracks the age of the copy of the configuration, and ServersFresh that of the
+	// backend servers.
+	Fresh        *fleet.Freshness
+	ServersFresh *fleet.Freshness
+	Pool         *backend.Pool
+	Protocol     Protocol
+	Log          *telemetry.Logger
+	Metrics      *telemetry.Metrics
 	// Tracing records a span for each request and each attempt; nil disables tracing.
 	Tracing *telemetry.Tracing
 	// Store receives the status of rollouts.
@@ -114,7 +117,7 @@
 
 	hub *peers.Hub
 	// peerVerifiedAt holds, by peer name, the time up to which the peer's copy of the
-	// store was verified to be current when it last replied.
+	// backend servers was verified to be current when it last replied.
 	peerVerifiedAt map[string]time.Duration
 
 	// ledger writes this entry's charges. peerCharges holds copies of the charges of
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -109,11 +109,11 @@
 	}
 	records := &platform.Records{Regions: regions}
 	e.State = fleet.NewState(records, time.Now, platform.ConfigPrefix, platform.ServersPrefix)
-	fresh := fleet.NewFreshness(fleet.BootTime)
+	fresh, serversFresh := fleet.NewFreshness(fleet.BootTime), fleet.NewFreshness(fleet.BootTime)
 	log := telemetry.Discard()
 	kv := platform.NewStore(store.Address())
 	deps := gateway.Deps{
-		State: e.State, Fresh: fresh, Pool: backend.NewPool(backend.Config{}), Protocol: platform.Protocol{}, Log: log,
+		State: e.State, Fresh: fresh, ServersFresh: serversFresh, Pool: backend.NewPool(backend.Config{}), Protocol: platform.Protocol{}, Log: log,
 		Metrics: telemetry.NewMetrics(), Store: kv, Records: records, Self: e.Peer,
 		ChargeStore: platform.StoreAdapter{Store: kv}, BootID: "boot-" + name,
 		StartTime: time.Now().Add(-time.Minute),
@@ -130,6 +130,7 @@
 		follower := fleet.NewFollower(kv, e.State, prefix, log)
 		follower.SuppliedByPeer, follower.OnChange = e.Gateway.ServersSuppliedByPeer, e.Gateway.BroadcastServers
 		follower.IsReader, follower.RewatchDelay = e.Gateway.IsServersReader, fleet.ServersRewatchDelay
+		follower.Fresh, follower.WatchWait = serversFresh, e.Gateway.ConfigWatchTimeout
 		if prefix == platform.ConfigPrefix {
 			follower.Fresh, follower.WatchWait = fresh, e.Gateway.ConfigWatchTimeout
 			follower.SuppliedByPeer, follower.OnChange = e.Gateway.ConfigSuppliedByPeer, e.Gateway.BroadcastConfig
--- a/gateway/readers.go
+++ b/gateway/readers.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"hyssoploom/fleet"
 	"hyssoploom/peers"
@@ -56,13 +57,14 @@
 	return known && age < g.refreshTimes().MaxReaderAge && g.dataCentreReader().Name != g.Self.Name
 }
 
-// ServersSuppliedByPeer reports whether the reader of the region keeps the backend
-// servers of this entry up to date. The reader of a data centre verifies the
-// configuration by its own calls to the store, so only the replies of the region's
-// reader show that the region's reader can still read the store.
+// ServersSuppliedByPeer reports whether a reader keeps the backend servers of this entry up
+// to date: that of the data centre or, for it, that of the region. The age of the
+// configuration says nothing about the servers, which are read by other calls.
 func (g *Gateway) ServersSuppliedByPeer() bool {
+	maxAge := g.refreshTimes().MaxReaderAge
 	if g.dataCentreReader().Name != g.Self.Name {
-		return g.ConfigSuppliedByPeer()
+		age, known := g.ServersFresh.Age()
+		return known && age < maxAge
 	}
 	reader := g.regionReader()
 	if reader.Name == g.Self.Name {
@@ -71,7 +73,15 @@
 	g.mu.Lock()
 	verifiedAt, known := g.peerVerifiedAt[reader.Name]
 	g.mu.Unlock()
-	return known && g.Fresh.Now()-verifiedAt < g.refreshTimes().MaxReaderAge
+	return known && g.ServersFresh.Now()-verifiedAt < maxAge
+}
+
+// copyAge returns the age of the older one of the copies of the configuration and of the
+// backend servers. known is false if one of them was never up to date.
+func (g *Gateway) copyAge() (age time.Duration, known bool) {
+	config, configKnown := g.Fresh.Age()
+	servers, serversKnown := g.ServersFresh.Age()
+	return max(config, servers), configKnown && serversKnown
 }
 
 // BroadcastConfig sends configuration changes that this entry read from the store to
--- a/gateway/readers_test.go
+++ b/gateway/readers_test.go
@@ -4,8 +4,11 @@
 	"testing"
 	"time"
 
+	"hyssoploom/fleet"
+	"hyssoploom/gateway"
 	"hyssoploom/platform"
 	"hyssoploom/platform/fake"
+	"hyssoploom/settings"
 )
 
 // Guards against data centres in one region that each pay for watching the backend
@@ -53,3 +56,33 @@
 		t.Errorf("the change arrived after %v", took)
 	}
 }
+
+// drainTime is the time after which a backend server that leaves may get no more requests.
+const drainTime = 3 * time.Second
+
+// Guards against backend servers whose leaving stays unknown while the store turns the
+// reader away: reads of a configuration that changes often say nothing about the servers.
+func TestServersStayFreshWhileConfigurationChanges(t *testing.T) {
+	first, second := newStore(t), newStore(t) // each entry has its own, so that one can be turned away
+	put := func(key string, value any) {
+		first.Put(key, value)
+		second.Put(key, value)
+	}
+	var fresh *fleet.Freshness
+	reader := startAt(t, first, "e1", ownDC)
+	supplied := startAt(t, second, "e2", ownDC, func(_ *settings.Gateway, d *gateway.Deps) { fresh = d.Fresh })
+	put("state/hyssoploom/entries/e1", reader.Peer)
+	put("state/hyssoploom/entries/e2", supplied.Peer)
+	eventually(t, "the reader supplies the other entry", supplied.Gateway.ServersSuppliedByPeer)
+	time.Sleep(2500 * time.Millisecond) // an earlier watch ends
+	first.SetFaults(fake.StoreFaults{Status: 503})
+	second.Put("servers/i-1", fake.NewBackendServer(t, "i-1", nil).Record("app", ownDC))
+	changed := time.Now()
+	for supplied.State.View().Servers["i-1"] == nil {
+		fresh.MarkFresh(fresh.Now()) // as a watch of the configuration does that returns changes
+		time.Sleep(20 * time.Millisecond)
+		if took := time.Since(changed); took > drainTime {
+			t.Fatalf("the change is not known after %v", took)
+		}
+	}
+}
--- a/gateway/updates.go
+++ b/gateway/updates.go
@@ -131,6 +131,9 @@
 	items, complete := g.State.ItemsSince(request.Revision)
 	items = missingItems(items, request.KnownRevisions)
 	reply := &peers.Reply{RequestSentAt: request.SentAt, AgeMS: age.Milliseconds() + 1, Revision: complete, Items: items}
+	if serversAge, known := g.ServersFresh.Age(); known {
+		reply.ServersAgeMS = serversAge.Milliseconds() + 1
+	}
 	g.hub.Reply(to.Address, reply)
 }
 
@@ -157,9 +160,13 @@
 	g.State.MarkComplete("", r.Revision)
 	freshAt := time.Duration(r.RequestSentAt) - time.Duration(r.AgeMS)*time.Millisecond
 	g.Fresh.MarkFresh(freshAt)
-	g.mu.Lock()
-	g.peerVerifiedAt[from.Name] = max(g.peerVerifiedAt[from.Name], freshAt)
-	g.mu.Unlock()
+	if r.ServersAgeMS > 0 {
+		serversFreshAt := time.Duration(r.RequestSentAt) - time.Duration(r.ServersAgeMS)*time.Millisecond
+		g.ServersFresh.MarkFresh(serversFreshAt)
+		g.mu.Lock()
+		g.peerVerifiedAt[from.Name] = max(g.peerVerifiedAt[from.Name], serversFreshAt)
+		g.mu.Unlock()
+	}
 	if len(adopted) > 0 {
 		g.Log.Info("Took changes of the store from a peer.", "peer", from.Name, "changes", len(adopted),
 			"revision", r.Revision, "age_ms", r.AgeMS)
@@ -180,7 +187,7 @@
 	if syncSource := g.syncSource(); syncSource.Name != g.Self.Name {
 		g.hub.Send(syncSource.Address, put)
 	}
-	if age, known := g.Fresh.Age(); known && age < g.refreshTimes().RequestPeersAfter {
+	if age, known := g.copyAge(); known && age < g.refreshTimes().RequestPeersAfter {
 		return
 	}
 	for _, p := range g.peersToSyncFrom(g.hub.LivePeers()) {
@@ -201,7 +208,7 @@
 		}
 	}
 	chosen := sameRegion[:min(len(sameRegion), maxSameRegionSyncPeers)]
-	age, known := g.Fresh.Age()
+	age, known := g.copyAge()
 	if known && len(sameRegion) > 0 && age < g.refreshTimes().RequestRemoteAfter {
 		return chosen
 	}
--- a/gateway/updates_internal_test.go
+++ b/gateway/updates_internal_test.go
@@ -26,7 +26,7 @@
 func TestPeersToSyncFrom(t *testing.T) {
 	now := time.Hour
 	fresh := fleet.NewFreshness(func() time.Duration { return now })
-	g := &Gateway{Deps: Deps{Fresh: fresh, Self: fleet.Peer{Name: "self", Region: "fyn"}}}
+	g := &Gateway{Deps: Deps{Fresh: fresh, ServersFresh: fresh, Self: fleet.Peer{Name: "self", Region: "fyn"}}}
 	g.bounds.Store(&settings.Bounds{RevokeMS: 5000, StrictRevocation: true})
 	peersOf := func(region string, n int) (list []fleet.Peer) {
 		for i := range n {
--- a/peers/message.go
+++ b/peers/message.go
@@ -93,11 +93,15 @@
 	// RequestSentAt is the SentAt of the request, so that the network delay can only
 	// make the copy look older than it is. It is 0 for unsolicited changes.
 	RequestSentAt int64
-	// AgeMS is the time in milliseconds since the copy was last known to be complete,
-	// and Revision the revision of the store up to which it was complete.
+	// AgeMS is the time in milliseconds since the copy of the configuration was last
+	// known to be complete, and Revision the revision of the store up to which the whole
+	// copy was complete.
 	AgeMS    int64
 	Revision int64
 	Items    []fleet.Item
+	// ServersAgeMS is the time in milliseconds since the copy of the backend servers was
+	// last known to be complete, 0 if it never was.
+	ServersAgeMS int64
 }
 
 // Load is the load of one entry on one backend server.
