release, gateway: find versions that are a few times slower as a whole

Streams are timed after six events. Before sessions move in numbers, the share of fast streams at nearly idle servers is compared with the old version's. A version in doubt gets no further sessions. Canaries use .8 instead of .5 of the exposure slack, so that there are more answers to judge by.

TestRolloutOfSlowerVersion failed before (completed). TestFalseAlarms, with the pace drawn too, keeps its bound of one in 1,000.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -28,13 +28,16 @@
 // attemptLog is the log record of one attempt.
 type attemptLog struct {
 	Server  string `json:"server"`
+	Version string `json:"version,omitempty"`
 	Model   string `json:"model,omitempty"`
 	Outcome string `json:"outcome"`
 	result  attempt.Outcome
 	// headReceived means that the head of the response has arrived, and begun that the
 	// first part of the answer has been forwarded.
 	headReceived, begun bool
-	Confidence          int `json:"confidence,omitempty"`
+	// timed means that the time of the answer counts as evidence in a rollout already.
+	timed      bool
+	Confidence int `json:"confidence,omitempty"`
 	// FirstMS is the time to the response headers; Events is the number of forwarded
 	// events.
 	FirstMS int64 `json:"first_ms,omitempty"`
@@ -101,7 +104,7 @@
 func (c *clientRequest) attempt(t target) (attempt.Outcome, *bufferedResponse) {
 	started := time.Now()
 	entry := attemptLog{
-		Server: t.server.ID, Model: t.model, AtMS: started.Sub(c.received).Milliseconds(),
+		Server: t.server.ID, Version: t.server.Version, Model: t.model, AtMS: started.Sub(c.received).Milliseconds(),
 		WaitMS: t.wait.Milliseconds(), PrefillMS: t.prefill.Milliseconds(),
 	}
 	ctx, end := c.traceAttempt(&t)
@@ -122,7 +125,7 @@
 	if entry.FirstMS > 0 {
 		c.g.Metrics.Observe("attempt_head", time.Duration(entry.FirstMS)*time.Millisecond)
 	}
-	c.g.release(c, t, result, c.timing(&t, &entry))
+	c.g.release(c, t, result, c.timing(&t, &entry), entry.timed)
 	return result, saved
 }
 
@@ -174,13 +177,13 @@
 
 // release removes a finished attempt from the load of its server and records its
 // outcome.
-func (g *Gateway) release(c *clientRequest, t target, result attempt.Outcome, timing release.Timing) {
+func (g *Gateway) release(c *clientRequest, t target, result attempt.Outcome, timing release.Timing, timed bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	t.load.running--
 	t.load.observeEventInterval(timing.Events, timing.Rest)
 	g.broadcastLoad(t.server, t.load)
-	g.recordOutcome(c, t.server, result, timing)
+	g.recordOutcome(c, t.server, result, timing, timed)
 }
 
 // prefillDone removes an attempt from the pending work once the server has read its
@@ -274,7 +277,7 @@
 		}
 		return attempt.NotRun, nil, nil
 	}
-	return c.deliver(t, response, meta, entry)
+	return c.deliver(t, response, meta, entry, started)
 }
 
 // connectionLimit returns this entry's share of the connections that a backend server
--- a/gateway/publish.go
+++ b/gateway/publish.go
@@ -163,7 +163,8 @@
 			"elapsed_ms", w.elapsed.Milliseconds(), "target_sent", target.Sent, "target_good", target.Good,
 			"target_bad", target.Bad, "target_steady", target.Steady, "target_odd", target.SteadyBad,
 			"old_steady", old.Steady, "old_odd", old.SteadyBad, "target_timed", target.Timed, "target_slow", target.Slow,
-			"old_good", old.Good, "old_bad", old.Bad, "old_timed", old.Timed, "old_slow", old.Slow)
+			"old_good", old.Good, "old_bad", old.Bad, "old_timed", old.Timed, "old_slow", old.Slow,
+			"target_paced", target.Paced, "target_fast", target.Fast, "old_paced", old.Paced, "old_fast", old.Fast)
 	case errors.Is(err, fleet.ErrConflict):
 		g.Log.Info("Another entry has already published the state of the rollout.", "service", w.service, "what", w.what)
 	default:
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -15,6 +15,7 @@
 	"hyssoploom/cascade"
 	"hyssoploom/fleet"
 	"hyssoploom/placing"
+	"hyssoploom/release"
 )
 
 // bufferedResponse is a complete response of a backend server.
@@ -35,7 +36,7 @@
 
 // deliver forwards a response to the client. A response that reports a failure is
 // returned instead, to be sent if no further attempt succeeds.
-func (c *clientRequest) deliver(t target, response *backend.Response, meta ResponseMeta, entry *attemptLog) (attempt.Outcome, *bufferedResponse, error) {
+func (c *clientRequest) deliver(t target, response *backend.Response, meta ResponseMeta, entry *attemptLog, started time.Time) (attempt.Outcome, *bufferedResponse, error) {
 	success := response.Status >= 200 && response.Status < 300
 	switch {
 	case success && !meta.Sealed:
@@ -45,7 +46,7 @@
 		if !t.final && meta.Confidence >= 0 && c.escalate(meta.Confidence) {
 			return attempt.Escalated, nil, nil
 		}
-		return c.relayStream(response, entry)
+		return c.relayStream(response, entry, func() { c.g.countTimingEarly(c, &t, entry, started) })
 	}
 	body, held, err := readBuffered(response.Body, response.Length, c.g.responseMemory)
 	c.heldMemory += held
@@ -123,8 +124,8 @@
 }
 
 // relayStream forwards the events of a stream as they arrive. Each event is forwarded
-// whole and only once.
-func (c *clientRequest) relayStream(response *backend.Response, entry *attemptLog) (attempt.Outcome, *bufferedResponse, error) {
+// whole and only once. evaluate is called when the time of the stream can be evaluated.
+func (c *clientRequest) relayStream(response *backend.Response, entry *attemptLog, evaluate func()) (attempt.Outcome, *bufferedResponse, error) {
 	if !c.headerSent {
 		c.headerSent = true
 		h := c.w.Header()
@@ -160,6 +161,9 @@
 			entry.begun = true
 			c.recordAnswer()
 		}
+		if entry.Events == release.EvaluationEvents {
+			evaluate()
+		}
 		if _, err := c.w.Write(event); err != nil {
 			return attempt.Ended, nil, err
 		}
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -187,23 +187,82 @@
 	r.evidenceChanged = true
 }
 
-// recordOutcome counts the outcome of a send. The caller must hold g.mu.
-func (g *Gateway) recordOutcome(c *clientRequest, s *fleet.BackendServer, result attempt.Outcome, timing release.Timing) {
+// recordOutcome counts the outcome of a send. timed means that its time has been counted
+// already. The caller must hold g.mu.
+func (g *Gateway) recordOutcome(c *clientRequest, s *fleet.BackendServer, result attempt.Outcome, timing release.Timing, timed bool) {
 	r := g.rollouts[c.service.Name]
 	if key, ok := c.sessionKey(); ok {
 		g.sessions.End(time.Now(), key)
 		g.broadcastSessionUse(r, key, s.Version, false)
 	}
 	g.observeRoute(r, s.Version, c.route.Name, result)
-	if r == nil || r.Outcome != fleet.InProgress {
-		if result == attempt.Delivered {
-			g.latencies.Observe(timing)
+	if r != nil && r.Outcome == fleet.InProgress {
+		g.countResult(r, s, result)
+	}
+	switch result {
+	case attempt.Failed, attempt.Broken, attempt.NotSent, attempt.NotRun, attempt.Stale:
+		timed = true // there is no answer of the server whose time counts
+	}
+	if !timed {
+		g.countTiming(r, s, timing, result == attempt.Delivered)
+	}
+	if r != nil && r.Outcome == fleet.InProgress {
+		r.evidenceChanged = true
+		g.checkEvidence(r)
+	}
+}
+
+// countTiming counts the time of an answer as evidence in a rollout. The times of whole
+// answers of versions that are not tested also update the baselines. The caller must hold
+// g.mu.
+func (g *Gateway) countTiming(r *rolloutState, s *fleet.BackendServer, timing release.Timing, whole bool) {
+	rolling := r != nil && r.Outcome == fleet.InProgress
+	if rolling {
+		g.countSpeed(r, s, timing)
+	}
+	if whole && (!rolling || s.Version != r.Target) {
+		g.latencies.Observe(timing)
+	}
+}
+
+// countSpeed adds the time of an answer to the evidence of a rollout.
+func (g *Gateway) countSpeed(r *rolloutState, s *fleet.BackendServer, timing release.Timing) {
+	counts := r.countsFor(s.Version)
+	if fast, known := g.latencies.Fast(timing); known && g.onlyCanaries(r) {
+		counts.Paced++
+		if fast {
+			counts.Fast++
 		}
-		return
 	}
-	g.countResult(r, s, result, timing)
-	r.evidenceChanged = true
-	g.checkEvidence(r)
+	if slow, known := g.latencies.Slow(timing); known {
+		counts.Timed++
+		if slow {
+			counts.Slow++
+			g.broadcastEvidence(r)
+		}
+	}
+}
+
+// onlyCanaries reports whether only few sessions may use the new version yet.
+func (g *Gateway) onlyCanaries(r *rolloutState) bool {
+	p := release.Progress{Elapsed: time.Since(r.orderedAt), Duration: r.Duration}
+	return p.OnlyCanaries(g.exposureLimits())
+}
+
+// countTimingEarly counts the time of a stream of which enough events have arrived.
+func (g *Gateway) countTimingEarly(c *clientRequest, t *target, entry *attemptLog, started time.Time) {
+	entry.timed = true
+	first := time.Duration(entry.FirstMS) * time.Millisecond
+	timing := c.timing(t, entry)
+	timing.First, timing.Rest, timing.Events = first, time.Since(started)-first, entry.Events
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := g.rollouts[c.service.Name]
+	g.countTiming(r, t.server, timing, true)
+	if r != nil && r.Outcome == fleet.InProgress {
+		r.evidenceChanged = true
+		g.checkEvidence(r)
+	}
 }
 
 // observeRoute records whether a response on a route failed. During a rollout,
@@ -227,7 +286,7 @@
 }
 
 // countResult adds a response to the evidence of a rollout.
-func (g *Gateway) countResult(r *rolloutState, s *fleet.BackendServer, result attempt.Outcome, timing release.Timing) {
+func (g *Gateway) countResult(r *rolloutState, s *fleet.BackendServer, result attempt.Outcome) {
 	counts := r.countsFor(s.Version)
 	switch result {
 	case attempt.Delivered, attempt.Escalated:
@@ -235,20 +294,9 @@
 	case attempt.Failed:
 		counts.Bad++
 		g.broadcastEvidence(r)
-		return
-	case attempt.Broken, attempt.NotSent, attempt.NotRun, attempt.Stale:
-		return // caused by a crash or lost connection of the server, not by its version
-	}
-	if slow, known := g.latencies.Slow(timing); known {
-		counts.Timed++
-		if slow {
-			counts.Slow++
-			g.broadcastEvidence(r)
-		}
-	}
-	if result == attempt.Delivered && s.Version != r.Target {
-		g.latencies.Observe(timing)
 	}
+	// Other outcomes are caused by a crash or lost connection of the server, or by the
+	// caller, not by the version.
 }
 
 // countsFor returns the counts of this entry to which the answers of a version are added.
@@ -274,7 +322,8 @@
 	g.Log.Warn(reason, "service", r.Service, "target", r.Target,
 		"target_good", e.Target.Good, "target_bad", e.Target.Bad, "old_good", e.Old.Good, "old_bad", e.Old.Bad,
 		"target_steady", e.Target.Steady, "target_odd", e.Target.SteadyBad, "old_steady", e.Old.Steady, "old_odd", e.Old.SteadyBad,
-		"target_timed", e.Target.Timed, "target_slow", e.Target.Slow, "old_timed", e.Old.Timed, "old_slow", e.Old.Slow)
+		"target_timed", e.Target.Timed, "target_slow", e.Target.Slow, "old_timed", e.Old.Timed, "old_slow", e.Old.Slow,
+		"target_paced", e.Target.Paced, "target_fast", e.Target.Fast, "old_paced", e.Old.Paced, "old_fast", e.Old.Fast)
 }
 
 // broadcastSessionUse informs the peers about the use of a session that may move to the
@@ -326,7 +375,7 @@
 	message := func(version string, t release.AnswerCounts) peers.Evidence {
 		return peers.Evidence{
 			Service: r.Service, Order: r.Revision, Version: version, Sent: t.Sent, Good: t.Good, Bad: t.Bad,
-			Timed: t.Timed, Slow: t.Slow, ElapsedMS: time.Since(r.orderedAt).Milliseconds(),
+			Timed: t.Timed, Slow: t.Slow, Paced: t.Paced, Fast: t.Fast, ElapsedMS: time.Since(r.orderedAt).Milliseconds(),
 			Process: xxhash.Sum64String(g.BootID), Steady: t.Steady, SteadyBad: t.SteadyBad,
 		}
 	}
@@ -349,7 +398,7 @@
 	if e.Version == r.Target {
 		known = &peer.Target
 	}
-	received := release.AnswerCounts{Sent: e.Sent, Good: e.Good, Bad: e.Bad, Timed: e.Timed, Slow: e.Slow, Steady: e.Steady, SteadyBad: e.SteadyBad}
+	received := release.AnswerCounts{Sent: e.Sent, Good: e.Good, Bad: e.Bad, Timed: e.Timed, Slow: e.Slow, Paced: e.Paced, Fast: e.Fast, Steady: e.Steady, SteadyBad: e.SteadyBad}
 	if received.Total() < known.Total() {
 		return // an older message that arrived over another path
 	}
--- a/gateway/rollouts_test.go
+++ b/gateway/rollouts_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -125,3 +126,53 @@
 		t.Errorf("the old version received %d requests, the new one %d, want 0 and 10", len(old.Requests()), len(new.Requests()))
 	}
 }
+
+// Guards against completing a version that is a few times slower as a whole, whose slow
+// streams still run when the rollout ends, and against rolling back one that is not.
+func TestRolloutOfSlowerVersion(t *testing.T) {
+	const duration, events, pause = 8 * time.Second, 20, 30 * time.Millisecond
+	for _, c := range []struct {
+		name   string
+		factor float64
+		want   string
+	}{{"as fast", 1, `"completed"`}, {"slower", 2.7, `"rolled_back"`}} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			store := newStore(t)
+			var servers []*fake.BackendServer
+			for i := range 4 {
+				servers = append(servers, fake.NewBackendServer(t, fmt.Sprint("i-old-", i), fake.Stream(events, true, pause)))
+			}
+			register(store, "llm", ownDC, servers...)
+			e := start(t, store, "e1")
+			e.awaitServers(len(servers))
+			session := 0
+			var all sync.WaitGroup
+			send := func() {
+				session++
+				headers := append(prompt(session), "X-Deadline-Ms", "9000")
+				all.Go(func() { e.send("POST", "/once/a", "prompt", headers...) })
+			}
+			for range 20 { // the usual pace becomes known
+				send()
+				time.Sleep(60 * time.Millisecond)
+			}
+			store.Put("op/rollout/llm", map[string]any{"service": "llm", "target": "v2", "durationS": duration.Seconds()})
+			ordered := time.Now()
+			for i := range 4 {
+				server := fake.NewBackendServer(t, fmt.Sprint("i-new-", i), fake.Stream(events, true, time.Duration(c.factor*float64(pause))))
+				record := server.Record("llm", ownDC)
+				record["version"] = "v2"
+				store.Put("servers/"+server.ID, record)
+			}
+			for time.Since(ordered) < duration && !strings.Contains(status(store), c.want) {
+				send()
+				time.Sleep(50 * time.Millisecond)
+			}
+			if !strings.Contains(status(store), c.want) {
+				t.Errorf("at the end of its time, the rollout is %s", status(store))
+			}
+			all.Wait()
+		})
+	}
+}
--- a/peers/message.go
+++ b/peers/message.go
@@ -160,6 +160,9 @@
 	// Steady and SteadyBad are the fields of release.AnswerCounts of the same names.
 	Steady    int
 	SteadyBad int
+	// Paced and Fast are the fields of release.AnswerCounts of the same names.
+	Paced int
+	Fast  int
 }
 
 // empty reports whether the message carries no updates.
--- a/release/latency.go
+++ b/release/latency.go
@@ -10,6 +10,15 @@
 	// a version that takes four times as long.
 	slowIntervalFactor = 3.2
 	slowHeadFactor     = 2.2
+	// EvaluationEvents is the number of events after which the time of a stream is
+	// evaluated. Slow streams end late: those that are still running at the end of a
+	// rollout must count too.
+	EvaluationEvents = 6
+	// An answer is fast when its event interval is at most fastIntervalFactor times the
+	// baseline. Only servers with at most maxIdleRunning other requests are compared: there
+	// a good version is nearly always fast.
+	fastIntervalFactor = 1.5
+	maxIdleRunning     = 1
 	// minExpectedHead is the shortest expected time to the headers for which the
 	// observed time is evaluated.
 	minExpectedHead = 50 * time.Millisecond
@@ -109,6 +118,16 @@
 	return t.First > scaled(expected, slowHeadFactor), expected >= minExpectedHead
 }
 
+// Fast reports whether a stream of a nearly idle server was about as fast as the baseline
+// of its kind. known is false for other answers.
+func (b *LatencyBaselines) Fast(t Timing) (fast, known bool) {
+	baseline, ok := b.intervals[t.Kind]
+	if !ok || t.NonStreaming || t.Events < minEvents || t.Running > maxIdleRunning || !t.lightlyLoaded() {
+		return false, false
+	}
+	return t.Rest/time.Duration(t.Events) <= scaled(baseline, fastIntervalFactor), true
+}
+
 func scaled(d time.Duration, factor float64) time.Duration {
 	return time.Duration(float64(d) * factor)
 }
--- a/release/plan.go
+++ b/release/plan.go
@@ -38,7 +38,7 @@
 	partialMoveShare = 0.3
 	// slackShare is the fraction of its exposure slack that an entry uses. The rest is
 	// a reserve for requests that peers have sent but not reported yet.
-	slackShare = 0.5
+	slackShare = 0.8
 	// sessionMoveStart is the fraction of the duration before which sessions in use
 	// keep their version.
 	sessionMoveStart = 0.53
@@ -63,6 +63,10 @@
 	// Timed counts the answers whose time could be evaluated, and Slow those of
 	// them that were slow (see LatencyBaselines.Slow).
 	Timed, Slow int
+	// Paced counts the streams of nearly idle servers before sessions move in numbers, and
+	// Fast those of them that were fast (see LatencyBaselines.Fast). A version that is a
+	// few times slower as a whole has hardly any.
+	Paced, Fast int
 	// Steady counts the answers on routes that rarely fail, and SteadyBad those of
 	// them that failed. A few failures there are stronger evidence than many on
 	// other routes.
@@ -72,13 +76,13 @@
 // Add returns the sum of two counts, field by field.
 func (t AnswerCounts) Add(o AnswerCounts) AnswerCounts {
 	return AnswerCounts{t.Sent + o.Sent, t.Good + o.Good, t.Bad + o.Bad, t.Timed + o.Timed, t.Slow + o.Slow,
-		t.Steady + o.Steady, t.SteadyBad + o.SteadyBad}
+		t.Paced + o.Paced, t.Fast + o.Fast, t.Steady + o.Steady, t.SteadyBad + o.SteadyBad}
 }
 
 // Total returns the sum of all fields. It grows with each update and orders two
 // states of the same counts.
 func (t AnswerCounts) Total() int {
-	return t.Sent + t.Good + t.Bad + t.Timed + t.Slow + t.Steady + t.SteadyBad
+	return t.Sent + t.Good + t.Bad + t.Timed + t.Slow + t.Paced + t.Fast + t.Steady + t.SteadyBad
 }
 
 // passCounts returns the input of the sequential test for passed of all answers.
@@ -94,6 +98,10 @@
 	// because few of its answers can be timed under load.
 	priorTimed = 30
 	priorSlow  = 9
+	// priorPaced and priorFast are added to the paced streams of the old version, whose
+	// servers are rarely nearly idle.
+	priorPaced = 80
+	priorFast  = 62
 	// slowMargin is the accepted rise in the share of slow answers: a new version
 	// starts with empty caches.
 	slowMargin = 0.02
@@ -103,6 +111,9 @@
 	// above which a version is not completed although the sequential test has not
 	// decided.
 	likelyBadZScore = 2.6
+	// likelyBadPaceZScore is that for the pace, a further comparison that must not add to
+	// the false alarms.
+	likelyBadPaceZScore = 3.2
 )
 
 // Evidence holds the answer counts of both versions of a rollout.
@@ -134,10 +145,29 @@
 // Bad.
 func (e Evidence) LikelyBad() bool {
 	slowTarget, slowOld := e.slowCounts()
-	return worseByZScore(slowTarget, slowOld, slowMargin) ||
+	return worseByZScore(slowTarget, slowOld, slowMargin) || e.hasWorsePace() ||
 		e.anyFailureComparison(func(target, old rollout.Counts) bool { return worseByZScore(target, old, failureMargin) })
 }
 
+// hasWorsePace reports whether a smaller share of the streams of the new version is fast. The
+// standard error is that of two equal shares: of few streams, often none is fast.
+func (e Evidence) hasWorsePace() bool {
+	target, old := paceCounts(e.Target, 0, 0), paceCounts(e.Old, priorPaced, priorFast)
+	if target.Answers == 0 {
+		return false
+	}
+	n, m := float64(target.Answers), float64(old.Answers)
+	fast, oldFast := float64(target.Passed), float64(old.Passed)
+	share := (fast + oldFast) / (n + m)
+	return oldFast/m-fast/n-slowMargin > likelyBadPaceZScore*math.Sqrt(share*(1-share)*(1/n+1/m))
+}
+
+// paceCounts returns the streams whose pace is known, with a prior added; those that were
+// not fast count as not passed.
+func paceCounts(c AnswerCounts, paced, fast int) rollout.Counts {
+	return passCounts(min(c.Fast, c.Paced)+fast, c.Paced+paced)
+}
+
 // anyFailureComparison applies compare to the failures on all routes, on steady
 // routes and on the other routes: a version may fail on only one kind of route, and
 // the old version may fail there too.
@@ -210,15 +240,19 @@
 	if p.Elapsed < settleTime || !p.TargetReady {
 		return 0
 	}
-	moveStart := p.moveAt(l)
-	partialMoveAt := moveStart - time.Duration(partialMoveLead*float64(p.Duration))
 	switch {
-	case p.hasEnoughEvidence() && p.Elapsed >= moveStart:
+	case p.OnlyCanaries(l) || !p.hasEnoughEvidence() || p.Evidence.LikelyBad():
+		return l.Share * canaryShare
+	case p.Elapsed >= p.moveAt(l):
 		return 1
-	case p.hasEnoughEvidence() && p.Elapsed >= partialMoveAt:
-		return max(partialMoveShare, l.Share*canaryShare)
 	}
-	return l.Share * canaryShare
+	return max(partialMoveShare, l.Share*canaryShare)
+}
+
+// OnlyCanaries reports whether only few sessions may use the new version yet, so that its
+// servers are less busy than those of the old one.
+func (p *Progress) OnlyCanaries(l Limits) bool {
+	return p.Elapsed < p.moveAt(l)-time.Duration(partialMoveLead*float64(p.Duration))
 }
 
 // SessionsMayMove reports whether sessions in use may change to the new version.
--- a/release/release_test.go
+++ b/release/release_test.go
@@ -222,12 +222,19 @@
 		rng := rand.New(rand.NewPCG(seed, 21))
 		failing, slow := rng.Float64()*0.3, rng.Float64()*0.4
 		steadyShare, steadyFailureRate := rng.Float64(), rng.Float64()*maxSteadyFailureRate
+		pacedShare, fast := rng.Float64(), rng.Float64()
 		var e Evidence
 		draw := func(t *AnswerCounts) {
 			t.Timed++
 			if rng.Float64() < slow {
 				t.Slow++
 			}
+			if rng.Float64() < pacedShare {
+				t.Paced++
+				if rng.Float64() < fast {
+					t.Fast++
+				}
+			}
 			rate := failing
 			onSteady := rng.Float64() < steadyShare
 			if onSteady {
@@ -271,6 +278,9 @@
 		{"failing", Evidence{Old: AnswerCounts{Good: 353, Bad: 73, Timed: 342, Slow: 4}, Target: AnswerCounts{Good: 17, Bad: 16, Timed: 15, Slow: 4}}},
 		{"failing, few answers", Evidence{Old: AnswerCounts{Good: 415, Bad: 64, Steady: 330, SteadyBad: 1}, Target: AnswerCounts{Good: 10, Bad: 7, Steady: 11, SteadyBad: 5}}},
 		{"failing on a route that fails now and then", Evidence{Old: AnswerCounts{Good: 421, Bad: 62, Steady: 185, SteadyBad: 1}, Target: AnswerCounts{Good: 8, Bad: 7, Steady: 6}}},
+		{"slower as a whole, few answers", Evidence{Old: AnswerCounts{Good: 982, Timed: 678, Slow: 65, Paced: 85, Fast: 40}, Target: AnswerCounts{Good: 28, Timed: 21, Slow: 2, Paced: 11}}},
+		{"slower as a whole, the old version is never idle", Evidence{Old: AnswerCounts{Good: 900, Timed: 500, Slow: 40, Paced: 2, Fast: 1}, Target: AnswerCounts{Good: 40, Timed: 16, Slow: 2, Paced: 11}}},
+		{"slower as a whole, few answers of both", Evidence{Old: AnswerCounts{Good: 900, Timed: 500, Slow: 40, Paced: 13, Fast: 3}, Target: AnswerCounts{Good: 25, Timed: 22, Slow: 8, Paced: 11}}},
 		{"slow", Evidence{Old: AnswerCounts{Good: 1949, Timed: 918, Slow: 158}, Target: AnswerCounts{Good: 118, Timed: 87, Slow: 54}}},
 	} {
 		if !c.e.Bad() && !c.e.LikelyBad() {
@@ -282,7 +292,8 @@
 	if !early.Bad() && !later.Bad() {
 		t.Error("a version with 22 slow answers of 33 was not found slow")
 	}
-	if (Evidence{}).LikelyBad() || (Evidence{Old: AnswerCounts{Good: 500, Timed: 400}, Target: AnswerCounts{Good: 14, Bad: 1, Timed: 14, Slow: 2}}).LikelyBad() {
+	if (Evidence{}).LikelyBad() || (Evidence{Old: AnswerCounts{Good: 500, Timed: 400}, Target: AnswerCounts{Good: 14, Bad: 1, Timed: 14, Slow: 2}}).LikelyBad() ||
+		(Evidence{Old: AnswerCounts{Good: 800, Paced: 90, Fast: 45}, Target: AnswerCounts{Good: 25, Paced: 12, Fast: 10}}).LikelyBad() {
 		t.Error("a good version was found likely bad")
 	}
 }
