limits: windows do not depend on the time of day

Found by reading while the limits of servers were built on it: Window numbered its buckets by the time of day. A step forward emptied the window, so that an entry could use its share of a limit twice; a step back counted old events for longer.

Buckets are numbered from the first call by the monotonic clock. TestWindowsIgnoreClockSteps failed before (0 of 7 events in the window after a step by 5 s) and passes.

--- a/limits/server_test.go
+++ b/limits/server_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"testing"
 	"time"
+	"unsafe"
 )
 
 const server = "s"
@@ -206,3 +207,37 @@
 		t.Errorf("%d servers are kept", len(l.servers))
 	}
 }
+
+// stepWallClock returns t with its time of day moved and its monotonic reading unchanged, as
+// after a step of the clock.
+func stepWallClock(t time.Time, by time.Duration) time.Time {
+	const secondShift = 30 // of the seconds in the field wall of a time.Time with a monotonic reading
+	fields := (*struct {
+		wall uint64
+		ext  int64
+		loc  *time.Location
+	})(unsafe.Pointer(&t))
+	fields.wall += uint64(by/time.Second) << secondShift
+	return t
+}
+
+// Guards against limits that are exceeded, or block everything, after a step of the time of
+// day.
+func TestWindowsIgnoreClockSteps(t *testing.T) {
+	begun := time.Now()
+	for _, by := range []time.Duration{5 * time.Second, -5 * time.Second} {
+		if after := stepWallClock(begun, by); after.Unix() != begun.Unix()+int64(by/time.Second) || after.Sub(begun) != 0 {
+			t.Fatalf("the clock is not stepped as intended: %v, %v", after, after.Sub(begun))
+		}
+		w := NewWindow(serverLimitWindow)
+		w.Add(begun, 7)
+		soon, late := begun.Add(time.Second), begun.Add(10*time.Second)
+		if n := w.AtMost(stepWallClock(soon, by)); n != 7 {
+			t.Errorf("step by %v: %d events in the window, want 7", by, n)
+		}
+		w.Add(stepWallClock(late, by), 1)
+		if n := w.AtMost(stepWallClock(late.Add(time.Second), by)); n != 1 {
+			t.Errorf("step by %v: %d events in the window after the first have left it, want 1", by, n)
+		}
+	}
+}
--- a/limits/window.go
+++ b/limits/window.go
@@ -9,11 +9,13 @@
 // windowBuckets is the number of buckets into which a window is divided.
 const windowBuckets = 20
 
-// Window counts events over a sliding time window.
+// Window counts events over a sliding time window. Steps of the time of day do not change
+// the counts.
 type Window struct {
 	bucketWidth time.Duration
 	counts      [windowBuckets + 2]int
-	newest      int64 // number of the newest bucket since the Unix epoch
+	origin      time.Time // of the first call; buckets are numbered from it
+	newest      int64     // number of the newest bucket
 }
 
 // NewWindow returns an empty window of the given length.
@@ -45,7 +47,11 @@
 
 // advance clears the buckets that have left the window.
 func (w *Window) advance(now time.Time) {
-	bucket := now.UnixNano() / int64(w.bucketWidth)
+	if w.origin.IsZero() {
+		w.origin, w.newest = now, int64(len(w.counts))
+	}
+	// The difference of two times is that of their monotonic readings.
+	bucket := int64(len(w.counts)) + int64(now.Sub(w.origin)/w.bucketWidth)
 	for steps := 0; w.newest < bucket && steps < len(w.counts); steps++ {
 		w.newest++
 		w.counts[w.index(w.newest)] = 0
