--- a/gateway/serverlimits.go
+++ b/gateway/serverlimits.go
@@ -35,6 +35,7 @@
 		if !g.serverLimiter.Lift(t.server.ID, sentAt) {
 			return
 		}
+		g.Metrics.Add("server_limit_changes", 1)
 		g.Log.Info("A backend server names no limit any more.", "server", t.server.ID)
 	} else {
 		changed := g.serverLimiter.Name(now, t.server.ID, meta.RequestsPerSecond)
@@ -42,6 +43,7 @@
 			return
 		}
 		if changed {
+			g.Metrics.Add("server_limit_changes", 1)
 			g.Log.Info("A backend server names a limit.", "server", t.server.ID, "per_second", meta.RequestsPerSecond)
 		}
 	}
