gateway: wider margins between the paces of TestRolloutOfSlowerVersion

The events of the versions are 80 ms and 216 ms apart instead of 30 ms and 81 ms, so that a delay of the machine does not turn one into the other: a busy machine moved the fast one towards the limit of 45 ms. The factor between the versions, the wanted outcomes and the duration are as before.

--- a/gateway/rollouts_test.go
+++ b/gateway/rollouts_test.go
@@ -130,7 +130,7 @@
 // Guards against completing a version that is a few times slower as a whole, whose slow
 // streams still run when the rollout ends, and against rolling back one that is not.
 func TestRolloutOfSlowerVersion(t *testing.T) {
-	const duration, events, pause = 8 * time.Second, 20, 30 * time.Millisecond
+	const duration, events, pause = 8 * time.Second, 8, 80 * time.Millisecond
 	for _, c := range []struct {
 		name   string
 		factor float64
