--- a/crashcause/tracker.go
+++ b/crashcause/tracker.go
@@ -9,7 +9,6 @@
 package crashcause
 
 import (
-	"container/list"
 	"slices"
 	"time"
 )
@@ -55,33 +54,6 @@
 	Parts []uint64
 }
 
-// Block makes entries reject the requests whose prompts contain all its parts. There is
-// more than one part while it is not known which of them causes the crashes.
-type Block struct {
-	Parts []uint64
-	// Workspaces are those whose requests have crashed engines. A block of one workspace
-	// does not apply to the others, so that none can make the requests of another one
-	// fail. A block of two applies to all.
-	Workspaces []uint64
-	// Since is when the block was formed.
-	Since time.Time
-}
-
-// appliesTo reports whether the block rejects a request.
-func (b *Block) appliesTo(workspace uint64, parts []uint64) bool {
-	return (len(b.Workspaces) >= maxWorkspaces || slices.Contains(b.Workspaces, workspace)) && containsAll(parts, b.Parts)
-}
-
-func (b *Block) addWorkspace(workspace uint64) {
-	if len(b.Workspaces) < maxWorkspaces && !slices.Contains(b.Workspaces, workspace) {
-		b.Workspaces = append(b.Workspaces, workspace)
-	}
-}
-
-func (b *Block) clone() Block {
-	return Block{Parts: slices.Clone(b.Parts), Workspaces: slices.Clone(b.Workspaces), Since: b.Since}
-}
-
 // crash holds the suspects of one crash, without the parts that are known to be sound.
 type crash struct {
 	server   string
@@ -101,40 +73,23 @@
 	// suspected holds the parts of the suspects and blocks, and may hold parts that are in
 	// neither any more. Most answers have none of them.
 	suspected map[uint64]struct{}
-	// sound holds for each part when an answer to a prompt with it last began, the most
-	// recent first in soundOrder.
-	sound      map[uint64]*list.Element
-	soundOrder *list.List // of soundPart
-}
-
-type soundPart struct {
-	part uint64
-	at   time.Time
+	sound     *soundParts
 }
 
 // New returns a tracker without evidence.
 func New() *Tracker {
-	return &Tracker{suspected: make(map[uint64]struct{}), sound: make(map[uint64]*list.Element), soundOrder: list.New()}
+	return &Tracker{suspected: make(map[uint64]struct{}), sound: newSoundParts()}
 }
 
 // RecordAnswer records that an answer to a prompt has begun, here or at another entry. It
 // returns the parts that were under suspicion: the other entries have to learn of them.
 func (t *Tracker) RecordAnswer(now time.Time, parts []uint64) (cleared []uint64) {
 	for _, p := range parts {
-		if e := t.sound[p]; e != nil {
-			e.Value = soundPart{p, now}
-			t.soundOrder.MoveToFront(e)
-		} else {
-			t.sound[p] = t.soundOrder.PushFront(soundPart{p, now})
-		}
+		t.sound.record(now, p)
 		if t.clear(p) {
 			cleared = append(cleared, p)
 		}
 	}
-	for t.soundOrder.Len() > maxSound {
-		oldest := t.soundOrder.Remove(t.soundOrder.Back()).(soundPart)
-		delete(t.sound, oldest.part)
-	}
 	return cleared
 }
 
@@ -185,7 +140,7 @@
 	remaining.Parts = nil
 	for _, p := range s.Parts {
 		switch {
-		case t.isSound(now, p):
+		case now.Sub(t.sound.lastAnswer(p)) < soundWindow:
 			sound = append(sound, p)
 		case len(remaining.Parts) < MaxParts && !slices.Contains(remaining.Parts, p):
 			remaining.Parts = append(remaining.Parts, p)
@@ -236,13 +191,6 @@
 	}
 }
 
-// isSound reports whether an answer to a prompt with a part has begun so recently that
-// the part is not the cause of a crash at now.
-func (t *Tracker) isSound(now time.Time, part uint64) bool {
-	e := t.sound[part]
-	return e != nil && now.Sub(e.Value.(soundPart).at) < soundWindow
-}
-
 // crashOf returns the crash of a server, adding it if it is new.
 func (t *Tracker) crashOf(now time.Time, server string) *crash {
 	for _, c := range t.crashes {
@@ -277,33 +225,6 @@
 	return changed
 }
 
-// insert adds a block, in place of the oldest one if there are too many.
-func (t *Tracker) insert(b *Block) {
-	if len(t.blocks) >= MaxBlocks {
-		t.blocks = slices.Delete(t.blocks, 0, 1)
-	}
-	t.blocks = append(t.blocks, b)
-	t.suspect(b.Parts)
-}
-
-// dropImplied drops the blocks that reject no more than another one. All entries with the
-// same evidence thus keep the same blocks.
-func (t *Tracker) dropImplied() {
-	for i := 0; i < len(t.blocks); {
-		implied := slices.ContainsFunc(t.blocks, func(o *Block) bool { return o != t.blocks[i] && o.Implies(t.blocks[i]) })
-		if implied {
-			t.blocks = slices.Delete(t.blocks, i, i+1)
-		} else {
-			i++
-		}
-	}
-}
-
-// Implies reports whether b rejects all requests that o rejects.
-func (b *Block) Implies(o *Block) bool {
-	return containsAll(o.Parts, b.Parts) && (len(b.Workspaces) >= maxWorkspaces || containsAll(b.Workspaces, o.Workspaces))
-}
-
 // candidates returns the suspects of a crash that may have caused it: those whose answers
 // had begun, if there are any.
 func (c *crash) candidates(now time.Time) []Suspect {
@@ -391,84 +312,3 @@
 	}
 	return b
 }
-
-// Blocked returns the block that rejects a request, if there is one.
-func (t *Tracker) Blocked(now time.Time, workspace uint64, parts []uint64) (Block, bool) {
-	if len(t.blocks) == 0 {
-		return Block{}, false
-	}
-	for _, b := range t.blocks {
-		if now.Sub(b.Since) <= Retention && b.appliesTo(workspace, parts) {
-			return b.clone(), true
-		}
-	}
-	return Block{}, false
-}
-
-// Blocks returns the blocks in force.
-func (t *Tracker) Blocks(now time.Time) []Block {
-	var all []Block
-	for _, b := range t.blocks {
-		if now.Sub(b.Since) <= Retention {
-			all = append(all, b.clone())
-		}
-	}
-	return all
-}
-
-// Merge adds blocks that other entries have formed. Parts that have been found sound
-// since then do not count. It reports whether anything changed.
-func (t *Tracker) Merge(now time.Time, blocks []Block) (changed bool) {
-	for _, received := range blocks {
-		b := received.clone()
-		b.Parts = slices.DeleteFunc(b.Parts[:min(len(b.Parts), MaxParts)], func(p uint64) bool {
-			e := t.sound[p]
-			return e != nil && e.Value.(soundPart).at.After(b.Since)
-		})
-		if len(b.Parts) == 0 || len(b.Workspaces) == 0 || now.Sub(b.Since) > Retention {
-			continue
-		}
-		changed = t.mergeBlock(&b) || changed
-	}
-	return changed
-}
-
-// mergeBlock adds a block unless another one implies it.
-func (t *Tracker) mergeBlock(b *Block) (changed bool) {
-	for _, known := range t.blocks {
-		if known.Implies(b) {
-			return false
-		}
-		if containsAll(b.Parts, known.Parts) { // and from another workspace
-			for _, w := range b.Workspaces {
-				known.addWorkspace(w)
-			}
-			t.dropImplied()
-			return true
-		}
-	}
-	t.insert(b)
-	t.dropImplied()
-	return true
-}
-
-// containsAll reports whether all elements of subset are in parts.
-func containsAll(parts, subset []uint64) bool {
-	for _, p := range subset {
-		if !slices.Contains(parts, p) {
-			return false
-		}
-	}
-	return true
-}
-
-// intersect returns the elements of a that are also in b.
-func intersect(a, b []uint64) []uint64 {
-	var common []uint64
-	for _, p := range a {
-		if slices.Contains(b, p) {
-			common = append(common, p)
-		}
-	}
-	return common
-}
--- a/crashcause/tracker_test.go
+++ b/crashcause/tracker_test.go
@@ -172,8 +172,8 @@
 	if len(tracker.suspected) > maxSuspected+MaxParts {
 		t.Errorf("%d suspected parts", len(tracker.suspected))
 	}
-	if len(tracker.sound) > maxSound || tracker.soundOrder.Len() != len(tracker.sound) {
-		t.Errorf("%d sound parts", len(tracker.sound))
+	if n := len(tracker.sound.byPart); n > maxSound || tracker.sound.order.Len() != n {
+		t.Errorf("%d sound parts", n)
 	}
 	for i := range 2 * MaxBlocks {
 		tracker.Merge(now, []Block{{Parts: next(1), Workspaces: []uint64{club}, Since: now.Add(time.Duration(i))}})
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
 	"time"
 
@@ -129,20 +128,6 @@
 	return result, saved
 }
 
-// maxLoggedParts limits the parts of a prompt in the log record of an attempt.
-const maxLoggedParts = 8
-
-// sharedPartIDs returns the ids of the parts of the prompt that other requests may have
-// in common with it, at most maxLoggedParts of them, each with the hash by which blocks
-// name it.
-func (c *clientRequest) sharedPartIDs() []string {
-	var ids []string
-	for i, hash := range c.sharedParts[:min(len(c.sharedParts), maxLoggedParts)] {
-		ids = append(ids, fmt.Sprintf("%s/%016x", c.meta.Parts[i].ID, hash))
-	}
-	return ids
-}
-
 // startAttempt counts a request at its server and informs the peers.
 func (g *Gateway) startAttempt(c *clientRequest, t *target) {
 	t.load.pending += t.work
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -16,9 +16,13 @@
 	"hyssoploom/peers"
 )
 
-// crashCheckInterval is the time after which a server is checked again for a crash. All
-// requests that break at the same moment share one check.
-const crashCheckInterval = time.Second
+const (
+	// crashCheckInterval is the time after which a server is checked again for a crash. All
+	// requests that break at the same moment share one check.
+	crashCheckInterval = time.Second
+	// maxLoggedParts limits the parts of a prompt in the log record of an attempt.
+	maxLoggedParts = 8
+)
 
 // crashCheck is a check whether a backend server has crashed.
 type crashCheck struct {
@@ -37,6 +41,17 @@
 	return hashes
 }
 
+// sharedPartIDs returns the ids of the parts of the prompt that other requests may have
+// in common with it, at most maxLoggedParts of them, each with the hash by which blocks
+// name it.
+func (c *clientRequest) sharedPartIDs() []string {
+	var ids []string
+	for i, hash := range c.sharedParts[:min(len(c.sharedParts), maxLoggedParts)] {
+		ids = append(ids, fmt.Sprintf("%s/%016x", c.meta.Parts[i].ID, hash))
+	}
+	return ids
+}
+
 // workspaceHash identifies the workspace of the request among the entries; 0 on public
 // routes.
 func (c *clientRequest) workspaceHash() uint64 {
