gateway: a version that one entry finds bad is not completed by another

Cause: entries judge the same counts at different times, and the judgement of an entry stayed its own. The comment "all entries reach the same conclusions" was wrong near the threshold.

Change: an entry that finds the version bad says so with its counts, and the others take that over. A completion is decided 150 ms before it is published.

TestEvidenceSurvivesPeerRestart has a hub now, because its third message rejects the version; its checks are unchanged.

--- a/gateway/publish.go
+++ b/gateway/publish.go
@@ -41,8 +41,9 @@
 	step      int // last step at which the elapsed time was written
 }
 
-// ServeRollouts publishes the states of rollouts until ctx is done. All entries reach
-// the same conclusions; each write is conditional on the state that it replaces.
+// ServeRollouts publishes the states of rollouts until ctx is done. An entry that finds a
+// version bad informs the others before any of them completes it; each write is
+// conditional on the state that it replaces.
 func (g *Gateway) ServeRollouts(ctx context.Context) error {
 	syncRequestedAt := time.Time{}
 	for ctx.Err() == nil {
@@ -129,7 +130,11 @@
 	if r.publishing.wanted != wanted {
 		r.publishing.wanted, r.publishing.since = wanted, now
 	}
-	if now.Sub(r.publishing.since) < time.Duration(rank)*publishStagger || now.Before(r.publishing.notBefore) {
+	delay := time.Duration(rank) * publishStagger
+	if wanted == fleet.Completed {
+		delay += release.AgreementTime
+	}
+	if now.Sub(r.publishing.since) < delay || now.Before(r.publishing.notBefore) {
 		return statusWrite{}, false
 	}
 	r.publishing.notBefore = now.Add(publishRetryDelay)
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -23,7 +23,7 @@
 	// endedProcesses is the evidence of processes that have ended; the processes that
 	// replace them count from zero.
 	endedProcesses release.Evidence
-	// rejected is set permanently once the new version is found to fail.
+	// rejected is set permanently once an entry has found the new version bad.
 	rejected   bool
 	publishing publishState
 	// evidenceChanged is set when the peers do not have the latest counts.
@@ -262,10 +262,12 @@
 	}
 }
 
-// rejectVersion stops sending requests to the new version.
+// rejectVersion stops sending requests to the new version, at all entries.
 func (g *Gateway) rejectVersion(r *rolloutState, reason string) {
 	e := r.evidence()
 	r.rejected = true
+	g.Metrics.Add("rollout_rejected", 1)
+	g.broadcastEvidence(r)
 	g.Log.Warn(reason, "service", r.Service, "target", r.Target,
 		"target_good", e.Target.Good, "target_bad", e.Target.Bad, "old_good", e.Old.Good, "old_bad", e.Old.Bad,
 		"target_steady", e.Target.Steady, "target_odd", e.Target.SteadyBad, "old_steady", e.Old.Steady, "old_odd", e.Old.SteadyBad,
@@ -324,6 +326,7 @@
 			Service: r.Service, Order: r.Revision, Version: version, Sent: t.Sent, Good: t.Good, Bad: t.Bad,
 			Timed: t.Timed, Slow: t.Slow, Paced: t.Paced, Fast: t.Fast, ElapsedMS: time.Since(r.orderedAt).Milliseconds(),
 			Process: xxhash.Sum64String(g.BootID), Steady: t.Steady, SteadyBad: t.SteadyBad,
+			Rejected: r.rejected && version == r.Target,
 		}
 	}
 	return []peers.Evidence{message("", r.own.Old), message(r.Target, r.own.Target)}
@@ -336,6 +339,9 @@
 		return // the peer sends its counts again with each change
 	}
 	r.backdate(time.Now().Add(-time.Duration(e.ElapsedMS) * time.Millisecond))
+	if e.Rejected && !r.rejected {
+		g.rejectVersion(r, "Another entry has found the new version bad.")
+	}
 	peer := r.peers[from]
 	if peer.process != e.Process {
 		r.endedProcesses = r.endedProcesses.Add(peer.Evidence) // the peer has restarted
--- a/gateway/updates_internal_test.go
+++ b/gateway/updates_internal_test.go
@@ -7,6 +7,7 @@
 
 	"hyssoploom/fleet"
 	"hyssoploom/peers"
+	"hyssoploom/release"
 	"hyssoploom/settings"
 	"hyssoploom/telemetry"
 )
@@ -84,11 +85,10 @@
 // Guards against failures of a new version that are dropped when the entry that
 // observed them restarts, and against counts that are added twice.
 func TestEvidenceSurvivesPeerRestart(t *testing.T) {
-	r := &rolloutState{Rollout: fleet.Rollout{Order: fleet.Order{Target: "v2"}}, peers: make(map[string]peerEvidence)}
-	g := &Gateway{Deps: Deps{Log: telemetry.Discard()}, rollouts: map[string]*rolloutState{"s": r}}
+	g, r := rolloutEntry("e1", release.Evidence{}, 24*time.Second, time.Second)
 	process := uint64(1)
 	receive := func(version string, sent, good, bad int) {
-		g.mergeEvidence("e2", peers.Evidence{Service: "s", Version: version, Sent: sent, Good: good, Bad: bad, Process: process})
+		g.mergeEvidence("e2", peers.Evidence{Service: "s", Order: r.Revision, Version: version, Sent: sent, Good: good, Bad: bad, Process: process})
 	}
 	receive("", 50, 50, 0)
 	receive("v2", 4, 2, 2)
--- a/peers/message.go
+++ b/peers/message.go
@@ -163,6 +163,8 @@
 	// Paced and Fast are the fields of release.AnswerCounts of the same names.
 	Paced int
 	Fast  int
+	// Rejected means that the sender has found Version bad.
+	Rejected bool
 }
 
 // empty reports whether the message carries no updates.
--- a/release/plan.go
+++ b/release/plan.go
@@ -19,6 +19,10 @@
 	// completed. It covers the delay until entries learn of the order, which can
 	// exceed a second while the store compacts, and the write of the outcome.
 	completionLead = 1400 * time.Millisecond
+	// AgreementTime is the time between the decision to complete a version and its
+	// publication, in which an entry that finds the version bad informs the others. It
+	// covers their interval of evaluation and the delay of a message between regions.
+	AgreementTime = 150 * time.Millisecond
 	// completionLeadDivisor limits completionLead for short durations, to the duration
 	// divided by it.
 	completionLeadDivisor = 8
@@ -320,13 +324,13 @@
 	return a.withinBudget(a.Limits, a.Entries)
 }
 
-// Complete reports whether a rollout is finished: all sessions may use the new
-// version, and either no request runs on the old version and the new one has
-// earlyCompletionEvidence answers, or finishAt has passed. A version with fewer answers
+// Complete reports whether a rollout is to be completed after AgreementTime: all sessions
+// may use the new version, and either no request runs on the old version and the new one
+// has earlyCompletionEvidence answers, or finishAt is near. A version with fewer answers
 // thus also collects those of the time in which all sessions use it.
 func (p *Progress) Complete(l Limits) bool {
 	if !p.TargetReady || !p.hasEnoughEvidence() || p.Elapsed < p.moveAt(l) {
 		return false
 	}
-	return p.OldRunning == 0 && p.Evidence.Target.Good+p.Evidence.Target.Bad >= earlyCompletionEvidence || p.Elapsed >= p.finishAt()
+	return p.OldRunning == 0 && p.Evidence.Target.Good+p.Evidence.Target.Bad >= earlyCompletionEvidence || p.Elapsed >= p.finishAt()-AgreementTime
 }
