release, gateway: compare the versions of a roll-out route by route

Cause: failures were compared over all routes together, where a route that always fails and one that fails one request in seven hide the rest; a route counted as steady only from 20 answers at one entry; the repeat of a failed request, which mostly fails again, counted as another failure of either version; and slow answers of a plain service were measured against a prior made for busy engines.

Change: entries exchange answers by route and quarter of the roll-out, first attempts only, and compare the versions by a likelihood ratio with the old version's rate of each route integrated out: all routes or one, since when, by how much. The older tests stay.

Tests: TestVersionsAreComparedByRoute, TestRouteEvidenceOfPeers (new code).

--- a/gateway/pace.go
+++ b/gateway/pace.go
@@ -31,6 +31,9 @@
 	}
 	if slow, known := g.latencies.Slow(timing); known {
 		counts.Timed++
+		if timing.NonStreaming {
+			r.countRouteTime(timing.Kind, s.Version, slow)
+		}
 		if slow {
 			counts.Slow++
 			g.broadcastEvidence(r)
@@ -40,7 +43,7 @@
 
 // onlyCanaries reports whether only few sessions may use the new version yet.
 func (g *Gateway) onlyCanaries(r *rolloutState) bool {
-	p := release.Progress{Elapsed: time.Since(r.orderedAt), Duration: r.Duration}
+	p := release.Progress{Elapsed: r.elapsed(), Duration: r.Duration}
 	return p.OnlyCanaries(g.exposureLimits())
 }
 
--- a/gateway/publish.go
+++ b/gateway/publish.go
@@ -67,8 +67,9 @@
 	what    string
 	// elapsed is the time since the order, and evidence the basis of the decision; both
 	// are logged.
-	elapsed  time.Duration
-	evidence release.Evidence
+	elapsed   time.Duration
+	evidence  release.Evidence
+	suspicion release.Suspicion
 }
 
 // dueWrites returns the writes that this entry has to make now. It also broadcasts
@@ -139,7 +140,7 @@
 	}
 	r.publishing.notBefore = now.Add(publishRetryDelay)
 	key, value := g.Records.StatusItem(fleet.Status{Service: r.Service, Target: r.Target, Outcome: wanted})
-	return statusWrite{r.Service, key, value, string(wanted), p.Elapsed, p.Evidence}, true
+	return statusWrite{r.Service, key, value, string(wanted), p.Elapsed, p.Evidence, p.Suspicion}, true
 }
 
 // dueProgress returns the write of the elapsed time of a rollout, if it is due.
@@ -154,7 +155,7 @@
 	}
 	r.publishing.notBefore = now.Add(publishRetryDelay)
 	key, value := g.Records.RolloutProgressItem(fleet.RolloutProgress{Service: r.Service, Order: r.Revision, ElapsedMS: p.Elapsed.Milliseconds()})
-	return statusWrite{r.Service, key, value, "plan", p.Elapsed, p.Evidence}, true
+	return statusWrite{r.Service, key, value, "plan", p.Elapsed, p.Evidence, p.Suspicion}, true
 }
 
 // publish writes a state unless another entry has published one in the meantime.
@@ -165,7 +166,7 @@
 	case err == nil:
 		old, target := w.evidence.Old, w.evidence.Target
 		g.Log.Info("Published the state of a roll-out.", "service", w.service, "what", w.what,
-			"elapsed_ms", w.elapsed.Milliseconds(), "target_sent", target.Sent, "target_good", target.Good,
+			"elapsed_ms", w.elapsed.Milliseconds(), "log_e", w.suspicion.LogE, "peak", w.suspicion.Peak, "target_sent", target.Sent, "target_good", target.Good,
 			"target_bad", target.Bad, "target_steady", target.Steady, "target_odd", target.SteadyBad,
 			"old_steady", old.Steady, "old_odd", old.SteadyBad, "target_timed", target.Timed, "target_slow", target.Slow,
 			"old_good", old.Good, "old_bad", old.Bad, "old_timed", old.Timed, "old_slow", old.Slow,
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -23,6 +23,7 @@
 	// endedProcesses is the evidence of processes that have ended; the processes that
 	// replace them count from zero.
 	endedProcesses release.Evidence
+	routes         rolloutRoutes
 	// rejected is set permanently once an entry has found the new version bad.
 	rejected   bool
 	publishing publishState
@@ -35,6 +36,8 @@
 type peerEvidence struct {
 	release.Evidence
 	process uint64
+	// old and target are the answers of each version by route.
+	old, target release.RouteEvidence
 }
 
 // rolloutOf returns the state of a service's rollout, or nil if none is ordered. The
@@ -52,6 +55,7 @@
 	r := g.rollouts[service]
 	if r == nil || r.Revision != current.Revision {
 		r = &rolloutState{Rollout: current, orderedAt: time.Now(), peers: make(map[string]peerEvidence)}
+		r.routes.before = g.routeHistory(view, service)
 		g.rollouts[service] = r
 		g.Log.Info("A roll-out was ordered.", "service", service, "target", current.Target,
 			"duration", current.Duration.String(), "revision", current.Revision)
@@ -74,6 +78,9 @@
 	}
 }
 
+// elapsed returns the time since the order.
+func (r *rolloutState) elapsed() time.Duration { return time.Since(r.orderedAt) }
+
 // evidence returns the evidence of all entries.
 func (r *rolloutState) evidence() release.Evidence {
 	total := r.own.Add(r.endedProcesses)
@@ -85,7 +92,7 @@
 
 // progress returns the progress of a rollout. The caller must hold g.mu.
 func (g *Gateway) progress(view *fleet.View, r *rolloutState, now time.Time) release.Progress {
-	p := release.Progress{Elapsed: now.Sub(r.orderedAt), Duration: r.Duration, Evidence: r.evidence(), Own: r.own}
+	p := release.Progress{Elapsed: now.Sub(r.orderedAt), Duration: r.Duration, Evidence: r.evidence(), Own: r.own, Suspicion: r.suspicion()}
 	for _, s := range view.ByService[r.Service] {
 		switch {
 		case s.Version == r.Target:
@@ -198,6 +205,9 @@
 	g.observeRoute(r, s.Version, c.route.Name, result)
 	if r != nil && r.Outcome == fleet.InProgress {
 		g.countResult(r, s, result)
+		if !c.failedBefore() {
+			r.countRoute(c.route.Name, s.Version, result)
+		}
 	}
 	switch result {
 	case attempt.Failed, attempt.Broken, attempt.NotSent, attempt.NotRun, attempt.Stale:
@@ -257,18 +267,18 @@
 // checkEvidence rejects the new version if the evidence of all entries shows that it is
 // bad.
 func (g *Gateway) checkEvidence(r *rolloutState) {
-	if !r.rejected && r.evidence().Bad() {
+	if p := (release.Progress{Evidence: r.evidence(), Suspicion: r.suspicion()}); !r.rejected && p.Bad() {
 		g.rejectVersion(r, "The new version fails or is slow too often.")
 	}
 }
 
 // rejectVersion stops sending requests to the new version, at all entries.
 func (g *Gateway) rejectVersion(r *rolloutState, reason string) {
-	e := r.evidence()
+	e, suspicion := r.evidence(), r.suspicion()
 	r.rejected = true
 	g.Metrics.Add("rollout_rejected", 1)
 	g.broadcastEvidence(r)
-	g.Log.Warn(reason, "service", r.Service, "target", r.Target,
+	g.Log.Warn(reason, "service", r.Service, "target", r.Target, "log_e", suspicion.LogE, "peak", suspicion.Peak,
 		"target_good", e.Target.Good, "target_bad", e.Target.Bad, "old_good", e.Old.Good, "old_bad", e.Old.Bad,
 		"target_steady", e.Target.Steady, "target_odd", e.Target.SteadyBad, "old_steady", e.Old.Steady, "old_odd", e.Old.SteadyBad,
 		"target_timed", e.Target.Timed, "target_slow", e.Target.Slow, "old_timed", e.Old.Timed, "old_slow", e.Old.Slow,
@@ -324,9 +334,9 @@
 	message := func(version string, t release.AnswerCounts) peers.Evidence {
 		return peers.Evidence{
 			Service: r.Service, Order: r.Revision, Version: version, Sent: t.Sent, Good: t.Good, Bad: t.Bad,
-			Timed: t.Timed, Slow: t.Slow, Paced: t.Paced, Fast: t.Fast, ElapsedMS: time.Since(r.orderedAt).Milliseconds(),
+			Timed: t.Timed, Slow: t.Slow, Paced: t.Paced, Fast: t.Fast, ElapsedMS: r.elapsed().Milliseconds(),
 			Process: xxhash.Sum64String(g.BootID), Steady: t.Steady, SteadyBad: t.SteadyBad,
-			Rejected: r.rejected && version == r.Target,
+			Rejected: r.rejected && version == r.Target, Routes: r.routeMessages(version == r.Target),
 		}
 	}
 	return []peers.Evidence{message("", r.own.Old), message(r.Target, r.own.Target)}
@@ -345,18 +355,20 @@
 	peer := r.peers[from]
 	if peer.process != e.Process {
 		r.endedProcesses = r.endedProcesses.Add(peer.Evidence) // the peer has restarted
+		r.routes.addEnded(peer)
 		peer = peerEvidence{process: e.Process}
 	}
-	known := &peer.Old
+	known, routes := &peer.Old, &peer.old
 	if e.Version == r.Target {
-		known = &peer.Target
+		known, routes = &peer.Target, &peer.target
 	}
 	received := release.AnswerCounts{Sent: e.Sent, Good: e.Good, Bad: e.Bad, Timed: e.Timed, Slow: e.Slow, Paced: e.Paced, Fast: e.Fast, Steady: e.Steady, SteadyBad: e.SteadyBad}
 	if received.Total() < known.Total() {
 		return // an older message that arrived over another path
 	}
-	*known = received
+	*known, *routes = received, decodeRoutes(e.Routes, e.Version == r.Target)
 	r.peers[from] = peer
+	r.routes.changed = true
 	g.checkEvidence(r)
 }
 
--- a/peers/message.go
+++ b/peers/message.go
@@ -165,6 +165,16 @@
 	Fast  int
 	// Rejected means that the sender has found Version bad.
 	Rejected bool
+	// Routes holds the answers of Version by route.
+	Routes []RouteCounts
+}
+
+// RouteCounts is the message form of one version's part of a release.RouteRecord.
+type RouteCounts struct {
+	Route string
+	// Counts holds the fields of release.RouteAnswers for each time slice. For the old
+	// version, an element for the time before the order precedes them.
+	Counts [][4]int
 }
 
 // empty reports whether the message carries no updates.
--- a/release/plan.go
+++ b/release/plan.go
@@ -217,6 +217,13 @@
 	return share, share * (1 - share) / n
 }
 
+const (
+	// rejectLogE and doubtfulLogE are the values of Suspicion.LogE from which a
+	// version is found bad, and from which it is not completed at the end.
+	rejectLogE   = 4.8
+	doubtfulLogE = 4.0
+)
+
 // Limits bounds the requests that a version gets before it is known to be good.
 type Limits struct {
 	// Share is the allowed share of all requests of the service. Slack is the
@@ -230,6 +237,8 @@
 	Elapsed, Duration time.Duration
 	// Evidence covers the whole fleet, Own only this entry.
 	Evidence, Own Evidence
+	// Suspicion is that of the whole fleet.
+	Suspicion Suspicion
 	// OldRunning is the number of requests that are still running on the old
 	// version.
 	OldRunning int
@@ -237,6 +246,15 @@
 	TargetReady bool
 }
 
+// Bad reports whether the new version is found bad. It may be called after every answer.
+func (p *Progress) Bad() bool { return p.Suspicion.LogE >= rejectLogE || p.Evidence.Bad() }
+
+// LikelyBad reports whether a version that was not found bad should not be completed
+// either. It is called once, at the end, and needs less evidence than Bad.
+func (p *Progress) LikelyBad() bool {
+	return p.Suspicion.LogE >= doubtfulLogE || p.Evidence.LikelyBad()
+}
+
 func (p *Progress) elapsedFraction() float64 { return p.Elapsed.Seconds() / p.Duration.Seconds() }
 
 // targetShare returns the share of the sessions that may use the new version.
@@ -245,7 +263,7 @@
 		return 0
 	}
 	switch {
-	case p.OnlyCanaries(l) || !p.hasEnoughEvidence() || p.Evidence.LikelyBad():
+	case p.OnlyCanaries(l) || !p.hasEnoughEvidence() || p.LikelyBad():
 		return l.Share * canaryShare
 	case p.Elapsed >= p.moveAt(l):
 		return 1
--- a/release/routes.go
+++ b/release/routes.go
@@ -1,5 +1,7 @@
 package release
 
+import "math"
+
 const (
 	// minSteadyAnswers is the number of answers from which a route may count as
 	// steady, and maxSteadyFailureRate the failure rate below which it does.
@@ -30,6 +32,15 @@
 	s[route] = record
 }
 
+// History returns the answers of a route, scaled down to at most limit.
+func (s RouteStats) History(route string, limit int) RouteAnswers {
+	record := s[route]
+	if record.answers <= limit {
+		return RouteAnswers{Answers: record.answers, Failed: record.failed}
+	}
+	return RouteAnswers{Answers: limit, Failed: int(math.Round(float64(limit*record.failed) / float64(record.answers)))}
+}
+
 // Steady reports whether answers of a route rarely fail.
 func (s RouteStats) Steady(route string) bool {
 	record := s[route]
