gateway: the comparison by route also counts when a version is completed

Cause: the decision to complete asked Evidence.LikelyBad, which knows nothing of the routes, instead of Progress.LikelyBad. The comparison by route could only reject a version earlier, at its higher limit.

--- a/gateway/publish.go
+++ b/gateway/publish.go
@@ -119,7 +119,7 @@
 	switch {
 	case r.rejected:
 		wanted = fleet.RolledBack
-	case p.Complete(g.exposureLimits()) && p.Evidence.LikelyBad():
+	case p.Complete(g.exposureLimits()) && p.LikelyBad():
 		g.rejectVersion(r, "The new version is not completed, it fails or is slow too often.")
 		wanted = fleet.RolledBack
 	case p.Complete(g.exposureLimits()):
