release: test new versions of services without sessions on more requests

Cause: the samples of a small service were a share of its few requests, and the exposure that is allowed was kept for the end, also when answers spoke against the version; a version with 60 answers was completed early while in doubt.

Change: requests without a session are sampled at an even pace up to what the move at the end leaves; a version in doubt gets half of the requests, up to the exposure, until the doubt is settled, and is not completed early. Repeats of a request go to the old version.

--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -155,6 +155,7 @@
 			c.position = rand.Float64()
 		}
 		a.Position = c.position
+		a.Sessionless, a.Repeat = true, len(c.attempts) > 0
 		return a
 	}
 	a.Position = position(key.ID, r.Revision)
--- a/release/plan.go
+++ b/release/plan.go
@@ -59,6 +59,12 @@
 	// never be completed.
 	lateFraction    = 0.72
 	minLateEvidence = 3
+	// doubtPeak is the value of Suspicion.Peak from which a version is in doubt. doubtShare
+	// is the share of the requests without a session that it then gets, and doubtBudget
+	// the fraction of the allowed exposure that may be used for that from the start.
+	doubtPeak   = 0.7
+	doubtShare  = 0.5
+	doubtBudget = 0.25
 )
 
 // AnswerCounts counts the requests sent to one version and their answers.
@@ -324,6 +330,9 @@
 	// Bound means that the session is in use, and OnTarget that it uses the new
 	// version.
 	Bound, OnTarget bool
+	// Sessionless means that the request belongs to no session, and Repeat that it has
+	// been sent before.
+	Sessionless, Repeat bool
 }
 
 // UseTarget reports whether a request goes to the new version of a rollout in
@@ -333,6 +342,9 @@
 	if a.Bound && a.OnTarget {
 		return true
 	}
+	if a.Sessionless && (a.Elapsed < a.moveAt(a.Limits) || a.InDoubt()) {
+		return a.sample()
+	}
 	if a.Position >= a.targetShare(a.Limits) {
 		return false
 	}
@@ -342,13 +354,41 @@
 	return a.withinBudget(a.Limits, a.Entries)
 }
 
+// InDoubt reports whether answers of the new version speak against it, so that more of them
+// are needed to decide.
+func (p *Progress) InDoubt() bool { return p.Suspicion.Peak >= doubtPeak }
+
+// sample reports whether a request without a session goes to the new version to test it.
+// Samples are spread over the time until all sessions move; of a version in doubt more are
+// taken, also of the exposure that is otherwise kept in reserve for the move.
+func (a *Assignment) sample() bool {
+	if a.Elapsed < settleTime || !a.TargetReady || a.Repeat {
+		return false
+	}
+	moveAt := a.moveAt(a.Limits).Seconds()
+	elapsed, sampled := a.Elapsed.Seconds(), float64(a.Own.Target.Sent)
+	sent := float64(a.Own.Old.Sent + a.Own.Target.Sent)
+	slack := a.Limits.Slack * slackShare / float64(a.Entries)
+	if a.InDoubt() {
+		// The rest is for failures that begin later.
+		usable := min(doubtBudget+(1-doubtBudget)*elapsed/moveAt, 1)
+		return a.Position < doubtShare && sampled < usable*(a.Limits.Share*sent+slack)
+	}
+	afterMove := 1 - moveAt/a.Duration.Seconds()
+	expected := sent * moveAt / elapsed
+	budget := max(a.Limits.Share-afterMove, 0)*expected + slack
+	settled := settleTime.Seconds()
+	return sampled < budget*(elapsed-settled)/(moveAt-settled)
+}
+
 // Complete reports whether a rollout is to be completed after AgreementTime: all sessions
 // may use the new version, and either no request runs on the old version and the new one
-// has earlyCompletionEvidence answers, or finishAt is near. A version with fewer answers
-// thus also collects those of the time in which all sessions use it.
+// has earlyCompletionEvidence answers and is not in doubt, or finishAt is near. Other
+// versions thus also collect the answers of the time in which all sessions use them.
 func (p *Progress) Complete(l Limits) bool {
 	if !p.TargetReady || !p.hasEnoughEvidence() || p.Elapsed < p.moveAt(l) {
 		return false
 	}
-	return p.OldRunning == 0 && p.Evidence.Target.Good+p.Evidence.Target.Bad >= earlyCompletionEvidence || p.Elapsed >= p.finishAt()-AgreementTime
+	enough := p.Evidence.Target.Good+p.Evidence.Target.Bad >= earlyCompletionEvidence && !p.InDoubt()
+	return p.OldRunning == 0 && enough || p.Elapsed >= p.finishAt()-AgreementTime
 }
