release: a version in weak doubt leaves exposure for its completion

Cause: the samples of a version in doubt could use the exposure that a completion needs, also when the doubt was weak.

Change: while the likelihood ratio is below e, what the version gets between its completion and the deadline stays in reserve.

--- a/release/plan.go
+++ b/release/plan.go
@@ -62,9 +62,12 @@
 	// doubtPeak is the value of Suspicion.Peak from which a version is in doubt. doubtShare
 	// is the share of the requests without a session that it then gets, and doubtBudget
 	// the fraction of the allowed exposure that may be used for that from the start.
-	doubtPeak   = 0.7
-	doubtShare  = 0.5
-	doubtBudget = 0.25
+	doubtPeak = 0.7
+	// strongDoubtLogE is the value of Suspicion.LogE from which a version in doubt is not
+	// expected to be completed.
+	strongDoubtLogE = 1.0
+	doubtShare      = 0.5
+	doubtBudget     = 0.25
 )
 
 // AnswerCounts counts the requests sent to one version and their answers.
@@ -369,14 +372,20 @@
 	elapsed, sampled := a.Elapsed.Seconds(), float64(a.Own.Target.Sent)
 	sent := float64(a.Own.Old.Sent + a.Own.Target.Sent)
 	slack := a.Limits.Slack * slackShare / float64(a.Entries)
+	rate := sent / elapsed
 	if a.InDoubt() {
+		budget := a.Limits.Share*sent + slack
+		if a.Suspicion.LogE < strongDoubtLogE {
+			// It may still be completed: what it gets from then on stays in reserve.
+			afterCompletion := (a.Duration - a.finishAt()).Seconds()
+			budget = min(budget, a.Limits.Share*rate*a.Duration.Seconds()+slack-rate*afterCompletion)
+		}
 		// The rest is for failures that begin later.
 		usable := min(doubtBudget+(1-doubtBudget)*elapsed/moveAt, 1)
-		return a.Position < doubtShare && sampled < usable*(a.Limits.Share*sent+slack)
+		return a.Position < doubtShare && sampled < usable*budget
 	}
 	afterMove := 1 - moveAt/a.Duration.Seconds()
-	expected := sent * moveAt / elapsed
-	budget := max(a.Limits.Share-afterMove, 0)*expected + slack
+	budget := max(a.Limits.Share-afterMove, 0)*rate*moveAt + slack
 	settled := settleTime.Seconds()
 	return sampled < budget*(elapsed-settled)/(moveAt-settled)
 }
--- a/release/small_service_test.go
+++ b/release/small_service_test.go
@@ -94,3 +94,33 @@
 		}
 	}
 }
+
+// Guards against a version in weak doubt that gets too many requests if it is completed
+// after all and is bad.
+func TestWeakDoubtLeavesExposureForCompletion(t *testing.T) {
+	limits := Limits{Share: 0.15, Slack: 30}
+	for _, c := range []struct {
+		logE     float64
+		want     bool
+		severity string
+	}{{0.5, true, "weak"}, {2, false, "strong"}} {
+		p := Progress{Duration: 18 * time.Second, TargetReady: true, Suspicion: Suspicion{Peak: 2, LogE: c.logE}}
+		const interval = 40 * time.Millisecond
+		for n := 0; p.Elapsed < p.finishAt(); n++ {
+			if UseTarget(Assignment{Progress: p, Limits: limits, Entries: 1, Sessionless: true, Position: float64(n%2) * 0.9}) {
+				p.Own.Target.Sent++
+			} else {
+				p.Own.Old.Sent++
+			}
+			p.Elapsed += interval
+		}
+		rest := int((p.Duration - p.Elapsed) / interval)
+		allowed := limits.Share*float64(p.Own.Target.Sent+p.Own.Old.Sent+rest) + limits.Slack
+		if got := float64(p.Own.Target.Sent+rest) <= allowed; got != c.want {
+			t.Errorf("%s doubt: %d samples and %d requests after completion, %.0f allowed", c.severity, p.Own.Target.Sent, rest, allowed)
+		}
+		if float64(p.Own.Target.Sent) > allowed || p.Own.Target.Sent < 40 {
+			t.Errorf("%s doubt: %d samples", c.severity, p.Own.Target.Sent)
+		}
+	}
+}
