gateway: publish the state of a roll-out whose record was deleted

Cause: a write was conditional on the revision of the known item also when that item is a deletion; the store then has no such key, and each write is refused. Operators never see the outcome. The blocks of parts of prompts had the check.

--- a/gateway/blocks.go
+++ b/gateway/blocks.go
@@ -97,14 +97,13 @@
 // publishBlocks replaces the published blocks. A failed write is made again later.
 func (g *Gateway) publishBlocks(ctx context.Context, blocks []fleet.PromptBlock) {
 	key, value := g.Records.PromptBlocksItem(blocks)
-	item, _ := g.State.Item(key)
-	revision := item.Revision
-	if item.Deleted {
-		revision = 0
+	condition := fleet.Condition{Key: key}
+	if item, ok := g.State.Item(key); ok {
+		condition.Revision = item.Revision
 	}
 	lease, err := g.Store.Grant(ctx, crashcause.Retention)
 	if err == nil {
-		_, err = g.Store.Commit(ctx, []fleet.Condition{{Key: key, Revision: revision}}, []fleet.Put{{Key: key, Value: value, Lease: lease}})
+		_, err = g.Store.Commit(ctx, []fleet.Condition{condition}, []fleet.Put{{Key: key, Value: value, Lease: lease}})
 		if err != nil {
 			// Without its key the lease is of no use; it would end by itself.
 			_ = g.Store.Revoke(ctx, lease)
--- a/gateway/publish.go
+++ b/gateway/publish.go
@@ -160,8 +160,11 @@
 
 // publish writes a state unless another entry has published one in the meantime.
 func (g *Gateway) publish(ctx context.Context, w statusWrite) {
-	item, _ := g.State.Item(w.key)
-	_, err := g.Store.Commit(ctx, []fleet.Condition{{Key: w.key, Revision: item.Revision}}, []fleet.Put{{Key: w.key, Value: w.value}})
+	condition := fleet.Condition{Key: w.key}
+	if item, ok := g.State.Item(w.key); ok {
+		condition.Revision = item.Revision
+	}
+	_, err := g.Store.Commit(ctx, []fleet.Condition{condition}, []fleet.Put{{Key: w.key, Value: w.value}})
 	switch {
 	case err == nil:
 		old, target := w.evidence.Old, w.evidence.Target
