platform, fleet, gateway: follow a store that goes back to an earlier copy

Cause: revisions and leases were taken as unique for all time. The entries listed the store again after a 410, and took none of its items, because their revisions were lower than the known ones; so were those of all changes since. The class: an order that holds within one life of its source, used across lives.

Change: the store's header Store-Era, translated in platform/, is the upper part of each revision; a watch, condition or lease of another era is refused before it is sent. Leases get handles, because their ids are given out again. What an entry knows and the store has lost is kept for 5 s, until its writer makes it again: the higher version of the configuration, the end of an evacuation, orders, servers that leave or are gone; states of roll-outs until the entries have published them again. Entries list the store themselves in a new era, and register again at once.

--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -88,7 +88,10 @@
 	for ctx.Err() == nil {
 		if listed && f.SuppliedByPeer != nil && f.SuppliedByPeer() {
 			sleep(ctx, peerCheckInterval)
-			revision = max(revision, f.state.CompleteRevisionUnder(f.prefix))
+			complete := f.state.CompleteRevisionUnder(f.prefix)
+			// After the store has gone back, peers cannot tell which keys it has lost.
+			listed = Era(complete) == Era(revision)
+			revision = max(revision, complete)
 			continue
 		}
 		wait := f.WatchWait()
@@ -108,7 +111,8 @@
 			failures = 0
 			continue
 		case errors.Is(err, ErrCompacted):
-			f.log.Info("The store compacted its history; listing again.", "revision", revision)
+			f.log.Info("The store no longer has the changes since a revision; listing again.",
+				"revision", StoreRevision(revision), "era", Era(revision), "store_era", f.store.Era())
 			listed = false
 			continue
 		case ctx.Err() != nil:
@@ -152,7 +156,8 @@
 	f.logRejected(rejected)
 	f.state.MarkComplete(f.prefix, revision)
 	f.markFresh(started)
-	f.log.Info("Listed the store.", "prefix", f.prefix, "revision", revision, "items", len(items), "changed", len(adopted))
+	f.log.Info("Listed the store.", "prefix", f.prefix, "revision", StoreRevision(revision), "era", Era(revision),
+		"items", len(items), "changed", len(adopted), "lost", f.state.LostUnder(f.prefix))
 	return revision, nil
 }
 
--- a/fleet/presence.go
+++ b/fleet/presence.go
@@ -14,6 +14,9 @@
 	presenceTTL = 12 * time.Second
 	// presenceRenewInterval tolerates two failed renewals within presenceTTL.
 	presenceRenewInterval = 4 * time.Second
+	// eraCheckInterval is the interval of the checks whether the store has gone back and
+	// lost the registration.
+	eraCheckInterval = 200 * time.Millisecond
 )
 
 // Presence registers an entry in the store under a lease.
@@ -23,6 +26,7 @@
 	value []byte
 	log   *telemetry.Logger
 	lease int64
+	era   int64 // of the store when the entry was registered
 }
 
 // NewPresence returns a Presence that registers value under key.
@@ -38,7 +42,7 @@
 			p.log.Warn("Could not register this entry in the store.", "error", err.Error())
 			pause = time.Second
 		}
-		sleep(ctx, pause)
+		p.pause(ctx, pause)
 	}
 	if p.lease != 0 {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
@@ -50,6 +54,15 @@
 	return ctx.Err()
 }
 
+// pause waits for d, or until the store has lost the lease.
+func (p *Presence) pause(ctx context.Context, d time.Duration) {
+	for begun := time.Now(); ctx.Err() == nil && time.Since(begun) < d; sleep(ctx, eraCheckInterval) {
+		if p.lease != 0 && p.era != p.store.Era() {
+			return
+		}
+	}
+}
+
 // renew renews the lease. If there is none or it has ended, it registers the entry
 // under a new one.
 func (p *Presence) renew(ctx context.Context) error {
@@ -60,6 +73,7 @@
 		}
 		p.lease = 0
 	}
+	era := p.store.Era()
 	lease, err := p.store.Grant(ctx, presenceTTL)
 	if err != nil {
 		return err
@@ -67,6 +81,6 @@
 	if _, err := p.store.Commit(ctx, nil, []Put{{Key: p.key, Value: p.value, Lease: lease}}); err != nil {
 		return err
 	}
-	p.lease = lease
+	p.lease, p.era = lease, era
 	return nil
 }
--- a/fleet/records.go
+++ b/fleet/records.go
@@ -46,6 +46,9 @@
 	RolledBack Outcome = "rolled_back"
 )
 
+// Final reports whether the rollout has ended.
+func (o Outcome) Final() bool { return o == Completed || o == RolledBack }
+
 // Status is the state of a rollout that the entries have published.
 type Status struct {
 	Service  string
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -29,8 +29,9 @@
 	view              View
 	cachedView        *View // nil when view has changed since
 	expired           map[string]time.Time
-	storeRecoveredAt  time.Time        // end of the last store outage
-	completeRevisions map[string]int64 // by prefix: revision up to which all changes are known
+	disputed          map[string]disputedItem // by key, see isEarlierCopy
+	storeRecoveredAt  time.Time               // end of the last store outage
+	completeRevisions map[string]int64        // by prefix: revision up to which all changes are known
 	changed           chan struct{}
 }
 
@@ -69,6 +70,7 @@
 		now:               now,
 		items:             make(map[string]Item),
 		expired:           make(map[string]time.Time),
+		disputed:          make(map[string]disputedItem),
 		changed:           make(chan struct{}),
 		view: View{
 			Servers:      make(map[string]*BackendServer),
@@ -86,6 +88,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.removeExpired()
+	s.settleDisputes()
 	if s.cachedView == nil {
 		s.cachedView = s.view.copy()
 	}
@@ -128,6 +131,11 @@
 			items = append(items, Item{Key: key, Revision: revision, Deleted: true})
 		}
 	}
+	for key, d := range s.disputed {
+		if strings.HasPrefix(key, prefix) && !listed[key] && s.items[key].Deleted && d.item.Revision <= revision {
+			delete(s.disputed, key)
+		}
+	}
 	adopted, rejected = s.apply(items)
 	s.view.Revision = max(s.view.Revision, revision)
 	return adopted, rejected
@@ -144,13 +152,13 @@
 		if err != nil {
 			rejected = append(rejected, Rejected{item.Key, err})
 		}
-		s.items[item.Key] = item
 		s.view.Revision = max(s.view.Revision, item.Revision)
-		adopted = append(adopted, item)
-		if update != nil {
-			s.applyUpdate(update, now)
-			s.cachedView = nil
+		if ok && s.isEarlierCopy(known, item, update) {
+			s.dispute(item, update, now)
+			continue
 		}
+		s.adopt(item, update, now)
+		adopted = append(adopted, item)
 	}
 	if len(adopted) > 0 {
 		s.notifyChanged()
@@ -158,6 +166,16 @@
 	return adopted, rejected
 }
 
+// adopt makes item the known one of its key.
+func (s *State) adopt(item Item, update Update, now time.Time) {
+	s.items[item.Key] = item
+	delete(s.disputed, item.Key)
+	if update != nil {
+		s.applyUpdate(update, now)
+		s.cachedView = nil
+	}
+}
+
 // notifyChanged closes the channel that Changed has returned.
 func (s *State) notifyChanged() {
 	close(s.changed)
@@ -189,6 +207,9 @@
 			delete(v.OutOfService, u.DataCentre)
 		}
 	case OrderUpdate:
+		if known, ok := v.Orders[u.Order.Service]; ok && known.continuedBy(u.Order) {
+			u.Order.Revision = known.Revision
+		}
 		v.Orders[u.Order.Service] = u.Order
 	case OrderRemoved:
 		delete(v.Orders, u.Service)
@@ -290,11 +311,14 @@
 	return items, s.completeRevisionLocked()
 }
 
-// Item returns the newest item of a key. ok is false when the key is unknown or
-// deleted.
+// Item returns the newest item of a key in the store. ok is false when the key is unknown
+// or deleted.
 func (s *State) Item(key string) (item Item, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if d, disputed := s.disputed[key]; disputed {
+		return d.item, !d.item.Deleted
+	}
 	item, ok = s.items[key]
 	return item, ok && !item.Deleted
 }
--- a/fleet/state_test.go
+++ b/fleet/state_test.go
@@ -206,6 +206,8 @@
 
 func (s *scriptedStore) List(context.Context, string) ([]Item, int64, error) { return s.list() }
 
+func (s *scriptedStore) Era() int64 { return 0 }
+
 func (s *scriptedStore) Watch(_ context.Context, _ string, after int64, _ time.Duration) ([]Item, int64, error) {
 	return s.watch(after)
 }
--- a/gateway/publish.go
+++ b/gateway/publish.go
@@ -83,7 +83,7 @@
 	var writes []statusWrite
 	for service := range view.Orders {
 		r := g.rolloutOf(view, service)
-		if r == nil || r.Outcome == fleet.Completed || r.Outcome == fleet.RolledBack {
+		if r == nil || r.Outcome.Final() && !g.statusLost(service) {
 			continue
 		}
 		if r.evidenceChanged && now.Sub(r.evidenceSentAt) >= evidenceInterval {
@@ -117,6 +117,8 @@
 func (g *Gateway) dueStatus(view *fleet.View, r *rolloutState, p *release.Progress, rank int, now time.Time) (statusWrite, bool) {
 	wanted := fleet.InProgress
 	switch {
+	case r.Outcome.Final():
+		wanted = r.Outcome // the store has lost it
 	case r.rejected:
 		wanted = fleet.RolledBack
 	case p.Complete(g.exposureLimits()) && p.LikelyBad():
@@ -125,7 +127,7 @@
 	case p.Complete(g.exposureLimits()):
 		wanted = fleet.Completed
 	}
-	if wanted == fleet.InProgress && view.Statuses[r.Service].Revision > r.Revision {
+	if wanted == fleet.InProgress && view.Statuses[r.Service].Revision > r.Revision && !g.statusLost(r.Service) {
 		return statusWrite{}, false // already published
 	}
 	if r.publishing.wanted != wanted {
@@ -143,11 +145,17 @@
 	return statusWrite{r.Service, key, value, string(wanted), p.Elapsed, p.Evidence, p.Suspicion}, true
 }
 
+// statusLost reports whether the store has lost the published state of a rollout.
+func (g *Gateway) statusLost(service string) bool {
+	key, _ := g.Records.StatusItem(fleet.Status{Service: service})
+	return g.State.Lost(key)
+}
+
 // dueProgress returns the write of the elapsed time of a rollout, if it is due.
 func (g *Gateway) dueProgress(view *fleet.View, r *rolloutState, p *release.Progress, rank int, now time.Time) (statusWrite, bool) {
 	step := int(p.Elapsed * progressWrites / r.Duration)
 	published := view.Progress[r.Service]
-	if published.Order == r.Revision {
+	if r.isOrder(published.Order) {
 		r.publishing.step = max(r.publishing.step, int(time.Duration(published.ElapsedMS)*time.Millisecond*progressWrites/r.Duration))
 	}
 	if rank > 0 || step <= r.publishing.step || now.Before(r.publishing.notBefore) {
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -58,19 +58,25 @@
 		r.routes.before = g.routeHistory(view, service)
 		g.rollouts[service] = r
 		g.Log.Info("A roll-out was ordered.", "service", service, "target", current.Target,
-			"duration", current.Duration.String(), "revision", current.Revision)
+			"duration", current.Duration.String(), "revision", fleet.StoreRevision(current.Revision), "era", fleet.Era(current.Revision))
 		g.broadcastSessions(r)
 	}
 	if r.Outcome != current.Outcome {
 		g.Log.Info("A roll-out has a new state.", "service", service, "state", string(current.Outcome))
 	}
 	r.Rollout = current
-	if published := view.Progress[service]; published.Order == current.Revision {
+	if published := view.Progress[service]; r.isOrder(published.Order) {
 		r.backdate(published.ReceivedAt.Add(-time.Duration(published.ElapsedMS) * time.Millisecond))
 	}
 	return r
 }
 
+// isOrder reports whether a revision is that of the order, which keeps its number when the
+// store goes back.
+func (r *rolloutState) isOrder(revision int64) bool {
+	return fleet.StoreRevision(revision) == fleet.StoreRevision(r.Revision)
+}
+
 // backdate sets the time of the order to that reported by another entry if it is earlier.
 func (r *rolloutState) backdate(at time.Time) {
 	if at.Before(r.orderedAt) {
@@ -158,7 +164,7 @@
 		a.Sessionless, a.Repeat = true, len(c.attempts) > 0
 		return a
 	}
-	a.Position = position(key.ID, r.Revision)
+	a.Position = position(key.ID, r.Target)
 	version, bound := c.g.sessions.BoundVersion(now, key)
 	a.Bound, a.OnTarget = bound, version == r.Target
 	return a
@@ -166,8 +172,8 @@
 
 // position maps a session to a pseudo-random value in [0, 1) that differs between
 // rollouts.
-func position(session uint64, order int64) float64 {
-	h := session ^ uint64(order)*0x9e3779b97f4a7c15
+func position(session uint64, target string) float64 {
+	h := session ^ xxhash.Sum64String(target)*0x9e3779b97f4a7c15
 	h ^= h >> 29
 	h *= 0xbf58476d1ce4e5b9
 	h ^= h >> 32
@@ -298,7 +304,7 @@
 
 // isCanary reports whether a session may move in the first half of a rollout.
 func (g *Gateway) isCanary(r *rolloutState, key release.SessionKey) bool {
-	return position(key.ID, r.Revision) < g.bounds.Load().ExposureShare
+	return position(key.ID, r.Target) < g.bounds.Load().ExposureShare
 }
 
 // broadcastSessions informs the peers about the sessions in use that may move.
@@ -343,10 +349,19 @@
 	return []peers.Evidence{message("", r.own.Old), message(r.Target, r.own.Target)}
 }
 
+// isSameRollout reports whether evidence is about this rollout. An order that was written
+// again after the store went back has another revision at entries that have started since.
+func (r *rolloutState) isSameRollout(e peers.Evidence) bool {
+	if e.Order == r.Revision {
+		return true
+	}
+	return fleet.Era(e.Order) != fleet.Era(r.Revision) && (e.Version == "" || e.Version == r.Target)
+}
+
 // mergeEvidence merges the counts of a peer. The caller must hold g.mu.
 func (g *Gateway) mergeEvidence(from string, e peers.Evidence) {
 	r := g.rollouts[e.Service]
-	if r == nil || r.Revision != e.Order {
+	if r == nil || !r.isSameRollout(e) {
 		return // the peer sends its counts again with each change
 	}
 	r.backdate(time.Now().Add(-time.Duration(e.ElapsedMS) * time.Millisecond))
--- a/gateway/rollouts_internal_test.go
+++ b/gateway/rollouts_internal_test.go
@@ -27,7 +27,7 @@
 	}
 	log := telemetry.Discard()
 	g := &Gateway{
-		Deps:     Deps{Log: log, Metrics: telemetry.NewMetrics(), Records: stubRecords{}, BootID: name},
+		Deps:     Deps{State: fleet.NewState(nil, time.Now), Log: log, Metrics: telemetry.NewMetrics(), Records: stubRecords{}, BootID: name},
 		rollouts: map[string]*rolloutState{"s": r},
 		hub:      peers.New(fleet.Peer{Name: name}, nil, nil, func() map[string]fleet.Peer { return nil }, log),
 	}
--- a/gateway/updates.go
+++ b/gateway/updates.go
@@ -169,7 +169,7 @@
 	}
 	if len(adopted) > 0 {
 		g.Log.Info("Took changes of the store from a peer.", "peer", from.Name, "changes", len(adopted),
-			"revision", r.Revision, "age_ms", r.AgeMS)
+			"revision", fleet.StoreRevision(r.Revision), "era", fleet.Era(r.Revision), "age_ms", r.AgeMS)
 	}
 }
 
