ledger, gateway: write charges again that the store has lost

Cause: charges that the store had acknowledged were forgotten; when it went back to an earlier copy, the requests of its last seconds were not billed.

Change: the writer keeps durable rows for a minute and queues them again in a new era; rows that the store still has are merged with them. Not covered: an entry that ends between the acknowledgement and the loss.

Tests: TestRequeue, TestChargesAfterStoreWentBack (before: "both requests are charged" not within 20 s).

--- a/gateway/charges.go
+++ b/gateway/charges.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"sync"
 	"time"
 
 	"hyssoploom/fleet"
@@ -20,6 +21,11 @@
 	maxChargeWriteRate = 0.6
 	// chargeFlushTimeout limits the write of the last charges at shutdown.
 	chargeFlushTimeout = 350 * time.Millisecond
+	// chargeRetention is how long written charges are kept in case the store goes back to
+	// an earlier copy, which is some seconds old.
+	chargeRetention = time.Minute
+	// eraCheckInterval is the interval of the checks whether the store has gone back.
+	eraCheckInterval = 500 * time.Millisecond
 	// maxUnreplicated limits the charges that wait to be copied to a peer; charges
 	// beyond it are only in this entry's own queue.
 	maxUnreplicated = 5000
@@ -41,7 +47,7 @@
 	g.bootID = bootID
 	g.ledger = ledger.NewWriter(store, bootID, func() time.Duration {
 		return supervise.SharedInterval(minChargeBatchWindow, g.EntryCount(), maxChargeWriteRate)
-	})
+	}, ledger.WithRetention(chargeRetention))
 	g.ledger.OnDurable = g.sendDurable
 	g.peerCharges = ledger.NewRowBuffer(g.ledger)
 	g.peerChargeOwners = make(map[string]string)
@@ -195,7 +201,23 @@
 }
 
 // ServeLedger writes charges until ctx is done.
-func (g *Gateway) ServeLedger(ctx context.Context) error { return g.ledger.Serve(ctx) }
+func (g *Gateway) ServeLedger(ctx context.Context) error {
+	var watcher sync.WaitGroup
+	watcher.Go(func() { g.requeueLostCharges(ctx) })
+	defer watcher.Wait()
+	return g.ledger.Serve(ctx)
+}
+
+// requeueLostCharges writes the last charges again each time the store has gone back to an
+// earlier copy.
+func (g *Gateway) requeueLostCharges(ctx context.Context) {
+	for era := g.Store.Era(); ctx.Err() == nil; sleep(ctx, eraCheckInterval) {
+		if now := g.Store.Era(); now != era {
+			era = now
+			g.Log.Info("The store has gone back to an earlier copy; charges are written again.", "era", era, "charges", g.ledger.Requeue())
+		}
+	}
+}
 
 // flushCharges writes the remaining charges at shutdown. A peer keeps its copies of
 // those that cannot be written.
--- a/gateway/restore_test.go
+++ b/gateway/restore_test.go
@@ -109,6 +109,21 @@
 	}
 }
 
+// Guards against charges that are lost with the store's changes, or made twice.
+func TestChargesAfterStoreWentBack(t *testing.T) {
+	store := newStore(t)
+	register(store, "app", ownDC, fake.NewBackendServer(t, "i-app", fake.Respond(200, "answer")))
+	e := start(t, store, "e1")
+	e.awaitServers(1)
+	copied := store.Copy()
+	e.send("GET", "/look/a", "", "X-Request-Id", "first")
+	charged := func() int { return len(rows(t, store)) }
+	eventually(t, "the request is charged", func() bool { return charged() == 1 })
+	store.GoBack(copied)
+	e.send("GET", "/look/a", "", "X-Request-Id", "second")
+	eventually(t, "both requests are charged", func() bool { return charged() == 2 })
+}
+
 // Guards against a part of a prompt that crashes engines and is no longer blocked for
 // entries that start after the store has lost the block.
 func TestBlocksAfterStoreWentBack(t *testing.T) {
--- a/ledger/writer.go
+++ b/ledger/writer.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -44,6 +45,8 @@
 	bootID  string
 	window  func() time.Duration
 	maxRows int
+	// retention is how long durable rows are kept for Requeue.
+	retention time.Duration
 
 	wake       chan struct{} // holds a value if rows are waiting
 	commitSlot chan struct{} // holds a value if no commit is running
@@ -54,9 +57,16 @@
 	queue      []*pendingRow // the rows of waiting, oldest first
 	batch      *batch        // taken from the queue and not yet durable
 	nextNumber uint64        // number of the next batch
+	retained   []retainedRow // durable rows, oldest first
 	stats      Stats
 }
 
+// retainedRow is a row that became durable at a time.
+type retainedRow struct {
+	row Row
+	at  time.Time
+}
+
 // pendingRow is a row that is not yet durable.
 type pendingRow struct {
 	row   Row
@@ -97,6 +107,9 @@
 // DefaultMaxRows.
 func WithMaxRows(n int) WriterOption { return func(w *Writer) { w.maxRows = n } }
 
+// WithRetention sets how long durable rows are kept for Requeue. The default is not at all.
+func WithRetention(d time.Duration) WriterOption { return func(w *Writer) { w.retention = d } }
+
 // NewWriter returns a Writer whose batches are stored under bootID. window returns
 // the minimum time between the starts of two commits of Serve; nil means
 // DefaultWindow.
@@ -137,6 +150,30 @@
 	return p.done
 }
 
+// Requeue queues the durable rows of the retention again, because the store may have lost
+// them, and returns their number. Rows that it still has are merged with them.
+func (w *Writer) Requeue() int {
+	w.mu.Lock()
+	w.pruneRetained()
+	rows := w.retained
+	w.retained = nil
+	w.mu.Unlock()
+	for _, r := range rows {
+		w.Add(r.row)
+	}
+	return len(rows)
+}
+
+// pruneRetained drops the retained rows that are too old or too many. The caller holds
+// w.mu.
+func (w *Writer) pruneRetained() {
+	cut := max(len(w.retained)-w.maxRows, 0)
+	for cut < len(w.retained) && time.Since(w.retained[cut].at) > w.retention {
+		cut++
+	}
+	w.retained = slices.Delete(w.retained, 0, cut)
+}
+
 // wakeServe makes Serve run a commit.
 func (w *Writer) wakeServe() {
 	select {
@@ -328,11 +365,16 @@
 		w.wakeServe()
 	}
 	keys := make([]RowKey, 0, len(b.rows))
+	now := time.Now()
 	for _, p := range b.rows {
+		if w.retention > 0 {
+			w.retained = append(w.retained, retainedRow{p.row, now})
+		}
 		if _, newerWaiting := w.waiting[p.row.Key()]; !newerWaiting {
 			keys = append(keys, p.row.Key())
 		}
 	}
+	w.pruneRetained()
 	return keys
 }
 
--- a/ledger/writer_test.go
+++ b/ledger/writer_test.go
@@ -305,3 +305,57 @@
 		requireStored(t, store, rowSetOf(row(1, 20)))
 	})
 }
+
+// Guards against rows that the store has lost and that are not written again, and against
+// rows that are kept for longer than the retention or beyond the limit.
+func TestRequeue(t *testing.T) {
+	const retention = 200 * time.Millisecond
+	store := &lossyStore{values: make(map[string][]byte)}
+	w := NewWriter(store, "boot", nil, WithRetention(retention), WithMaxRows(3))
+	add := func(id string) { w.Add(Row{Workspace: "w", RequestID: id, Amount: 1}) }
+	flush := func() {
+		t.Helper()
+		if err := w.Flush(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	add("a")
+	add("b")
+	flush()
+	store.values = make(map[string][]byte) // the store has gone back
+	if n := w.Requeue(); n != 2 {
+		t.Errorf("%d rows queued again, want 2", n)
+	}
+	flush()
+	if len(store.values) != 1 {
+		t.Errorf("%d batches in the store", len(store.values))
+	}
+	for _, id := range []string{"c", "d"} {
+		add(id)
+		flush()
+	}
+	if n := w.Requeue(); n != 3 {
+		t.Errorf("%d rows queued again, want the limit of 3", n)
+	}
+	flush()
+	time.Sleep(2 * retention)
+	if n := w.Requeue(); n != 0 {
+		t.Errorf("%d rows queued again after the retention", n)
+	}
+}
+
+// lossyStore keeps values without conditions.
+type lossyStore struct{ values map[string][]byte }
+
+func (s *lossyStore) Get(_ context.Context, key string) (dialect.KV, error) {
+	value, ok := s.values[key]
+	if !ok {
+		return dialect.KV{}, dialect.ErrNotFound
+	}
+	return dialect.KV{Key: key, Value: value}, nil
+}
+
+func (s *lossyStore) CompareAndSwap(_ context.Context, w dialect.Write) (uint64, error) {
+	s.values[w.Key] = w.Value
+	return 1, nil
+}
