--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -253,6 +253,7 @@
 	meta := c.g.Protocol.ReadResponse(response.Status, response.Header, t.server.ID)
 	if !meta.WrongServer {
 		c.g.observeLimit(&t, &meta, started)
+		c.g.observeSignals(&t, &meta)
 	}
 	if meta.NotRun {
 		if meta.WrongServer {
@@ -325,6 +326,8 @@
 		c.reject(http.StatusServiceUnavailable, ReasonPartBlocked, c.blockedFor)
 	case c.limitedFor > 0:
 		c.reject(http.StatusServiceUnavailable, ReasonServersLimited, c.limitedFor)
+	case c.refusedFor > 0:
+		c.rejectExactly(http.StatusServiceUnavailable, ReasonServersRefuse, c.refusedFor)
 	case c.progress.Received > 0:
 		c.reject(http.StatusServiceUnavailable, ReasonRejectedByServers, transientRetryAfter)
 	default:
--- a/gateway/candidates.go
+++ b/gateway/candidates.go
@@ -81,6 +81,7 @@
 			servers = append(servers, s)
 		}
 	}
+	servers = c.filterBySignals(servers, now)
 	servers = c.filterByLimit(c.filterByVersion(servers, now, entries), now)
 	candidates := make([]placing.Candidate, len(servers))
 	for i, s := range servers {
--- a/gateway/load.go
+++ b/gateway/load.go
@@ -49,6 +49,8 @@
 	limitReportedAt time.Time
 	// crashCheck is the last check whether the server has crashed; nil before the first.
 	crashCheck *crashCheck
+	// signals is what the server has said of itself.
+	signals serverSignals
 	// staleAddress is the address at which a different server responded.
 	staleAddress string
 	cache        *prefixCache
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -67,6 +67,10 @@
 	// entries together; RequestsPerSecond is this limit.
 	Limited           bool
 	RequestsPerSecond float64
+	// Leaving is set if the server says that it will end. RefusesFor is the time for which
+	// it wants no requests of this entry, 0 if it does not say so.
+	Leaving    bool
+	RefusesFor time.Duration
 	// Confidence is the model's confidence in its response, from 0 to 100; -1 if it
 	// reports none.
 	Confidence int
