fleet: the status of a new roll-out is not taken for an earlier copy

Found while the change was read again: after the store had lost the outcome of a roll-out, the status of the next one was held for a copy of the last one's; each entry would have published it again every half second, and a roll-back of the new version would not have been taken over.

Cause: a final outcome was kept against any other status of the service. Now the known status is kept while it is about the known order.

Test: TestStatusOfNewRolloutAfterLostOutcome (failed before).

--- a/fleet/restore.go
+++ b/fleet/restore.go
@@ -25,6 +25,7 @@
 // isEarlierCopy reports whether an item of a newer era may be the copy of an older state
 // than the known one, and the known one is to be kept for a while. Where a mistake would
 // send requests to a backend server that is to get none, the safe state is adopted at once.
+// The status of a rollout is kept while it is about the known order: its outcome is final.
 func (s *State) isEarlierCopy(known, item Item, update Update) bool {
 	if Era(item.Revision) <= Era(known.Revision) || known.Deleted == item.Deleted && bytes.Equal(known.Value, item.Value) {
 		return false
@@ -36,8 +37,11 @@
 	case OrderUpdate, OrderRemoved:
 		return older
 	case StatusUpdate:
-		decided := s.view.Statuses[u.Status.Service].Outcome
-		return older || decided.Final() && u.Status.Outcome != decided
+		status := s.view.Statuses[u.Status.Service]
+		if u.Status.Target == status.Target {
+			return status.Outcome.Final() && u.Status.Outcome != status.Outcome
+		}
+		return status.Target == s.view.Orders[u.Status.Service].Target
 	case ServerUpdate:
 		if u.Server.Draining {
 			return false
--- a/fleet/restore_test.go
+++ b/fleet/restore_test.go
@@ -173,6 +173,29 @@
 	}
 }
 
+// Guards against the status of a new rollout that is taken for an earlier copy of the last
+// one's, so that the entries publish it again and again.
+func TestStatusOfNewRolloutAfterLostOutcome(t *testing.T) {
+	for _, outcome := range []Outcome{InProgress, Completed, RolledBack} {
+		clock := &clock{now: time.Unix(1000, 0)}
+		state := NewState(operatorDecoder{}, clock.Now, "")
+		store := newGoingBackStore()
+		state.Apply([]Item{store.write("o/app", "v2"), store.write("st/app", "v2 in_progress")})
+		copied := store.copy()
+		state.Apply([]Item{store.write("st/app", "v2 completed")})
+		store.goBack(copied)
+		items, revision := store.list("")
+		state.Replace("", items, revision)
+		if !state.Lost("st/app") || describe(state.View()) != "v2 completed" {
+			t.Fatalf("the outcome is not kept: %q", describe(state.View()))
+		}
+		state.Apply([]Item{store.write("o/app", "v3"), store.write("st/app", "v3 "+string(outcome))})
+		if got, want := describe(state.View()), "v3 "+string(outcome); got != want || state.Lost("st/app") {
+			t.Errorf("%q, lost %v; want %q", got, state.Lost("st/app"), want)
+		}
+	}
+}
+
 // Guards against an entry that differs from the store for good after it has gone back
 // several times, whatever the order of changes, copies, listings and peers' news.
 func TestEntriesConvergeAfterStoreGoesBack(t *testing.T) {
