gateway: bound the cost of the comparison by route

The versions are compared at most every 50 ms, and entries tell each other the answers on routes on which the new version has answers, instead of all routes of the service.

--- a/gateway/routeevidence.go
+++ b/gateway/routeevidence.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"time"
+
 	"hyssoploom/attempt"
 	"hyssoploom/fleet"
 	"hyssoploom/peers"
@@ -14,6 +16,9 @@
 	// maxRolloutRoutes is the number of routes that an entry counts apart in a rollout; the
 	// others are counted together, under an empty name.
 	maxRolloutRoutes = 64
+	// suspicionInterval is the least time between two comparisons of the versions, which
+	// take some tenths of a millisecond in a large fleet.
+	suspicionInterval = 50 * time.Millisecond
 )
 
 // rolloutRoutes holds the answers of both versions of a rollout by route.
@@ -23,9 +28,13 @@
 	own    release.RouteEvidence
 	// ended is the evidence of processes that have ended.
 	ended release.RouteEvidence
-	// changed is set when suspicion does not include the latest answers.
-	changed   bool
-	suspicion release.Suspicion
+	// changed is set when suspicion does not include the latest answers; comparedAt is when
+	// it was last computed.
+	changed    bool
+	comparedAt time.Time
+	suspicion  release.Suspicion
+	// tested holds the routes on which the new version has answers.
+	tested map[string]bool
 }
 
 // routeHistory returns the answers so far of the routes that only a service serves.
@@ -99,11 +108,16 @@
 
 // suspicion compares the versions by the answers of all entries.
 func (r *rolloutState) suspicion() release.Suspicion {
-	if !r.routes.changed {
+	now := time.Now()
+	if !r.routes.changed || now.Sub(r.routes.comparedAt) < suspicionInterval {
 		return r.routes.suspicion
 	}
-	r.routes.changed = false
-	r.routes.suspicion = r.routeEvidence().Suspicion()
+	all := r.routeEvidence()
+	r.routes.changed, r.routes.comparedAt, r.routes.suspicion = false, now, all.Suspicion()
+	r.routes.tested = make(map[string]bool)
+	for route, record := range all {
+		r.routes.tested[route] = record.Target != [release.TimeSlices]release.RouteAnswers{}
+	}
 	return r.routes.suspicion
 }
 
@@ -128,10 +142,14 @@
 	r.ended.Merge(peer.target)
 }
 
-// routeMessages returns this entry's answers of one version by route.
+// routeMessages returns this entry's answers of one version on the routes on which the new
+// version has answers; only there are the versions compared.
 func (r *rolloutState) routeMessages(target bool) []peers.RouteCounts {
 	var messages []peers.RouteCounts
 	for route, record := range r.routes.own {
+		if !r.routes.tested[route] && record.Target == [release.TimeSlices]release.RouteAnswers{} {
+			continue
+		}
 		slices := record.Old
 		var counts [][4]int
 		if target {
