--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -10,6 +10,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // verdict is the result of a case.
@@ -26,7 +28,7 @@
 
 // zonesOf holds the zones of the entries of each case.
 var zonesOf = map[string][]string{
-	"removed-runner": {"maule-a", "maule-a", "maule-a", "biobio-a", "coquimbo-a"},
+	"removed-runner": {"maule-a", "maule-a", "maule-a", "biobio-a", "biobio-a", "coquimbo-a", "coquimbo-a"},
 	"second-sigterm": {"maule-a", "biobio-a"},
 	"large-bodies":   {"maule-a"},
 }
@@ -46,6 +48,13 @@
 		return 2
 	}
 	defer f.close()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-signals
+		f.close()
+		os.Exit(2)
+	}()
 	v, err := cases[name](f, os.Getenv("TROUBLE") != "0")
 	if err != nil {
 		f.journal.printf("the case could not run: %v", err)
