fleet, gateway: a copy is complete only if its source knows the removals

Cause: entries take changes of the store over from the one that reads it. A process that has listed the store knows which keys exist, but not which were removed before, and so has no tombstones of them. Its replies to sync requests held the items that it knew to be newer, and the revision up to which its copy was complete; the receiver took that as all changes up to this revision, kept the removed keys, marked its copy fresh and went on from that revision when it read the store itself. The same after a listing because of a compaction.

The links between entries dropped nothing and no later item displaced a tombstone.

Change: a copy knows the revision after which it has followed all removals: that of the last listing, or of the peer's keys that it took over. A reply to a question about an earlier revision lists all keys that exist, and the receiver removes the others. A reply without this knowledge, as an older process sends it, changes keys but completes nothing, so that the entry reads the store itself. The log line of such a reply says from which revision on it is, whether it lists keys, and how many were removed.

--- /dev/null
+++ b/fleet/changes.go
@@ -0,0 +1,195 @@
+package fleet
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// Processes take over changes from each other's copies of the store. That a copy lacks a
+// key says nothing by itself: its process may have listed the store after the key was
+// removed, and has then never seen the removal. A process therefore knows from which
+// revision on it has followed all removals. For earlier revisions it names the keys that
+// exist, and the receiver removes the others.
+
+// Changes are the changes of a process's copy of the store after a revision.
+type Changes struct {
+	// Since is the revision after which the changes are.
+	Since int64
+	// Items holds the newest item of each key that has changed, tombstones included.
+	Items []Item
+	// Prefixes describes the copy under each prefix. It is empty if Items may not be all
+	// changes.
+	Prefixes []PrefixChanges
+}
+
+// PrefixChanges describes the changes of the keys under a prefix.
+type PrefixChanges struct {
+	Prefix string
+	// Complete is the revision up to which all changes are known, 0 if the store has not
+	// been read.
+	Complete int64
+	// KeysListed means that not all removals after Changes.Since are known, and that Keys
+	// holds all keys that exist.
+	KeysListed bool
+	Keys       []string
+}
+
+// Complete returns the revision up to which all changes under all prefixes are known.
+func (c Changes) Complete() int64 {
+	if len(c.Prefixes) == 0 {
+		return 0
+	}
+	return slices.MinFunc(c.Prefixes, func(a, b PrefixChanges) int { return cmp.Compare(a.Complete, b.Complete) }).Complete
+}
+
+// KeysListed reports whether the keys under a prefix are listed.
+func (c Changes) KeysListed() bool {
+	return slices.ContainsFunc(c.Prefixes, func(p PrefixChanges) bool { return p.KeysListed })
+}
+
+// prefixCopy describes the copy of the keys under a prefix.
+type prefixCopy struct {
+	// complete is the revision up to which all changes are known.
+	complete int64
+	// removalsSince is the revision after which all removals are known.
+	removalsSince int64
+}
+
+// ChangesSince returns the changes after a revision.
+func (s *State) ChangesSince(revision int64) Changes {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := Changes{Since: revision, Items: s.itemsAfter(revision)}
+	for _, prefix := range slices.Sorted(maps.Keys(s.prefixes)) {
+		p := s.prefixes[prefix]
+		changes := PrefixChanges{Prefix: prefix, Complete: p.complete, KeysListed: revision < p.removalsSince}
+		if changes.KeysListed {
+			changes.Keys = s.keysUnder(prefix)
+		}
+		c.Prefixes = append(c.Prefixes, changes)
+	}
+	return c
+}
+
+// itemsAfter returns the items that are newer than a revision. Of a key whose known item the
+// store has lost it returns both that and the item of the store.
+func (s *State) itemsAfter(revision int64) []Item {
+	var items []Item
+	for key, item := range s.items {
+		if item.Revision > revision {
+			items = append(items, item)
+		}
+		if d, ok := s.disputed[key]; ok && d.item.Revision > revision {
+			items = append(items, d.item)
+		}
+	}
+	return items
+}
+
+// keysUnder returns the keys under a prefix that exist in the store.
+func (s *State) keysUnder(prefix string) []string {
+	var keys []string
+	for key, item := range s.items {
+		if d, ok := s.disputed[key]; ok {
+			item = d.item
+		}
+		if !item.Deleted && strings.HasPrefix(key, prefix) {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+// RevisionsAfter returns the revisions of at most limit items that are newer than a
+// revision, by key.
+func (s *State) RevisionsAfter(revision int64, limit int) map[string]int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	items := s.itemsAfter(revision)
+	if len(items) == 0 {
+		return nil
+	}
+	revisions := make(map[string]int64)
+	for _, item := range items[:min(len(items), limit)] {
+		revisions[item.Key] = max(revisions[item.Key], item.Revision)
+	}
+	return revisions
+}
+
+// Merge applies changes of another process's copy. It returns the applied items and those
+// that could not be decoded. complete reports whether this copy now contains all that the
+// other one contains.
+func (s *State) Merge(c Changes) (adopted []Item, rejected []Rejected, complete bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	items := slices.Clip(c.Items)
+	var covered []PrefixChanges
+	for _, theirs := range c.Prefixes {
+		own := s.prefixes[theirs.Prefix]
+		if own == nil || theirs.Complete == 0 {
+			continue
+		}
+		covered = append(covered, theirs)
+		if theirs.KeysListed && theirs.Complete > own.complete {
+			items = append(items, s.removals(theirs.Prefix, theirs.Keys, theirs.Complete)...)
+		}
+	}
+	adopted, rejected = s.apply(items)
+	for _, theirs := range covered {
+		own := s.prefixes[theirs.Prefix]
+		if theirs.KeysListed && theirs.Complete > own.complete {
+			own.removalsSince = theirs.Complete
+		}
+		own.complete = max(own.complete, theirs.Complete)
+	}
+	return adopted, rejected, len(covered) == len(s.prefixes)
+}
+
+// removals returns tombstones for the known keys under a prefix that did not exist at a
+// revision. keys are those that existed.
+func (s *State) removals(prefix string, keys []string, revision int64) []Item {
+	exists := make(map[string]bool, len(keys))
+	for _, key := range keys {
+		exists[key] = true
+	}
+	var removed []Item
+	for key, known := range s.items {
+		if !strings.HasPrefix(key, prefix) || exists[key] {
+			continue
+		}
+		if d, ok := s.disputed[key]; ok && known.Deleted && d.item.Revision <= revision {
+			delete(s.disputed, key)
+		}
+		if !known.Deleted && known.Revision <= revision {
+			removed = append(removed, Item{Key: key, Revision: revision, Deleted: true})
+		}
+	}
+	return removed
+}
+
+// CompleteRevision returns the revision up to which all changes under all prefixes are
+// known.
+func (s *State) CompleteRevision() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	least, first := int64(0), true
+	for _, p := range s.prefixes {
+		if first || p.complete < least {
+			least, first = p.complete, false
+		}
+	}
+	return least
+}
+
+// CompleteRevisionUnder returns the revision up to which all changes under a prefix of
+// the state are known.
+func (s *State) CompleteRevisionUnder(prefix string) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p := s.prefixes[prefix]; p != nil {
+		return p.complete
+	}
+	return 0
+}
--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -154,7 +154,6 @@
 	f.recordRecovery()
 	adopted, rejected := f.state.Replace(f.prefix, items, revision)
 	f.logRejected(rejected)
-	f.state.MarkComplete(f.prefix, revision)
 	f.markFresh(started)
 	f.log.Info("Listed the store.", "prefix", f.prefix, "revision", StoreRevision(revision), "era", Era(revision),
 		"items", len(items), "changed", len(adopted), "lost", f.state.LostUnder(f.prefix))
@@ -171,9 +170,8 @@
 		return after, err
 	}
 	f.recordRecovery()
-	adopted, rejected := f.state.Apply(events)
+	adopted, rejected := f.state.Advance(f.prefix, events, revision)
 	f.logRejected(rejected)
-	f.state.MarkComplete(f.prefix, revision)
 	if f.OnChange != nil && len(adopted) > 0 {
 		f.OnChange(adopted)
 	}
--- a/fleet/restore_test.go
+++ b/fleet/restore_test.go
@@ -208,7 +208,6 @@
 		list := func(state *State) {
 			items, revision := store.list("")
 			state.Replace("", items, revision)
-			state.MarkComplete("", revision)
 		}
 		version := 1
 		change := func() Item {
@@ -252,8 +251,7 @@
 				states[rng.IntN(len(states))].Apply([]Item{event})
 			}
 			from, to := rng.IntN(len(states)), rng.IntN(len(states))
-			news, _ := states[from].ItemsSince(states[to].CompleteRevision())
-			states[to].Apply(news)
+			states[to].Merge(states[from].ChangesSince(states[to].CompleteRevision()))
 			for _, state := range states {
 				list(state)
 			}
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 )
@@ -24,15 +23,15 @@
 	decoder Decoder
 	now     func() time.Time
 
-	mu                sync.Mutex
-	items             map[string]Item // newest item of each key, tombstones included
-	view              View
-	cachedView        *View // nil when view has changed since
-	expired           map[string]time.Time
-	disputed          map[string]disputedItem // by key, see isEarlierCopy
-	storeRecoveredAt  time.Time               // end of the last store outage
-	completeRevisions map[string]int64        // by prefix: revision up to which all changes are known
-	changed           chan struct{}
+	mu               sync.Mutex
+	items            map[string]Item // newest item of each key, tombstones included
+	view             View
+	cachedView       *View // nil when view has changed since
+	expired          map[string]time.Time
+	disputed         map[string]disputedItem // by key, see isEarlierCopy
+	storeRecoveredAt time.Time               // end of the last store outage
+	prefixes         map[string]*prefixCopy
+	changed          chan struct{}
 }
 
 // View is an immutable snapshot of the deployment's state. All maps are read-only.
@@ -60,18 +59,14 @@
 // NewState returns an empty state. For each of the prefixes it tracks the revision up
 // to which all changes are known.
 func NewState(decoder Decoder, now func() time.Time, prefixes ...string) *State {
-	completeRevisions := make(map[string]int64)
-	for _, prefix := range prefixes {
-		completeRevisions[prefix] = 0
-	}
-	return &State{
-		completeRevisions: completeRevisions,
-		decoder:           decoder,
-		now:               now,
-		items:             make(map[string]Item),
-		expired:           make(map[string]time.Time),
-		disputed:          make(map[string]disputedItem),
-		changed:           make(chan struct{}),
+	s := &State{
+		decoder:  decoder,
+		now:      now,
+		items:    make(map[string]Item),
+		expired:  make(map[string]time.Time),
+		disputed: make(map[string]disputedItem),
+		prefixes: make(map[string]*prefixCopy),
+		changed:  make(chan struct{}),
 		view: View{
 			Servers:      make(map[string]*BackendServer),
 			OutOfService: make(map[string]bool),
@@ -81,6 +76,10 @@
 			Peers:        make(map[string]Peer),
 		},
 	}
+	for _, prefix := range prefixes {
+		s.prefixes[prefix] = &prefixCopy{}
+	}
+	return s
 }
 
 // View returns a snapshot of the current state.
@@ -116,27 +115,32 @@
 	return s.apply(items)
 }
 
+// Advance applies all changes under a prefix up to a revision that the copy lacks.
+func (s *State) Advance(prefix string, changes []Item, revision int64) (adopted []Item, rejected []Rejected) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	adopted, rejected = s.apply(changes)
+	if p := s.prefixes[prefix]; p != nil {
+		p.complete = max(p.complete, revision)
+	}
+	return adopted, rejected
+}
+
 // Replace applies a complete listing of the keys under a prefix, read while the store
 // was at the given revision or later. Known keys that are missing from the listing are
 // deleted, unless their revision is higher.
-func (s *State) Replace(prefix string, items []Item, revision int64) (adopted []Item, rejected []Rejected) {
+func (s *State) Replace(prefix string, listed []Item, revision int64) (adopted []Item, rejected []Rejected) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	listed := make(map[string]bool, len(items))
-	for _, item := range items {
-		listed[item.Key] = true
+	keys := make([]string, len(listed))
+	for i, item := range listed {
+		keys[i] = item.Key
 	}
-	for key, known := range s.items {
-		if strings.HasPrefix(key, prefix) && !listed[key] && !known.Deleted && known.Revision <= revision {
-			items = append(items, Item{Key: key, Revision: revision, Deleted: true})
-		}
+	removed := s.removals(prefix, keys, revision)
+	if p := s.prefixes[prefix]; p != nil && revision > p.complete {
+		p.complete, p.removalsSince = revision, revision
 	}
-	for key, d := range s.disputed {
-		if strings.HasPrefix(key, prefix) && !listed[key] && s.items[key].Deleted && d.item.Revision <= revision {
-			delete(s.disputed, key)
-		}
-	}
-	adopted, rejected = s.apply(items)
+	adopted, rejected = s.apply(slices.Concat(listed, removed))
 	s.view.Revision = max(s.view.Revision, revision)
 	return adopted, rejected
 }
@@ -260,57 +264,6 @@
 	s.storeRecoveredAt = s.now()
 }
 
-// CompleteRevision returns the revision up to which all changes under all prefixes are
-// known.
-func (s *State) CompleteRevision() int64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.completeRevisionLocked()
-}
-
-func (s *State) completeRevisionLocked() int64 {
-	least, first := int64(0), true
-	for _, revision := range s.completeRevisions {
-		if first || revision < least {
-			least, first = revision, false
-		}
-	}
-	return least
-}
-
-// CompleteRevisionUnder returns the revision up to which all changes under a prefix of
-// the state are known.
-func (s *State) CompleteRevisionUnder(prefix string) int64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.completeRevisions[prefix]
-}
-
-// MarkComplete records that all changes under a prefix up to a revision have been
-// applied. The empty prefix means all prefixes.
-func (s *State) MarkComplete(prefix string, revision int64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for p := range s.completeRevisions {
-		if prefix == "" || prefix == p {
-			s.completeRevisions[p] = max(s.completeRevisions[p], revision)
-		}
-	}
-}
-
-// ItemsSince returns the newest item of each key that changed after a revision,
-// including tombstones, and the revision up to which all changes are known.
-func (s *State) ItemsSince(revision int64) (items []Item, complete int64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, item := range s.items {
-		if item.Revision > revision {
-			items = append(items, item)
-		}
-	}
-	return items, s.completeRevisionLocked()
-}
-
 // Item returns the newest item of a key in the store. ok is false when the key is unknown
 // or deleted.
 func (s *State) Item(key string) (item Item, ok bool) {
--- a/fleet/state_test.go
+++ b/fleet/state_test.go
@@ -166,14 +166,13 @@
 }
 
 // Guards against changes or tombstones that are missing from a reply to a peer.
-func TestItemsSince(t *testing.T) {
+func TestChangesSince(t *testing.T) {
 	s, _ := newTestState()
 	s.Apply([]Item{item("s/a", "ready", 3), item("s/b", "ready", 5), {Key: "s/c", Revision: 6, Deleted: true}})
-	s.MarkComplete("", 4)
-	s.MarkComplete("s/", 6)
-	items, complete := s.ItemsSince(3)
-	if len(items) != 2 || complete != 4 {
-		t.Errorf("items %v, complete up to %d", items, complete)
+	s.Advance("c", nil, 4)
+	s.Advance("s/", nil, 6)
+	if c := s.ChangesSince(3); len(c.Items) != 2 || c.Complete() != 4 {
+		t.Errorf("items %v, complete up to %d", c.Items, c.Complete())
 	}
 }
 
--- a/gateway/updates.go
+++ b/gateway/updates.go
@@ -128,9 +128,9 @@
 	if !known {
 		return
 	}
-	items, complete := g.State.ItemsSince(request.Revision)
-	items = missingItems(items, request.KnownRevisions)
-	reply := &peers.Reply{RequestSentAt: request.SentAt, AgeMS: age.Milliseconds() + 1, Revision: complete, Items: items}
+	changes := g.State.ChangesSince(request.Revision)
+	reply := &peers.Reply{RequestSentAt: request.SentAt, AgeMS: age.Milliseconds() + 1, Revision: changes.Complete(),
+		Items: missingItems(changes.Items, request.KnownRevisions), Since: changes.Since, Prefixes: changes.Prefixes}
 	if serversAge, known := g.ServersFresh.Age(); known {
 		reply.ServersAgeMS = serversAge.Milliseconds() + 1
 	}
@@ -147,17 +147,18 @@
 
 // applyReply applies a peer's newer copy of the store.
 func (g *Gateway) applyReply(from fleet.Peer, r *peers.Reply) {
-	adopted, rejected := g.State.Apply(r.Items)
+	adopted, rejected, complete := g.State.Merge(r.Changes())
 	for _, item := range rejected {
 		g.Log.Warn("Ignored an item that cannot be decoded.", "key", item.Key, "error", item.Err.Error())
 	}
-	if g.State.CompleteRevision() > r.Revision && len(r.Items) == 0 {
-		return // the peer is behind
+	if len(adopted) > 0 && r.RequestSentAt != 0 {
+		g.Log.Info("Took changes of the store from a peer.", "peer", from.Name, "changes", len(adopted), "removed", countRemoved(adopted),
+			"since", fleet.StoreRevision(r.Since), "revision", fleet.StoreRevision(r.Revision), "era", fleet.Era(r.Revision),
+			"keys_listed", r.Changes().KeysListed(), "complete", complete, "age_ms", r.AgeMS)
 	}
-	if r.RequestSentAt == 0 {
-		return // unsolicited changes do not show that the copy is up to date
+	if r.RequestSentAt == 0 || !complete {
+		return // this does not show that the copy is up to date
 	}
-	g.State.MarkComplete("", r.Revision)
 	freshAt := time.Duration(r.RequestSentAt) - time.Duration(r.AgeMS)*time.Millisecond
 	g.Fresh.MarkFresh(freshAt)
 	if r.ServersAgeMS > 0 {
@@ -167,22 +168,24 @@
 		g.peerVerifiedAt[from.Name] = max(g.peerVerifiedAt[from.Name], serversFreshAt)
 		g.mu.Unlock()
 	}
-	if len(adopted) > 0 {
-		g.Log.Info("Took changes of the store from a peer.", "peer", from.Name, "changes", len(adopted),
-			"revision", fleet.StoreRevision(r.Revision), "era", fleet.Era(r.Revision), "age_ms", r.AgeMS)
+}
+
+// countRemoved returns the number of tombstones.
+func countRemoved(items []fleet.Item) int {
+	n := 0
+	for _, item := range items {
+		if item.Deleted {
+			n++
+		}
 	}
+	return n
 }
 
 // requestSync sends a sync request to the entry that reads the store on behalf of this
 // one, and also to further peers while the own copy is old.
 func (g *Gateway) requestSync() {
 	request := &peers.SyncRequest{SentAt: int64(g.Fresh.Now()), Revision: g.State.CompleteRevision()}
-	if later, _ := g.State.ItemsSince(request.Revision); len(later) > 0 {
-		request.KnownRevisions = make(map[string]int64)
-		for _, item := range later[:min(len(later), maxKnownRevisions)] {
-			request.KnownRevisions[item.Key] = item.Revision
-		}
-	}
+	request.KnownRevisions = g.State.RevisionsAfter(request.Revision, maxKnownRevisions)
 	put := func(_ fleet.Peer, m *peers.Message) { m.SyncRequest = request }
 	if syncSource := g.syncSource(); syncSource.Name != g.Self.Name {
 		g.hub.Send(syncSource.Address, put)
--- a/peers/message.go
+++ b/peers/message.go
@@ -90,7 +90,7 @@
 }
 
 // Reply holds the items of the store that changed since the revision of a
-// SyncRequest.
+// SyncRequest, or changes of the store that the sender has read.
 type Reply struct {
 	// RequestSentAt is the SentAt of the request, so that the network delay can only
 	// make the copy look older than it is. It is 0 for unsolicited changes.
@@ -104,6 +104,16 @@
 	// ServersAgeMS is the time in milliseconds since the copy of the backend servers was
 	// last known to be complete, 0 if it never was.
 	ServersAgeMS int64
+	// Since and Prefixes are the fields of fleet.Changes of the same names. Prefixes is
+	// empty for unsolicited changes, and from entries that do not tell which removals they
+	// know.
+	Since    int64
+	Prefixes []fleet.PrefixChanges
+}
+
+// Changes returns the changes of the store that the reply holds.
+func (r *Reply) Changes() fleet.Changes {
+	return fleet.Changes{Since: r.Since, Items: r.Items, Prefixes: r.Prefixes}
 }
 
 // Load is the load of one entry on one backend server.
