fleet: a late message does not bring a removed key back

What callers would see: a process that has just restarted sends requests to a backend server that is gone, until it restarts again.

Cause: items were taken if the key was unknown or known with a lower revision. A process that has listed the store after a removal does not know the key, so it took the key from whatever said something older: a peer's answer to the question that the process asked before its listing, an unsolicited change on its way, a watch or a listing that ended after a peer's newer copy was taken over.

Change: a copy that is complete up to a revision takes no item up to this revision any more; by then the key has changed again or was removed. A listing that is at least as new as the copy is taken as it is.

TestRemovedKeysDoNotComeBack failed before for a late reply, change, watch and listing ("servers map[gone:... stays:...]").

--- a/fleet/changes.go
+++ b/fleet/changes.go
@@ -57,6 +57,16 @@
 	removalsSince int64
 }
 
+// prefixOf returns the copy to which a key belongs, nil if there is none.
+func (s *State) prefixOf(key string) *prefixCopy {
+	for prefix, p := range s.prefixes {
+		if strings.HasPrefix(key, prefix) {
+			return p
+		}
+	}
+	return nil
+}
+
 // ChangesSince returns the changes after a revision.
 func (s *State) ChangesSince(revision int64) Changes {
 	s.mu.Lock()
@@ -136,7 +146,7 @@
 			items = append(items, s.removals(theirs.Prefix, theirs.Keys, theirs.Complete)...)
 		}
 	}
-	adopted, rejected = s.apply(items)
+	adopted, rejected = s.apply(s.withoutOutdated(items))
 	for _, theirs := range covered {
 		own := s.prefixes[theirs.Prefix]
 		if theirs.KeysListed && theirs.Complete > own.complete {
@@ -169,6 +179,15 @@
 	return removed
 }
 
+// withoutOutdated returns the items that are newer than the revision up to which the copy is
+// complete. Others say nothing new: their keys have changed again, or were removed.
+func (s *State) withoutOutdated(items []Item) []Item {
+	return slices.DeleteFunc(slices.Clone(items), func(item Item) bool {
+		p := s.prefixOf(item.Key)
+		return p != nil && item.Revision <= p.complete
+	})
+}
+
 // CompleteRevision returns the revision up to which all changes under all prefixes are
 // known.
 func (s *State) CompleteRevision() int64 {
--- a/fleet/changes_test.go
+++ b/fleet/changes_test.go
@@ -156,3 +156,30 @@
 		})
 	}
 }
+
+// Guards against a removed key that comes back from a peer that still has it, or from a late
+// message, at a process that has not seen or no longer remembers the removal.
+func TestRemovedKeysDoNotComeBack(t *testing.T) {
+	store := newRecordingStore()
+	added := store.put("s/gone", "ready")
+	stale := newCopy(time.Now)
+	listInto(stale, store)
+	late := stale.ChangesSince(0)
+	store.put("s/gone", "")
+	store.put("s/stays", "ready")
+	for name, deliver := range map[string]func(*State){
+		"late reply":       func(s *State) { s.Merge(late) },
+		"late change":      func(s *State) { s.Apply([]Item{added}) },
+		"late watch":       func(s *State) { s.Advance("s/", []Item{added}, added.Revision) },
+		"late listing":     func(s *State) { s.Replace("s/", []Item{added}, added.Revision) },
+		"stale peer":       func(s *State) { ask(s, stale) },
+		"stale peer twice": func(s *State) { ask(s, stale); ask(s, stale) },
+	} {
+		restarted := newCopy(time.Now)
+		listInto(restarted, store)
+		deliver(restarted)
+		if v := restarted.View(); v.Servers["gone"] != nil || v.Servers["stays"] == nil {
+			t.Errorf("%s: servers %v", name, v.Servers)
+		}
+	}
+}
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -112,14 +112,14 @@
 func (s *State) Apply(items []Item) (adopted []Item, rejected []Rejected) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.apply(items)
+	return s.apply(s.withoutOutdated(items))
 }
 
 // Advance applies all changes under a prefix up to a revision that the copy lacks.
 func (s *State) Advance(prefix string, changes []Item, revision int64) (adopted []Item, rejected []Rejected) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	adopted, rejected = s.apply(changes)
+	adopted, rejected = s.apply(s.withoutOutdated(changes))
 	if p := s.prefixes[prefix]; p != nil {
 		p.complete = max(p.complete, revision)
 	}
@@ -137,8 +137,12 @@
 		keys[i] = item.Key
 	}
 	removed := s.removals(prefix, keys, revision)
-	if p := s.prefixes[prefix]; p != nil && revision > p.complete {
-		p.complete, p.removalsSince = revision, revision
+	if p := s.prefixes[prefix]; p != nil {
+		if revision < p.complete {
+			listed = s.withoutOutdated(listed)
+		} else if revision > p.complete {
+			p.complete, p.removalsSince = revision, revision
+		}
 	}
 	adopted, rejected = s.apply(slices.Concat(listed, removed))
 	s.view.Revision = max(s.view.Revision, revision)
