fleet: a reply to the previous process does not complete a copy

What callers would see: an entry that has restarted lacks routes, keys or backend servers, takes its copy for fresh, and passes it on; for good, if the store is down at that time.

Cause: a sync request that a process sent before it ended can be answered over the link to its successor at the same address. The reply holds the changes after a revision that the predecessor had reached, and the successor's copy counted as complete up to the reply's revision without the keys before.

Change: a reply says after which revision its changes are, and completes only a copy that is complete up to there.

TestChangesThatDoNotCompleteACopy failed before ("a reply to the process before completed the copy"), as did TestCopiesEqualTheStore on seed 1 ("e/b is missing"). The latter compares three copies with what the store contained at the revision up to which they are complete, key by key, after each of 60 random steps (changes, listings, watches, compactions, restarts, exchanges, late messages, returns to a copy); 2,000 seeds pass.

--- a/fleet/changes.go
+++ b/fleet/changes.go
@@ -15,7 +15,8 @@
 
 // Changes are the changes of a process's copy of the store after a revision.
 type Changes struct {
-	// Since is the revision after which the changes are.
+	// Since is the revision after which the changes are. Only a copy that is complete up
+	// to it becomes complete by applying them.
 	Since int64
 	// Items holds the newest item of each key that has changed, tombstones included.
 	Items []Item
@@ -138,7 +139,7 @@
 	var covered []PrefixChanges
 	for _, theirs := range c.Prefixes {
 		own := s.prefixes[theirs.Prefix]
-		if own == nil || theirs.Complete == 0 {
+		if own == nil || theirs.Complete == 0 || c.Since > own.complete {
 			continue
 		}
 		covered = append(covered, theirs)
--- a/fleet/changes_test.go
+++ b/fleet/changes_test.go
@@ -1,24 +1,38 @@
 package fleet
 
 import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 )
 
-// recordingStore is a store that remembers its changes.
+// recordingStore is a store that remembers what it contained at each revision.
 type recordingStore struct {
 	*goingBackStore
-	events    []Item // since the last compaction
-	compacted int64  // watches from earlier revisions fail
+	events    []Item                      // since the last compaction
+	compacted int64                       // watches from earlier revisions fail
+	contents  map[int64]map[string]string // by revision: value by key
 }
 
 func newRecordingStore() *recordingStore {
-	return &recordingStore{goingBackStore: newGoingBackStore()}
+	s := &recordingStore{goingBackStore: newGoingBackStore(), contents: make(map[int64]map[string]string)}
+	s.record()
+	return s
 }
 
 func (s *recordingStore) now() int64 { return RevisionInEra(s.era, s.revision) }
 
+func (s *recordingStore) record() {
+	content := make(map[string]string)
+	for key, item := range s.items {
+		content[key] = string(item.Value)
+	}
+	s.contents[s.now()] = content
+}
+
 // put writes a value, or removes the key if the value is empty.
 func (s *recordingStore) put(key, value string) Item {
 	event := Item{}
@@ -28,6 +42,7 @@
 		event = s.write(key, value)
 	}
 	s.events = append(s.events, event)
+	s.record()
 	return event
 }
 
@@ -35,6 +50,7 @@
 func (s *recordingStore) back(to *goingBackStore) {
 	s.goBack(to)
 	s.compact()
+	s.record()
 }
 
 // watch returns the changes after a revision. ok is false if they are not known any more.
@@ -53,6 +69,35 @@
 // compact forgets the history.
 func (s *recordingStore) compact() { s.events, s.compacted = nil, s.now() }
 
+// difference describes how the copy under a prefix differs from what the store contained at
+// the revision up to which the copy is complete. Keys in dispute are left out.
+func (s *recordingStore) difference(state *State, prefix string) string {
+	complete := state.prefixes[prefix].complete
+	content := s.contents[complete]
+	if complete == 0 {
+		return ""
+	}
+	if content == nil {
+		return fmt.Sprintf("there is no revision %d of era %d", StoreRevision(complete), Era(complete))
+	}
+	for key, item := range state.items {
+		_, disputed := state.disputed[key]
+		if !strings.HasPrefix(key, prefix) || disputed || item.Revision > complete {
+			continue
+		}
+		value, exists := content[key]
+		if exists == item.Deleted || exists && value != string(item.Value) {
+			return fmt.Sprintf("%s is %q, deleted %v; in the store %q", key, item.Value, item.Deleted, value)
+		}
+	}
+	for key := range content {
+		if _, known := state.items[key]; !known && strings.HasPrefix(key, prefix) {
+			return key + " is missing"
+		}
+	}
+	return ""
+}
+
 var copyPrefixes = []string{"s/", "e/"}
 
 // newCopy returns the state of a process that has not read anything.
@@ -157,6 +202,37 @@
 	}
 }
 
+// Guards against a peer's reply that makes a copy count as complete although it was made for
+// another copy, or does not tell which removals are known.
+func TestChangesThatDoNotCompleteACopy(t *testing.T) {
+	store := newRecordingStore()
+	store.put("s/a", "ready")
+	source, asked := newCopy(time.Now), newCopy(time.Now)
+	listInto(source, store)
+	listInto(asked, store)
+	for _, prefix := range copyPrefixes {
+		store.put("s/b", "ready")
+		follow(source, store, prefix)
+	}
+	reply := source.ChangesSince(asked.CompleteRevision())
+	restarted := newCopy(time.Now)
+	if _, _, complete := restarted.Merge(reply); complete || restarted.CompleteRevision() != 0 {
+		t.Error("a reply to the process before completed the copy")
+	}
+	untold := reply
+	untold.Prefixes = nil
+	if adopted, _, complete := asked.Merge(untold); complete || len(adopted) != 1 {
+		t.Errorf("changes that may not be all: adopted %v, complete %v", adopted, complete)
+	}
+	if _, _, complete := asked.Merge(reply); !complete || asked.CompleteRevision() != source.CompleteRevision() {
+		t.Error("the reply did not complete the copy that asked")
+	}
+	unread := newCopy(time.Now)
+	if ask(asked, unread) {
+		t.Error("a process that has not read the store completed a copy")
+	}
+}
+
 // Guards against a removed key that comes back from a peer that still has it, or from a late
 // message, at a process that has not seen or no longer remembers the removal.
 func TestRemovedKeysDoNotComeBack(t *testing.T) {
@@ -181,5 +257,101 @@
 		if v := restarted.View(); v.Servers["gone"] != nil || v.Servers["stays"] == nil {
 			t.Errorf("%s: servers %v", name, v.Servers)
 		}
+		if d := store.difference(restarted, "s/"); d != "" {
+			t.Errorf("%s: %s", name, d)
+		}
+	}
+}
+
+// Guards against copies that differ from what the store contained at the revision up to
+// which they are complete, whatever the order of changes, listings, watches, compactions,
+// restarts, exchanges, late messages and returns of the store to an earlier copy.
+func TestCopiesEqualTheStore(t *testing.T) {
+	seeds := uint64(2000)
+	if testing.Short() {
+		seeds = 200
+	}
+	for seed := range seeds {
+		playCopies(t, seed)
+		if t.Failed() {
+			return
+		}
+	}
+}
+
+// playCopies plays a random history with the given seed.
+func playCopies(t *testing.T, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 34))
+	clock := &clock{now: time.Unix(1000, 0)}
+	store := newRecordingStore()
+	copied := store.copy()
+	states := make([]*State, 3)
+	for i := range states {
+		states[i] = newCopy(clock.Now)
+	}
+	var late []func() // messages on their way, to whichever process has the place then
+	var steps []string
+	pick := func() (int, *State) { i := rng.IntN(len(states)); return i, states[i] }
+	for range 60 {
+		i, state := pick()
+		j, other := pick()
+		prefix := copyPrefixes[rng.IntN(len(copyPrefixes))]
+		step := ""
+		switch rng.IntN(14) {
+		case 0, 1, 2, 3:
+			key := prefix + string(rune('a'+rng.IntN(4)))
+			event := store.put(key, []string{"", "ready", "draining"}[rng.IntN(3)])
+			step = fmt.Sprintf("%s = %q at %d", key, event.Value, event.Revision)
+			if rng.IntN(2) == 0 {
+				late = append(late, func() { states[j].Apply([]Item{event}) })
+			}
+		case 4:
+			step = fmt.Sprintf("%d lists", i)
+			items, revision := store.list(prefix)
+			state.Replace(prefix, items, revision)
+		case 5, 6:
+			step = fmt.Sprintf("%d follows", i)
+			follow(state, store, prefix)
+		case 7, 8:
+			step = fmt.Sprintf("%d asks %d", i, j)
+			ask(state, other)
+		case 9:
+			step = fmt.Sprintf("%d asks %d, late", i, j)
+			reply := other.ChangesSince(state.CompleteRevision())
+			late = append(late, func() { states[i].Merge(reply) })
+		case 10:
+			if len(late) > 0 {
+				step = "a late message arrives"
+				n := rng.IntN(len(late))
+				late[n]()
+				late = slices.Delete(late, n, n+1)
+			}
+		case 11:
+			step = fmt.Sprintf("%d restarts", i)
+			states[i] = newCopy(clock.Now)
+		case 12:
+			step = "compaction"
+			store.compact()
+			if rng.IntN(2) == 0 {
+				copied = store.copy()
+			}
+		case 13:
+			if rng.IntN(3) == 0 {
+				step = "the store goes back"
+				store.back(copied)
+				copied = store.copy()
+			}
+		}
+		clock.Add(time.Duration(rng.IntN(1500)) * time.Millisecond)
+		steps = append(steps, step)
+		for n, s := range states {
+			s.View() // settles disputes
+			for _, prefix := range copyPrefixes {
+				if d := store.difference(s, prefix); d != "" {
+					t.Errorf("seed %d: the copy of %d differs: %s\n%s", seed, n, d, strings.Join(steps, "\n"))
+					return
+				}
+			}
+		}
 	}
 }
