fleet: bound the removed keys that a process remembers

Cause: a tombstone of each key that was ever removed stayed in fleet.State, and each sync request walked over all of them under its lock. After a week of replaced servers that is most of the map.

Change: at most 512 are kept, the newest. What they were needed for is done otherwise now: a copy takes no item up to the revision up to which it is complete, and a peer that misses more removals is told the keys that exist. A sync request of a peer that lacks nothing is answered without a walk.

TestRemovedKeysAreForgotten, and the case "source forgot the removal".

--- a/fleet/changes.go
+++ b/fleet/changes.go
@@ -13,6 +13,10 @@
 // revision on it has followed all removals. For earlier revisions it names the keys that
 // exist, and the receiver removes the others.
 
+// maxTombstones limits the removed keys that a process remembers for its peers. A peer that
+// misses more removals is told the keys that exist.
+const maxTombstones = 512
+
 // Changes are the changes of a process's copy of the store after a revision.
 type Changes struct {
 	// Since is the revision after which the changes are. Only a copy that is complete up
@@ -85,14 +89,19 @@
 }
 
 // itemsAfter returns the items that are newer than a revision. Of a key whose known item the
-// store has lost it returns both that and the item of the store.
+// store has lost it returns both that and, after it, the item of the store.
 func (s *State) itemsAfter(revision int64) []Item {
+	if revision >= s.view.Revision {
+		return nil
+	}
 	var items []Item
-	for key, item := range s.items {
+	for _, item := range s.items {
 		if item.Revision > revision {
 			items = append(items, item)
 		}
-		if d, ok := s.disputed[key]; ok && d.item.Revision > revision {
+	}
+	for _, d := range s.disputed {
+		if d.item.Revision > revision {
 			items = append(items, d.item)
 		}
 	}
@@ -155,6 +164,7 @@
 		}
 		own.complete = max(own.complete, theirs.Complete)
 	}
+	s.dropTombstones()
 	return adopted, rejected, len(covered) == len(s.prefixes)
 }
 
@@ -189,6 +199,27 @@
 	})
 }
 
+// dropTombstones forgets the oldest removed keys if there are too many.
+func (s *State) dropTombstones() {
+	if s.tombstones <= maxTombstones {
+		return
+	}
+	var removed []Item
+	for key, item := range s.items {
+		_, disputed := s.disputed[key]
+		if p := s.prefixOf(key); item.Deleted && !disputed && p != nil && item.Revision <= p.complete {
+			removed = append(removed, item)
+		}
+	}
+	slices.SortFunc(removed, func(a, b Item) int { return cmp.Compare(a.Revision, b.Revision) })
+	for _, item := range removed[:max(0, min(len(removed), s.tombstones-maxTombstones/2))] {
+		delete(s.items, item.Key)
+		s.tombstones--
+		p := s.prefixOf(item.Key)
+		p.removalsSince = max(p.removalsSince, item.Revision)
+	}
+}
+
 // CompleteRevision returns the revision up to which all changes under all prefixes are
 // known.
 func (s *State) CompleteRevision() int64 {
--- a/fleet/changes_test.go
+++ b/fleet/changes_test.go
@@ -167,6 +167,17 @@
 			ask(restarted, peer)
 			return restarted
 		}},
+		{"source forgot the removal", func(store *recordingStore, source *State, _ func() *State) *State {
+			store.put("s/gone", "")
+			for i := range 2 * maxTombstones {
+				key := fmt.Sprintf("s/%d", i)
+				store.put(key, "ready")
+				store.put(key, "")
+			}
+			follow(source, store, "s/")
+			follow(source, store, "e/")
+			return source
+		}},
 		{"store went back", func(store *recordingStore, source *State, newState func() *State) *State {
 			copied := store.copy()
 			delete(copied.items, "s/gone")
@@ -202,6 +213,58 @@
 	}
 }
 
+// churn replaces n servers, one after the other, in a copy that follows the store.
+func churn(state *State, n int) {
+	revision := state.CompleteRevisionUnder("s/")
+	for i := range n {
+		key := fmt.Sprintf("s/%d", i)
+		state.Advance("s/", []Item{item(key, "ready", revision+1), {Key: key, Revision: revision + 2, Deleted: true}}, revision+2)
+		revision += 2
+	}
+	state.Advance("e/", nil, revision)
+}
+
+// Guards against a process whose memory and answers to peers grow with each server that was
+// ever replaced.
+func TestRemovedKeysAreForgotten(t *testing.T) {
+	state := newCopy(time.Now)
+	churn(state, 100_000)
+	if n := len(state.items); n > maxTombstones {
+		t.Errorf("%d items are kept of 100,000 removed keys", n)
+	}
+	if n := state.tombstones; n != len(state.items) {
+		t.Errorf("%d tombstones are counted, there are %d", n, len(state.items))
+	}
+	if c := state.ChangesSince(0); len(c.Items) > maxTombstones || !c.KeysListed() {
+		t.Errorf("a new peer gets %d items, keys listed %v", len(c.Items), c.KeysListed())
+	}
+	if c := state.ChangesSince(state.CompleteRevision() - 2); len(c.Items) != 1 || c.KeysListed() {
+		t.Errorf("a peer that lacks one removal gets %d items, keys listed %v", len(c.Items), c.KeysListed())
+	}
+}
+
+// BenchmarkChangesSince measures the answer to a peer that lacks one change, after many
+// servers have been replaced.
+func BenchmarkChangesSince(b *testing.B) {
+	for _, removed := range []int{10, 1_000, 100_000} {
+		b.Run(fmt.Sprintf("removed=%d", removed), func(b *testing.B) {
+			state := newCopy(time.Now)
+			for i := range 1_000 {
+				state.Advance("s/", []Item{item(fmt.Sprintf("s/stays-%d", i), "ready", int64(i+1))}, int64(i+1))
+			}
+			churn(state, removed)
+			since := state.CompleteRevision() - 2
+			b.ResetTimer()
+			for range b.N {
+				if c := state.ChangesSince(since); len(c.Items) != 1 {
+					b.Fatalf("%d items", len(c.Items))
+				}
+			}
+			b.ReportMetric(float64(len(state.items)), "keys")
+		})
+	}
+}
+
 // Guards against a peer's reply that makes a copy count as complete although it was made for
 // another copy, or does not tell which removals are known.
 func TestChangesThatDoNotCompleteACopy(t *testing.T) {
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -25,6 +25,7 @@
 
 	mu               sync.Mutex
 	items            map[string]Item // newest item of each key, tombstones included
+	tombstones       int             // number of tombstones in items
 	view             View
 	cachedView       *View // nil when view has changed since
 	expired          map[string]time.Time
@@ -123,6 +124,7 @@
 	if p := s.prefixes[prefix]; p != nil {
 		p.complete = max(p.complete, revision)
 	}
+	s.dropTombstones()
 	return adopted, rejected
 }
 
@@ -146,6 +148,7 @@
 	}
 	adopted, rejected = s.apply(slices.Concat(listed, removed))
 	s.view.Revision = max(s.view.Revision, revision)
+	s.dropTombstones()
 	return adopted, rejected
 }
 
@@ -176,6 +179,12 @@
 
 // adopt makes item the known one of its key.
 func (s *State) adopt(item Item, update Update, now time.Time) {
+	if s.items[item.Key].Deleted {
+		s.tombstones--
+	}
+	if item.Deleted {
+		s.tombstones++
+	}
 	s.items[item.Key] = item
 	delete(s.disputed, item.Key)
 	if update != nil {
