fleet, peers: replies describe prefixes only together with their keys

Cause: each reply to a sync request, four a second for each follower, named the prefixes and how far each is complete. Only replies that list keys need that; for the others the least revision of both, which the reply has, is enough.

Change: a reply that holds all changes says only after which revision they are.

--- a/fleet/changes.go
+++ b/fleet/changes.go
@@ -22,36 +22,23 @@
 	// Since is the revision after which the changes are. Only a copy that is complete up
 	// to it becomes complete by applying them.
 	Since int64
+	// Revision is the revision up to which all changes under all prefixes are known, 0 if
+	// the store has not been read.
+	Revision int64
 	// Items holds the newest item of each key that has changed, tombstones included.
 	Items []Item
-	// Prefixes describes the copy under each prefix. It is empty if Items may not be all
-	// changes.
-	Prefixes []PrefixChanges
+	// Prefixes describes the copy under each prefix if not all removals after Since are
+	// known. If it is empty, all are known, unless Since is 0.
+	Prefixes []PrefixKeys
 }
 
-// PrefixChanges describes the changes of the keys under a prefix.
-type PrefixChanges struct {
+// PrefixKeys are the keys under a prefix.
+type PrefixKeys struct {
 	Prefix string
-	// Complete is the revision up to which all changes are known, 0 if the store has not
-	// been read.
-	Complete int64
-	// KeysListed means that not all removals after Changes.Since are known, and that Keys
-	// holds all keys that exist.
-	KeysListed bool
-	Keys       []string
-}
-
-// Complete returns the revision up to which all changes under all prefixes are known.
-func (c Changes) Complete() int64 {
-	if len(c.Prefixes) == 0 {
-		return 0
-	}
-	return slices.MinFunc(c.Prefixes, func(a, b PrefixChanges) int { return cmp.Compare(a.Complete, b.Complete) }).Complete
-}
-
-// KeysListed reports whether the keys under a prefix are listed.
-func (c Changes) KeysListed() bool {
-	return slices.ContainsFunc(c.Prefixes, func(p PrefixChanges) bool { return p.KeysListed })
+	// Revision is the revision up to which all changes under the prefix are known.
+	Revision int64
+	// Keys holds all keys that exist.
+	Keys []string
 }
 
 // prefixCopy describes the copy of the keys under a prefix.
@@ -76,18 +63,25 @@
 func (s *State) ChangesSince(revision int64) Changes {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := Changes{Since: revision, Items: s.itemsAfter(revision)}
-	for _, prefix := range slices.Sorted(maps.Keys(s.prefixes)) {
-		p := s.prefixes[prefix]
-		changes := PrefixChanges{Prefix: prefix, Complete: p.complete, KeysListed: revision < p.removalsSince}
-		if changes.KeysListed {
-			changes.Keys = s.keysUnder(prefix)
+	c := Changes{Since: revision, Revision: s.completeRevision(), Items: s.itemsAfter(revision)}
+	for _, p := range s.prefixes {
+		if revision < p.removalsSince {
+			c.Prefixes = s.prefixKeys()
+			break
 		}
-		c.Prefixes = append(c.Prefixes, changes)
 	}
 	return c
 }
 
+// prefixKeys returns the keys under all prefixes.
+func (s *State) prefixKeys() []PrefixKeys {
+	var all []PrefixKeys
+	for _, prefix := range slices.Sorted(maps.Keys(s.prefixes)) {
+		all = append(all, PrefixKeys{Prefix: prefix, Revision: s.prefixes[prefix].complete, Keys: s.keysUnder(prefix)})
+	}
+	return all
+}
+
 // itemsAfter returns the items that are newer than a revision. Of a key whose known item the
 // store has lost it returns both that and, after it, the item of the store.
 func (s *State) itemsAfter(revision int64) []Item {
@@ -144,25 +138,40 @@
 func (s *State) Merge(c Changes) (adopted []Item, rejected []Rejected, complete bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	switch {
+	case len(c.Prefixes) > 0:
+		return s.mergeKeys(c)
+	case c.Since == 0 || c.Revision == 0 || c.Since > s.completeRevision():
+		adopted, rejected = s.apply(s.withoutOutdated(c.Items))
+		return adopted, rejected, false
+	}
+	adopted, rejected = s.apply(s.withoutOutdated(c.Items))
+	for _, p := range s.prefixes {
+		p.complete = max(p.complete, c.Revision)
+	}
+	s.dropTombstones()
+	return adopted, rejected, true
+}
+
+// mergeKeys is Merge for changes that list the keys.
+func (s *State) mergeKeys(c Changes) (adopted []Item, rejected []Rejected, complete bool) {
 	items := slices.Clip(c.Items)
-	var covered []PrefixChanges
+	var covered []PrefixKeys
 	for _, theirs := range c.Prefixes {
 		own := s.prefixes[theirs.Prefix]
-		if own == nil || theirs.Complete == 0 || c.Since > own.complete {
+		if own == nil || theirs.Revision == 0 || c.Since > own.complete {
 			continue
 		}
 		covered = append(covered, theirs)
-		if theirs.KeysListed && theirs.Complete > own.complete {
-			items = append(items, s.removals(theirs.Prefix, theirs.Keys, theirs.Complete)...)
+		if theirs.Revision > own.complete {
+			items = append(items, s.removals(theirs.Prefix, theirs.Keys, theirs.Revision)...)
 		}
 	}
 	adopted, rejected = s.apply(s.withoutOutdated(items))
 	for _, theirs := range covered {
-		own := s.prefixes[theirs.Prefix]
-		if theirs.KeysListed && theirs.Complete > own.complete {
-			own.removalsSince = theirs.Complete
+		if own := s.prefixes[theirs.Prefix]; theirs.Revision > own.complete {
+			own.complete, own.removalsSince = theirs.Revision, theirs.Revision
 		}
-		own.complete = max(own.complete, theirs.Complete)
 	}
 	s.dropTombstones()
 	return adopted, rejected, len(covered) == len(s.prefixes)
@@ -225,6 +234,10 @@
 func (s *State) CompleteRevision() int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.completeRevision()
+}
+
+func (s *State) completeRevision() int64 {
 	least, first := int64(0), true
 	for _, p := range s.prefixes {
 		if first || p.complete < least {
--- a/fleet/changes_test.go
+++ b/fleet/changes_test.go
@@ -235,11 +235,11 @@
 	if n := state.tombstones; n != len(state.items) {
 		t.Errorf("%d tombstones are counted, there are %d", n, len(state.items))
 	}
-	if c := state.ChangesSince(0); len(c.Items) > maxTombstones || !c.KeysListed() {
-		t.Errorf("a new peer gets %d items, keys listed %v", len(c.Items), c.KeysListed())
+	if c := state.ChangesSince(0); len(c.Items) > maxTombstones || len(c.Prefixes) == 0 {
+		t.Errorf("a new peer gets %d items, keys listed %v", len(c.Items), len(c.Prefixes) > 0)
 	}
-	if c := state.ChangesSince(state.CompleteRevision() - 2); len(c.Items) != 1 || c.KeysListed() {
-		t.Errorf("a peer that lacks one removal gets %d items, keys listed %v", len(c.Items), c.KeysListed())
+	if c := state.ChangesSince(state.CompleteRevision() - 2); len(c.Items) != 1 || len(c.Prefixes) > 0 {
+		t.Errorf("a peer that lacks one removal gets %d items, keys listed %v", len(c.Items), len(c.Prefixes) > 0)
 	}
 }
 
@@ -283,7 +283,7 @@
 		t.Error("a reply to the process before completed the copy")
 	}
 	untold := reply
-	untold.Prefixes = nil
+	untold.Since, untold.Prefixes = 0, nil
 	if adopted, _, complete := asked.Merge(untold); complete || len(adopted) != 1 {
 		t.Errorf("changes that may not be all: adopted %v, complete %v", adopted, complete)
 	}
--- a/fleet/state_test.go
+++ b/fleet/state_test.go
@@ -171,8 +171,8 @@
 	s.Apply([]Item{item("s/a", "ready", 3), item("s/b", "ready", 5), {Key: "s/c", Revision: 6, Deleted: true}})
 	s.Advance("c", nil, 4)
 	s.Advance("s/", nil, 6)
-	if c := s.ChangesSince(3); len(c.Items) != 2 || c.Complete() != 4 {
-		t.Errorf("items %v, complete up to %d", c.Items, c.Complete())
+	if c := s.ChangesSince(3); len(c.Items) != 2 || c.Revision != 4 {
+		t.Errorf("items %v, complete up to %d", c.Items, c.Revision)
 	}
 }
 
--- a/gateway/updates.go
+++ b/gateway/updates.go
@@ -129,7 +129,7 @@
 		return
 	}
 	changes := g.State.ChangesSince(request.Revision)
-	reply := &peers.Reply{RequestSentAt: request.SentAt, AgeMS: age.Milliseconds() + 1, Revision: changes.Complete(),
+	reply := &peers.Reply{RequestSentAt: request.SentAt, AgeMS: age.Milliseconds() + 1, Revision: changes.Revision,
 		Items: missingItems(changes.Items, request.KnownRevisions), Since: changes.Since, Prefixes: changes.Prefixes}
 	if serversAge, known := g.ServersFresh.Age(); known {
 		reply.ServersAgeMS = serversAge.Milliseconds() + 1
@@ -154,7 +154,7 @@
 	if len(adopted) > 0 && r.RequestSentAt != 0 {
 		g.Log.Info("Took changes of the store from a peer.", "peer", from.Name, "changes", len(adopted), "removed", countRemoved(adopted),
 			"since", fleet.StoreRevision(r.Since), "revision", fleet.StoreRevision(r.Revision), "era", fleet.Era(r.Revision),
-			"keys_listed", r.Changes().KeysListed(), "complete", complete, "age_ms", r.AgeMS)
+			"keys_listed", len(r.Prefixes) > 0, "complete", complete, "age_ms", r.AgeMS)
 	}
 	if r.RequestSentAt == 0 || !complete {
 		return // this does not show that the copy is up to date
--- a/peers/message.go
+++ b/peers/message.go
@@ -104,16 +104,16 @@
 	// ServersAgeMS is the time in milliseconds since the copy of the backend servers was
 	// last known to be complete, 0 if it never was.
 	ServersAgeMS int64
-	// Since and Prefixes are the fields of fleet.Changes of the same names. Prefixes is
-	// empty for unsolicited changes, and from entries that do not tell which removals they
-	// know.
+	// Since and Prefixes are the fields of fleet.Changes of the same names. Both are zero
+	// in unsolicited changes and in the replies of entries that do not know which removals
+	// they have seen.
 	Since    int64
-	Prefixes []fleet.PrefixChanges
+	Prefixes []fleet.PrefixKeys
 }
 
 // Changes returns the changes of the store that the reply holds.
 func (r *Reply) Changes() fleet.Changes {
-	return fleet.Changes{Since: r.Since, Items: r.Items, Prefixes: r.Prefixes}
+	return fleet.Changes{Since: r.Since, Revision: r.Revision, Items: r.Items, Prefixes: r.Prefixes}
 }
 
 // Load is the load of one entry on one backend server.
