--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -115,6 +115,7 @@
 	pool := backend.NewPool(backend.Config{})
 	metrics.Func("log_lines_dropped", func() any { return logQueue.Dropped() })
 	metrics.Func("backend_dials", func() any { return pool.Dials() })
+	metrics.Func("store_copies", func() any { return state.Summaries() })
 	self := fleet.Peer{Name: s.Name, Address: s.PeerAddress, DataCentre: s.DataCentre, Region: s.Region}
 	g := gateway.New(s, gateway.Deps{
 		State:        state,
