gateway: count the answers of a peer's ended process once

What operators would see: a roll-out that is judged on more answers than there were.

Cause: the evidence of a peer was kept by its name. A message of another process of the peer moved the counts so far to those of ended processes, and started anew. Messages of the process before it that are handled later, as after a pause of the entry, moved them back and forth, each time adding both.

Change: the evidence is kept by the peer's process, whose counts only grow, so that the order of messages does not matter.

TestLateEvidenceOfEndedProcess failed before: 25 answers counted of 11, in total and by route.

--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -19,11 +19,10 @@
 	// orderedAt is when the rollout was ordered, by the monotonic clock.
 	orderedAt time.Time
 	own       release.Evidence
-	peers     map[string]peerEvidence // by name
-	// endedProcesses is the evidence of processes that have ended; the processes that
-	// replace them count from zero.
-	endedProcesses release.Evidence
-	routes         rolloutRoutes
+	// peers holds the evidence of all processes of the peers, including those that have
+	// ended: the processes that replace them count from zero.
+	peers  map[peerProcess]peerEvidence
+	routes rolloutRoutes
 	// rejected is set permanently once an entry has found the new version bad.
 	rejected   bool
 	publishing publishState
@@ -32,10 +31,15 @@
 	evidenceSentAt  time.Time // last periodic message
 }
 
+// peerProcess identifies a process of a peer.
+type peerProcess struct {
+	name    string
+	process uint64
+}
+
 // peerEvidence is the evidence of one process of a peer.
 type peerEvidence struct {
 	release.Evidence
-	process uint64
 	// old and target are the answers of each version by route.
 	old, target release.RouteEvidence
 }
@@ -54,7 +58,7 @@
 	}
 	r := g.rollouts[service]
 	if r == nil || r.Revision != current.Revision {
-		r = &rolloutState{Rollout: current, orderedAt: time.Now(), peers: make(map[string]peerEvidence)}
+		r = &rolloutState{Rollout: current, orderedAt: time.Now(), peers: make(map[peerProcess]peerEvidence)}
 		r.routes.before = g.routeHistory(view, service)
 		g.rollouts[service] = r
 		g.Log.Info("A roll-out was ordered.", "service", service, "target", current.Target,
@@ -89,7 +93,7 @@
 
 // evidence returns the evidence of all entries.
 func (r *rolloutState) evidence() release.Evidence {
-	total := r.own.Add(r.endedProcesses)
+	total := r.own
 	for _, e := range r.peers {
 		total = total.Add(e.Evidence)
 	}
@@ -368,12 +372,8 @@
 	if e.Rejected && !r.rejected {
 		g.rejectVersion(r, "Another entry has found the new version bad.")
 	}
-	peer := r.peers[from]
-	if peer.process != e.Process {
-		r.endedProcesses = r.endedProcesses.Add(peer.Evidence) // the peer has restarted
-		r.routes.addEnded(peer)
-		peer = peerEvidence{process: e.Process}
-	}
+	process := peerProcess{from, e.Process}
+	peer := r.peers[process]
 	known, routes := &peer.Old, &peer.old
 	if e.Version == r.Target {
 		known, routes = &peer.Target, &peer.target
@@ -383,7 +383,7 @@
 		return // an older message that arrived over another path
 	}
 	*known, *routes = received, decodeRoutes(e.Routes, e.Version == r.Target)
-	r.peers[from] = peer
+	r.peers[process] = peer
 	r.routes.changed = true
 	g.checkEvidence(r)
 }
--- a/gateway/rollouts_internal_test.go
+++ b/gateway/rollouts_internal_test.go
@@ -23,7 +23,7 @@
 	order := fleet.Order{Service: "s", Target: "v2", Duration: duration, Revision: 9}
 	r := &rolloutState{
 		Rollout: fleet.Rollout{Order: order, Outcome: fleet.InProgress}, orderedAt: time.Now().Add(-elapsed),
-		own: own, peers: make(map[string]peerEvidence),
+		own: own, peers: make(map[peerProcess]peerEvidence),
 	}
 	log := telemetry.Discard()
 	g := &Gateway{
--- a/gateway/routeevidence.go
+++ b/gateway/routeevidence.go
@@ -26,8 +26,6 @@
 	// before holds the answers of the old version before the order.
 	before map[string]release.RouteAnswers
 	own    release.RouteEvidence
-	// ended is the evidence of processes that have ended.
-	ended release.RouteEvidence
 	// changed is set when suspicion does not include the latest answers; comparedAt is when
 	// it was last computed.
 	changed    bool
@@ -125,7 +123,6 @@
 func (r *rolloutState) routeEvidence() release.RouteEvidence {
 	all := make(release.RouteEvidence)
 	all.Merge(r.routes.own)
-	all.Merge(r.routes.ended)
 	for _, p := range r.peers {
 		all.Merge(p.old)
 		all.Merge(p.target)
@@ -133,15 +130,6 @@
 	return all
 }
 
-// addEnded keeps the evidence of the previous process of a peer.
-func (r *rolloutRoutes) addEnded(peer peerEvidence) {
-	if r.ended == nil {
-		r.ended = make(release.RouteEvidence)
-	}
-	r.ended.Merge(peer.old)
-	r.ended.Merge(peer.target)
-}
-
 // routeMessages returns this entry's answers of one version on the routes on which the new
 // version has answers; only there are the versions compared.
 func (r *rolloutState) routeMessages(target bool) []peers.RouteCounts {
--- a/gateway/updates_internal_test.go
+++ b/gateway/updates_internal_test.go
@@ -115,13 +115,35 @@
 	}
 }
 
+// Guards against answers that are counted twice because messages of a peer's ended process
+// are handled after those of its successor, as after a pause of this entry.
+func TestLateEvidenceOfEndedProcess(t *testing.T) {
+	g, r := rolloutEntry("e1", release.Evidence{}, 24*time.Second, time.Second)
+	receive := func(process uint64, sent, good, bad int) {
+		g.mergeEvidence("e2", peers.Evidence{Service: "s", Order: r.Revision, Version: "v2", Sent: sent, Good: good, Bad: bad, Process: process,
+			Routes: []peers.RouteCounts{{Route: "r", Counts: [][4]int{{good + bad, bad, 0, 0}}}}})
+	}
+	receive(1, 5, 4, 1)
+	receive(2, 2, 2, 0)
+	receive(1, 7, 5, 2)
+	receive(2, 3, 2, 1)
+	receive(1, 8, 6, 2)
+	if e := r.evidence().Target; e.Sent != 11 || e.Good != 8 || e.Bad != 3 {
+		t.Errorf("%+v, want 11 sent, 8 good, 3 bad", e)
+	}
+	answers := r.routeEvidence().Route("r").Target[0]
+	if answers.Answers != 11 || answers.Failed != 3 {
+		t.Errorf("by route: %+v, want 11 answers, 3 failed", answers)
+	}
+}
+
 // Guards against an entry that starts or was paused during a rollout and completes it
 // too late, because it measures the duration from when it learned of the order.
 func TestRolloutElapsedTimeIsShared(t *testing.T) {
 	now := time.Now()
 	order := fleet.Order{Service: "s", Target: "v2", Duration: 24 * time.Second, Revision: 9}
-	early := &rolloutState{Rollout: fleet.Rollout{Order: order}, orderedAt: now.Add(-5 * time.Second), peers: make(map[string]peerEvidence)}
-	late := &rolloutState{Rollout: fleet.Rollout{Order: order}, orderedAt: now, peers: make(map[string]peerEvidence)}
+	early := &rolloutState{Rollout: fleet.Rollout{Order: order}, orderedAt: now.Add(-5 * time.Second), peers: make(map[peerProcess]peerEvidence)}
+	late := &rolloutState{Rollout: fleet.Rollout{Order: order}, orderedAt: now, peers: make(map[peerProcess]peerEvidence)}
 	for _, r := range []*rolloutState{early, late} {
 		g := &Gateway{Deps: Deps{Log: telemetry.Discard()}, rollouts: map[string]*rolloutState{"s": r}}
 		for _, sender := range []*rolloutState{early, late} {
