gateway, peers: forget the load of a peer's ended process

What callers would see: a server that counts as busy although nothing runs there, so that requests take the longer way; operators: a good roll-out that waits until shortly before its end, because requests seem to run on the old version.

Cause: an entry that connects sends its whole state, in which a server without running requests is left out, and later only changes. The receiver added that to what the process before it had reported. If the peer was back within 2 s, so that it always counted as live, load that its ended process had reported stayed until the new one reported the same server.

Change: the first message of a connection replaces the load of that peer.

TestLoadOfEndedProcessIsForgotten failed without the change (4 running of 1), TestOnlyFirstMessageIsInitial is new with it.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -309,8 +309,7 @@
 		for id, l := range g.loads {
 			for peer := range l.remote {
 				if !g.hub.IsLive(peer) {
-					l.setRemote(peer, peers.Load{})
-					delete(l.remote, peer)
+					l.clearRemote(peer)
 				}
 			}
 			if view.Servers[id] == nil && l.running == 0 {
--- a/gateway/load.go
+++ b/gateway/load.go
@@ -180,6 +180,14 @@
 	l.remoteRunning += work.Running - old.Running
 }
 
+// clearRemote forgets the load that another entry reported for a server.
+func (l *load) clearRemote(peer string) {
+	if _, reported := l.remote[peer]; reported {
+		l.setRemote(peer, peers.Load{})
+		delete(l.remote, peer)
+	}
+}
+
 // prefillTime returns the estimated time for reading tokens with a model, before any
 // correction by observations.
 func prefillTime(service *fleet.Service, model string, tokens int) time.Duration {
--- a/gateway/updates.go
+++ b/gateway/updates.go
@@ -68,6 +68,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	view := g.State.View()
+	if m.Initial {
+		g.clearLoads(m.From.Name)
+	}
 	for _, work := range m.Loads {
 		if l := g.registeredLoad(view, work.Server); l != nil {
 			l.setRemote(m.From.Name, work)
@@ -94,6 +97,13 @@
 	g.receiveLimits(now, m)
 }
 
+// clearLoads forgets the load that a peer has reported. The caller must hold g.mu.
+func (g *Gateway) clearLoads(peer string) {
+	for _, l := range g.loads {
+		l.clearRemote(peer)
+	}
+}
+
 // registeredLoad returns the load record of a registered server, or nil if the server
 // is unknown.
 func (g *Gateway) registeredLoad(view *fleet.View, id string) *load {
--- a/gateway/updates_internal_test.go
+++ b/gateway/updates_internal_test.go
@@ -137,6 +137,28 @@
 	}
 }
 
+// Guards against requests of a peer's ended process that count as running at a server for as
+// long as the peer's new process does not use it.
+func TestLoadOfEndedProcessIsForgotten(t *testing.T) {
+	g, _ := rolloutEntry("e1", release.Evidence{}, time.Minute, 0)
+	used, unused := &load{}, &load{}
+	g.loads = map[string]*load{"i-used": used, "i-unused": unused}
+	for _, l := range []*load{used, unused} {
+		l.setRemote("e2", peers.Load{PendingMS: 40, Running: 3})
+		l.setRemote("e3", peers.Load{PendingMS: 5, Running: 1})
+	}
+	g.Receive(&peers.Message{From: &fleet.Peer{Name: "e2"}})
+	if unused.remoteRunning != 4 {
+		t.Errorf("%d running after a message without loads, want 4", unused.remoteRunning)
+	}
+	g.Receive(&peers.Message{From: &fleet.Peer{Name: "e2"}, Initial: true})
+	for _, l := range g.loads {
+		if l.remoteRunning != 1 || l.remotePending != 5*time.Millisecond || len(l.remote) != 1 {
+			t.Errorf("%d running, %v pending, reported by %d peers; want those of e3", l.remoteRunning, l.remotePending, len(l.remote))
+		}
+	}
+}
+
 // Guards against an entry that starts or was paused during a rollout and completes it
 // too late, because it measures the duration from when it learned of the order.
 func TestRolloutElapsedTimeIsShared(t *testing.T) {
--- a/peers/hub.go
+++ b/peers/hub.go
@@ -139,7 +139,7 @@
 			return // the peer logs the loss on its side of the link
 		}
 		if m.From != nil {
-			from = *m.From
+			from, m.Initial = *m.From, true
 		}
 		m.From = &from
 		h.markLive(from)
--- a/peers/message.go
+++ b/peers/message.go
@@ -51,6 +51,10 @@
 	ServerSends  []ServerSends
 	// RequestSuspects holds the same requests as CrashSuspects, each as a whole.
 	RequestSuspects []CrashSuspect
+
+	// Initial is set by the receiving hub on the first message of a connection, which holds
+	// the whole state of the sender. It is not sent.
+	Initial bool `msgpack:"-"`
 }
 
 // ServerLimit is the limit that a backend server named in its last answer.
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -112,6 +112,25 @@
 	})
 }
 
+// Guards against a receiver that does not learn that a peer's state is whole, or takes later
+// updates for it.
+func TestOnlyFirstMessageIsInitial(t *testing.T) {
+	a := startNode(t, "a", nil, noPeers, Message{Loads: []Load{{Server: "initial"}}})
+	b := startNode(t, "b", []string{a.self.Address}, noPeers, Message{})
+	eventually(t, "both nodes are live to each other", func() bool { return a.IsLive("b") && b.IsLive("a") })
+	eventually(t, "an update", func() bool {
+		a.Broadcast(addLoad(Load{Server: "s", Running: 3}))
+		return b.loads()["s"].Running == 3
+	})
+	b.recorder.mu.Lock()
+	defer b.recorder.mu.Unlock()
+	for i, m := range b.messages {
+		if m.Initial != (i == 0) {
+			t.Errorf("message %d: initial %v", i, m.Initial)
+		}
+	}
+}
+
 // Guards against a peer that does not read from its connection and thereby blocks the
 // other links or lets its queue grow without limit.
 func TestStalledPeer(t *testing.T) {
