supervise: a stop that is asked for twice does not cut the drain short

Cause: any second signal ended the drain, as programs at a terminal do with a second interrupt. A platform asks with SIGTERM, and may ask again: a second operator, or two rolling stops that overlap. What ends a drain there is SIGKILL.

Change: during a drain SIGTERM only leaves a log line. A second SIGINT still ends it.

--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -21,6 +21,7 @@
 	cmd := &cobra.Command{
 		Use:     "agent",
 		Short:   "Run an agent, the only path to its backend server",
+		Long:    "Runs an agent, the only path to its backend server.\n\n" + stopHelp,
 		Example: "  hyssoploom agent --settings /etc/hyssoploom/agent.toml",
 		Args:    cli.WithUsageError(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -18,12 +18,17 @@
 	"hyssoploom/telemetry"
 )
 
+// stopHelp is the part of the help texts of the daemons about stops.
+const stopHelp = "SIGTERM or SIGINT drains the process: it takes no new work, ends what runs and exits with 0.\n" +
+	"Further signals change nothing, but a second SIGINT ends it at once and cuts what runs."
+
 // EntryCommand returns the command that runs an entry process.
 func EntryCommand() *cobra.Command {
 	var path string
 	cmd := &cobra.Command{
 		Use:     "entry",
 		Short:   "Run an entry, which serves the callers' API",
+		Long:    "Runs an entry, which serves the callers' API.\n\n" + stopHelp,
 		Example: "  hyssoploom entry --settings /etc/hyssoploom/entry.toml",
 		Args:    cli.WithUsageError(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -47,6 +47,7 @@
 	cmd := &cobra.Command{
 		Use:     "gateway",
 		Short:   "Run an entry that routes by host and path on the users' platform",
+		Long:    "Runs an entry that routes by host and path on the users' platform.\n\n" + stopHelp,
 		Example: "  hyssoploom gateway --settings /etc/hyssoploom/boot.yaml",
 		Args:    cli.WithUsageError(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
--- a/supervise/signals.go
+++ b/supervise/signals.go
@@ -10,9 +10,12 @@
 	"hyssoploom/telemetry"
 )
 
-// ErrDrainAborted is returned by Run if a second signal ends a graceful shutdown
+// signalBuffer is the number of signals that wait to be handled. Further ones are dropped.
+const signalBuffer = 16
+
+// ErrDrainAborted is returned by Run if a second interrupt ends a graceful shutdown
 // early.
-var ErrDrainAborted = errors.New("received a second signal; stopped before the drain was complete")
+var ErrDrainAborted = errors.New("received a second interrupt; stopped before the drain was complete")
 
 // Daemon is a process with a graceful shutdown.
 type Daemon interface {
@@ -24,10 +27,11 @@
 }
 
 // Run serves d until it fails or SIGTERM or SIGINT arrives. On a signal it drains d
-// and returns the result of the drain. A second signal makes it return
-// ErrDrainAborted at once.
+// and returns the result of the drain. Signals during the drain are only logged, because a
+// platform may ask for a stop more than once; but a second SIGINT, as from a terminal,
+// makes it return ErrDrainAborted at once.
 func Run(ctx context.Context, d Daemon, log *telemetry.Logger) error {
-	signals := make(chan os.Signal, 2)
+	signals := make(chan os.Signal, signalBuffer)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	defer signal.Stop(signals)
 	return runUntilSignal(ctx, d, signals, log)
@@ -40,21 +44,33 @@
 	serveDone := make(chan error, 1)
 	go func() { serveDone <- d.Serve(serveCtx) }()
 
+	interrupts := 0
 	select {
 	case err := <-serveDone:
 		return err
 	case s := <-signals:
+		if s == os.Interrupt {
+			interrupts++
+		}
 		log.Info("Draining.", "signal", s.String())
 	}
 	drainDone := make(chan error, 1)
 	go func() { drainDone <- d.Drain(serveCtx) }()
-	select {
-	case err := <-drainDone:
-		stop()
-		<-serveDone
-		log.Info("Stopped.")
-		return err
-	case <-signals:
-		return ErrDrainAborted
+	for {
+		select {
+		case err := <-drainDone:
+			stop()
+			<-serveDone
+			log.Info("Stopped.")
+			return err
+		case s := <-signals:
+			if s == os.Interrupt {
+				interrupts++
+			}
+			if interrupts > 1 {
+				return ErrDrainAborted
+			}
+			log.Info("Already draining.", "signal", s.String())
+		}
 	}
 }
