supervise, daemon: signals are handled from the start of a daemon to its end

What an operator would see: a stop that is asked for while an entry starts does nothing, until SIGKILL; an entry that has drained and written its charges exits with "signal: terminated"; a SIGHUP ends an entry that starts, or has drained.

Cause: the handlers covered only the time in between. SIGTERM during the start ended the command's context, which the daemons do not use, and was gone before supervise.Run listened. SIGHUP was handled only while the settings were watched, and all signals got their default effect back before the process had ended.

Change: the end of the command's context drains like SIGTERM; daemons hold SIGHUP from their start on; the signals stay handled until the process is gone.

--- a/cmd/hyssoploom/main.go
+++ b/cmd/hyssoploom/main.go
@@ -12,10 +12,9 @@
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	// The signals stay handled until the process has ended, so that none changes its exit code.
+	ctx, _ := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	root := cli.New()
 	root.AddCommand(daemon.EntryCommand(), daemon.AgentCommand(), daemon.GatewayCommand(), daemon.DemoCommand())
-	code := cli.Run(ctx, root, os.Args[1:], os.Stdout, os.Stderr)
-	stop()
-	os.Exit(int(code))
+	os.Exit(int(cli.Run(ctx, root, os.Args[1:], os.Stdout, os.Stderr)))
 }
--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -25,14 +25,17 @@
 		Example: "  hyssoploom agent --settings /etc/hyssoploom/agent.toml",
 		Args:    cli.WithUsageError(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			return runAgent(context.WithoutCancel(cmd.Context()), path)
+			return runAgent(cmd.Context(), path)
 		},
 	}
 	addSettingsFlag(cmd, &path)
 	return cmd
 }
 
-func runAgent(ctx context.Context, path string) error {
+// runAgent runs until it fails or a stop is asked for, by a signal or the end of stop.
+func runAgent(stop context.Context, path string) error {
+	supervise.IgnoreHangups()
+	ctx := context.WithoutCancel(stop)
 	s, err := settings.LoadAgent(path)
 	if err != nil {
 		return cli.ExitErrorf(cli.CodeUsage, "%w", err)
@@ -65,7 +68,7 @@
 		deps.Engine = dialect.NewHTTPEngine(s.BackendURL, nil)
 	}
 	d.agent = agent.New(s, deps)
-	return supervise.Run(ctx, d, log)
+	return supervise.Run(stop, d, log)
 }
 
 // agentDaemon implements supervise.Daemon for an agent whose listeners are already
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -32,7 +32,7 @@
 		Example: "  hyssoploom entry --settings /etc/hyssoploom/entry.toml",
 		Args:    cli.WithUsageError(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			return runEntry(context.WithoutCancel(cmd.Context()), path)
+			return runEntry(cmd.Context(), path)
 		},
 	}
 	addSettingsFlag(cmd, &path)
@@ -45,7 +45,10 @@
 	_ = cmd.MarkFlagRequired("settings")
 }
 
-func runEntry(ctx context.Context, path string) error {
+// runEntry runs until it fails or a stop is asked for, by a signal or the end of stop.
+func runEntry(stop context.Context, path string) error {
+	supervise.IgnoreHangups()
+	ctx := context.WithoutCancel(stop)
 	s, err := settings.LoadEntry(path)
 	if err != nil {
 		return cli.ExitErrorf(cli.CodeUsage, "%w", err)
@@ -71,7 +74,7 @@
 		Log:     log,
 		Tracing: tracing,
 	})
-	return supervise.Run(ctx, &entryDaemon{entry: e, listener: listener}, log)
+	return supervise.Run(stop, &entryDaemon{entry: e, listener: listener}, log)
 }
 
 // entryDaemon implements supervise.Daemon for an entry whose listener is already
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -54,7 +54,7 @@
 			if path == "" {
 				return cli.ExitErrorf(cli.CodeUsage, "no settings file: set --settings or %s", envGatewaySettings)
 			}
-			return runGateway(context.WithoutCancel(cmd.Context()), path)
+			return runGateway(cmd.Context(), path)
 		},
 	}
 	cmd.Flags().StringVar(&path, "settings", os.Getenv(envGatewaySettings),
@@ -62,7 +62,10 @@
 	return cmd
 }
 
-func runGateway(ctx context.Context, path string) error {
+// runGateway runs until it fails or a stop is asked for, by a signal or the end of stop.
+func runGateway(stop context.Context, path string) error {
+	supervise.IgnoreHangups()
+	ctx := context.WithoutCancel(stop)
 	s, err := settings.LoadGateway(path)
 	if err != nil {
 		return cli.ExitErrorf(cli.CodeUsage, "%w", err)
@@ -87,7 +90,7 @@
 	d.tree.Add(supervise.Func{Name: "settings", Run: func(ctx context.Context) error {
 		return watchSettings(ctx, path, s, d.gateway, logger)
 	}})
-	return supervise.Run(ctx, d, logger)
+	return supervise.Run(stop, d, logger)
 }
 
 // gatewayDaemon implements supervise.Daemon for a gateway. tree runs its background
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -108,6 +108,9 @@
 	}
 }
 
+// TrySignal sends a signal to the process. It fails if the process has ended.
+func (p *Process) TrySignal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
+
 // Stop sends SIGTERM and checks that the process exits with status 0 in time.
 func (p *Process) Stop(t testing.TB) {
 	t.Helper()
--- a/supervise/signals.go
+++ b/supervise/signals.go
@@ -26,7 +26,11 @@
 	Drain(ctx context.Context) error
 }
 
-// Run serves d until it fails or SIGTERM or SIGINT arrives. On a signal it drains d
+// IgnoreHangups keeps SIGHUP from ending the process where nothing handles it: before and
+// after a daemon looks for changed settings.
+func IgnoreHangups() { signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP) }
+
+// Run serves d until it fails, SIGTERM or SIGINT arrives, or ctx ends. It then drains d
 // and returns the result of the drain. Signals during the drain are only logged, because a
 // platform may ask for a stop more than once; but a second SIGINT, as from a terminal,
 // makes it return ErrDrainAborted at once.
@@ -39,7 +43,7 @@
 
 // runUntilSignal is Run with the signals from a channel.
 func runUntilSignal(ctx context.Context, d Daemon, signals <-chan os.Signal, log *telemetry.Logger) error {
-	serveCtx, stop := context.WithCancel(ctx)
+	serveCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	serveDone := make(chan error, 1)
 	go func() { serveDone <- d.Serve(serveCtx) }()
@@ -53,6 +57,8 @@
 			interrupts++
 		}
 		log.Info("Draining.", "signal", s.String())
+	case <-ctx.Done():
+		log.Info("Draining.", "signal", "before the process was started")
 	}
 	drainDone := make(chan error, 1)
 	go func() { drainDone <- d.Drain(serveCtx) }()
--- a/supervise/signals_test.go
+++ b/supervise/signals_test.go
@@ -41,7 +41,8 @@
 }
 
 // Guards against a shutdown that skips the drain, a drain that a repeated request to stop cuts
-// short, and a second interrupt at a terminal that is ignored.
+// short, a second interrupt at a terminal that is ignored, and a stop that is lost because it
+// is asked for while the process starts.
 func TestRunUntilSignal(t *testing.T) {
 	const term, interrupt = syscall.SIGTERM, syscall.SIGINT
 	failure := errors.New("listener closed")
@@ -49,24 +50,32 @@
 		name string
 		// signals are sent one second apart.
 		signals      []os.Signal
+		ctxEnds      bool
 		serveErr     error
 		wantErr      error
 		wantDuration time.Duration
 	}{
-		{"SIGTERM", []os.Signal{term}, nil, nil, time.Minute},
-		{"SIGINT", []os.Signal{interrupt}, nil, nil, time.Minute},
-		{"SIGTERM twice", []os.Signal{term, term}, nil, nil, time.Minute},
-		{"SIGTERM in a series", slices.Repeat([]os.Signal{term}, 3*signalBuffer), nil, nil, time.Minute},
-		{"SIGTERM, then SIGINT", []os.Signal{term, interrupt}, nil, nil, time.Minute},
-		{"SIGINT, then SIGTERM", []os.Signal{interrupt, term}, nil, nil, time.Minute},
-		{"SIGINT twice", []os.Signal{interrupt, interrupt}, nil, ErrDrainAborted, time.Second},
-		{"SIGTERM, then SIGINT twice", []os.Signal{term, interrupt, interrupt}, nil, ErrDrainAborted, 2 * time.Second},
-		{"SIGINT, SIGTERM, SIGINT", []os.Signal{interrupt, term, interrupt}, nil, ErrDrainAborted, 2 * time.Second},
-		{"failure", nil, failure, failure, 0},
+		{"SIGTERM", []os.Signal{term}, false, nil, nil, time.Minute},
+		{"SIGINT", []os.Signal{interrupt}, false, nil, nil, time.Minute},
+		{"SIGTERM twice", []os.Signal{term, term}, false, nil, nil, time.Minute},
+		{"SIGTERM in a series", slices.Repeat([]os.Signal{term}, 3*signalBuffer), false, nil, nil, time.Minute},
+		{"SIGTERM, then SIGINT", []os.Signal{term, interrupt}, false, nil, nil, time.Minute},
+		{"SIGINT, then SIGTERM", []os.Signal{interrupt, term}, false, nil, nil, time.Minute},
+		{"SIGINT twice", []os.Signal{interrupt, interrupt}, false, nil, ErrDrainAborted, time.Second},
+		{"SIGTERM, then SIGINT twice", []os.Signal{term, interrupt, interrupt}, false, nil, ErrDrainAborted, 2 * time.Second},
+		{"SIGINT, SIGTERM, SIGINT", []os.Signal{interrupt, term, interrupt}, false, nil, ErrDrainAborted, 2 * time.Second},
+		{"stop during the start", nil, true, nil, nil, time.Minute},
+		{"stop during the start, then SIGTERM", []os.Signal{term}, true, nil, nil, time.Minute},
+		{"failure", nil, false, failure, failure, 0},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				d := &fakeDaemon{drainTime: time.Minute, serveErr: make(chan error, 1)}
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				if test.ctxEnds {
+					cancel()
+				}
 				if test.serveErr != nil {
 					d.serveErr <- test.serveErr
 				}
@@ -88,7 +97,7 @@
 					}
 				})
 				start := time.Now()
-				err := runUntilSignal(t.Context(), d, signals, telemetry.Discard())
+				err := runUntilSignal(ctx, d, signals, telemetry.Discard())
 				if wantDrained := test.wantErr == nil; !errors.Is(err, test.wantErr) || d.drained != wantDrained {
 					t.Errorf("error %v, drained %t; want %v, %t", err, d.drained, test.wantErr, wantDrained)
 				}
