gateway: one bound for the bodies of all requests

Cause: each body was read whole and kept to the end of its request, and only the length of each was bounded. io.ReadAll also held up to twice of it.

Change: limits.RequestMemory counts what all requests hold, at most a quarter of the VM's memory. A body with a stated length takes its memory before it is read, one without as its buffer grows. Bodies over 16 KiB get three quarters of the bound, and a workspace as much of these as it leaves free, so that its large requests turn away neither small ones nor the first large ones of others. Who finds no memory gets 503 at once, "request_memory", with the time for which such requests held theirs lately as Retry-After; 413 if the length says that it is too long. The response does not wait for the body; some of the rest is read and dropped before the connection is closed, because a reset takes the response from clients that still send. The kernel holds at most the first window of a connection (64 KiB) for a body that is not read, for 1 s.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -81,8 +81,10 @@
 type Gateway struct {
 	Deps
 	bounds atomic.Pointer[settings.Bounds]
-	// responseMemory limits the memory of the responses that are buffered.
+	// responseMemory limits the memory of the responses that are buffered, requestMemory
+	// that of the bodies of requests.
 	responseMemory *memoryBudget
+	requestMemory  *limits.RequestMemory
 
 	draining atomic.Bool
 	startup  *startup
@@ -137,6 +139,7 @@
 		Deps:           deps,
 		startup:        newStartup(),
 		responseMemory: newMemoryBudget(s.MemoryMB),
+		requestMemory:  limits.NewRequestMemory(requestMemoryLimit(s.MemoryMB)),
 		peerVerifiedAt: make(map[string]time.Duration),
 		loads:          make(map[string]*load),
 		prefillRatios:  make(prefillRatioTracker),
@@ -158,6 +161,7 @@
 	g.bounds.Store(&s.Bounds)
 	g.hub = peers.New(deps.Self, s.Seeds, g, func() map[string]fleet.Peer { return deps.State.View().Peers },
 		deps.Log.WithComponent("peers"))
+	deps.Metrics.Func("request_memory_bytes", func() any { return g.requestMemory.Used() })
 	if deps.ChargeStore != nil {
 		g.newLedger(deps.ChargeStore, deps.BootID)
 	}
