--- a/fleet/changes.go
+++ b/fleet/changes.go
@@ -7,11 +7,10 @@
 	"strings"
 )
 
-// Processes take over changes from each other's copies of the store. That a copy lacks a
-// key says nothing by itself: its process may have listed the store after the key was
-// removed, and has then never seen the removal. A process therefore knows from which
-// revision on it has followed all removals. For earlier revisions it names the keys that
-// exist, and the receiver removes the others.
+// Processes take over changes from each other's copies of the store. A process that has
+// listed the store knows which keys exist, but not which were removed before. It therefore
+// records from which revision on it has followed all removals. A peer that asks for the
+// changes after an earlier revision is told the keys that exist, and removes the others.
 
 // maxTombstones limits the removed keys that a process remembers for its peers. A peer that
 // misses more removals is told the keys that exist.
@@ -27,8 +26,8 @@
 	Revision int64
 	// Items holds the newest item of each key that has changed, tombstones included.
 	Items []Item
-	// Prefixes describes the copy under each prefix if not all removals after Since are
-	// known. If it is empty, all are known, unless Since is 0.
+	// Prefixes lists the keys that exist. It is empty if Items holds all removals after
+	// Since; if Since is 0, it is empty only if nothing is known of removals.
 	Prefixes []PrefixKeys
 }
 
@@ -49,8 +48,8 @@
 	removalsSince int64
 }
 
-// prefixOf returns the copy to which a key belongs, nil if there is none.
-func (s *State) prefixOf(key string) *prefixCopy {
+// prefixCopyOf returns the copy to which a key belongs, nil if there is none.
+func (s *State) prefixCopyOf(key string) *prefixCopy {
 	for prefix, p := range s.prefixes {
 		if strings.HasPrefix(key, prefix) {
 			return p
@@ -203,7 +202,7 @@
 // complete. Others say nothing new: their keys have changed again, or were removed.
 func (s *State) withoutOutdated(items []Item) []Item {
 	return slices.DeleteFunc(slices.Clone(items), func(item Item) bool {
-		p := s.prefixOf(item.Key)
+		p := s.prefixCopyOf(item.Key)
 		return p != nil && item.Revision <= p.complete
 	})
 }
@@ -216,7 +215,7 @@
 	var removed []Item
 	for key, item := range s.items {
 		_, disputed := s.disputed[key]
-		if p := s.prefixOf(key); item.Deleted && !disputed && p != nil && item.Revision <= p.complete {
+		if p := s.prefixCopyOf(key); item.Deleted && !disputed && p != nil && item.Revision <= p.complete {
 			removed = append(removed, item)
 		}
 	}
@@ -224,7 +223,7 @@
 	for _, item := range removed[:max(0, min(len(removed), s.tombstones-maxTombstones/2))] {
 		delete(s.items, item.Key)
 		s.tombstones--
-		p := s.prefixOf(item.Key)
+		p := s.prefixCopyOf(item.Key)
 		p.removalsSince = max(p.removalsSince, item.Revision)
 	}
 }
--- a/supervise/signals.go
+++ b/supervise/signals.go
@@ -58,7 +58,7 @@
 		}
 		log.Info("Draining.", "signal", s.String())
 	case <-ctx.Done():
-		log.Info("Draining.", "signal", "before the process was started")
+		log.Info("Draining.", "signal", "during the start")
 	}
 	drainDone := make(chan error, 1)
 	go func() { drainDone <- d.Drain(serveCtx) }()
