gateway: log which events of a stream each attempt forwarded

An attempt now has the ids of its first and last event, the event after which it was asked to go on, the number of events that were not forwarded, and whether only the end of the connection ended the answer. hyssoploom explain prints them. No decision changes.

--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -39,7 +39,10 @@
 	Header http.Header
 	// Length is the length of the body in bytes, -1 if the head does not state it.
 	Length int64
-	Body   *Body
+	// UntilClose is set if the response has neither a length nor chunks: the end of the
+	// connection is the end of its body.
+	UntilClose bool
+	Body       *Body
 }
 
 // Exchange sends a request on a pooled connection and returns the head of the
@@ -69,7 +72,10 @@
 	if !response.Close {
 		body.idle = idleTimeout(response.Header.Get("Keep-Alive"))
 	}
-	return &Response{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Body: body}, nil
+	return &Response{
+		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
+		UntilClose: response.ContentLength < 0 && len(response.TransferEncoding) == 0, Body: body,
+	}, nil
 }
 
 // send writes the request. The channel receives the result of a body that is written
--- a/cli/explain.go
+++ b/cli/explain.go
@@ -73,6 +73,12 @@
 	AtMS       int64  `json:"at_ms"`
 	TookMS     int64  `json:"took_ms"`
 	Error      string `json:"error"`
+	// The fields of streams are those of the attempt's log record in gateway.
+	ResumedAfter string `json:"resumed_after"`
+	FirstEvent   string `json:"first_event"`
+	LastEvent    string `json:"last_event"`
+	Dropped      int    `json:"dropped"`
+	UntilClose   bool   `json:"until_close"`
 }
 
 // readLogs reads the log lines of files, or of in if files is empty.
@@ -143,11 +149,24 @@
 		if a.Model != "" {
 			fmt.Fprintf(out, " with model %s", a.Model)
 		}
-		fmt.Fprintf(out, ", expected wait %d ms and reading %d ms\n", a.WaitMS, a.PrefillMS)
+		fmt.Fprintf(out, ", expected wait %d ms and reading %d ms", a.WaitMS, a.PrefillMS)
+		if a.ResumedAfter != "" {
+			fmt.Fprintf(out, ", to go on after event %s", a.ResumedAfter)
+		}
+		fmt.Fprintln(out)
 		fmt.Fprintf(out, "    +%d ms  %s", a.AtMS+a.TookMS, a.Outcome)
 		if a.FirstMS > 0 {
 			fmt.Fprintf(out, ", head after %d ms, %d events", a.FirstMS, a.Events)
 		}
+		if a.FirstEvent != "" {
+			fmt.Fprintf(out, " with ids %s to %s", a.FirstEvent, a.LastEvent)
+		}
+		if a.Dropped > 0 {
+			fmt.Fprintf(out, ", %d more not forwarded", a.Dropped)
+		}
+		if a.UntilClose {
+			fmt.Fprint(out, ", ended by its connection")
+		}
 		if a.Confidence > 0 {
 			fmt.Fprintf(out, ", confidence %d", a.Confidence)
 		}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -41,6 +42,15 @@
 	// events.
 	FirstMS int64 `json:"first_ms,omitempty"`
 	Events  int   `json:"events,omitempty"`
+	// ResumedAfter is the id of the event after which the server was asked to go on.
+	// FirstEvent and LastEvent are the ids of the first and the last event that were
+	// forwarded, and Dropped is the number of events that were not.
+	ResumedAfter string `json:"resumed_after,omitempty"`
+	FirstEvent   string `json:"first_event,omitempty"`
+	LastEvent    string `json:"last_event,omitempty"`
+	Dropped      int    `json:"dropped,omitempty"`
+	// UntilClose means that the end of the connection is the end of the answer.
+	UntilClose bool `json:"until_close,omitempty"`
 	// WaitMS is the expected wait at the server and PrefillMS the expected time to read
 	// the prompt there; the server was selected by these estimates.
 	WaitMS    int64 `json:"wait_ms"`
@@ -105,6 +115,7 @@
 	entry := attemptLog{
 		Server: t.server.ID, Version: t.server.Version, Model: t.model, AtMS: started.Sub(c.received).Milliseconds(),
 		WaitMS: t.wait.Milliseconds(), PrefillMS: t.prefill.Milliseconds(),
+		ResumedAfter: cmp.Or(c.stream.lastID, c.meta.LastEvent),
 	}
 	ctx, end := c.traceAttempt(&t)
 	result, saved, err := c.exchange(ctx, t, &entry)
@@ -243,6 +254,7 @@
 		return c.endedOr(attempt.Broken), nil, err
 	}
 	entry.headReceived = true
+	entry.UntilClose = response.UntilClose
 	headerTime := time.Since(started)
 	entry.FirstMS = headerTime.Milliseconds()
 	if t.wait < maxIdleWait && response.Status == http.StatusOK {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -154,9 +155,13 @@
 			return c.endedOr(attempt.Broken), nil, err
 		}
 		if !accepted {
+			entry.Dropped++
 			continue
 		}
 		entry.Events++
+		if id := eventID(event); id != "" {
+			entry.FirstEvent, entry.LastEvent = cmp.Or(entry.FirstEvent, id), id
+		}
 		if isProgress && !entry.begun {
 			entry.begun = true
 			c.recordAnswer()
