gateway: an answer that ends with its server is not complete

What callers saw: one server process is killed, and all answers that it was writing without length and chunks look complete, streams and others.

Cause: the end of a connection was taken for the word of the server that its answer is complete. The kernel of a killed process closes its connections in the same way; only a process with unread bytes sends a reset.

Change: at such an end the gateway opens a connection to the server. Refused, or reset within 50 ms, means that the process has ended: the answer is broken off, so that a resumable stream goes on elsewhere, a repeatable request is sent again and others are cut. The connection is kept for the next request in place of the one that ended.

--- a/backend/exchange_test.go
+++ b/backend/exchange_test.go
@@ -106,6 +106,50 @@
 	}
 }
 
+// Guards against taking a process that is just ending for one that listens, and one that
+// resets connections because it has too many for one that has ended.
+func TestAccepts(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		behave  func(net.Listener)
+		accepts bool
+	}{
+		{"listens", func(net.Listener) {}, true},
+		{"has ended", func(l net.Listener) { l.Close() }, false},
+		{"is ending", func(l net.Listener) {
+			time.AfterFunc(20*time.Millisecond, func() { l.Close() })
+		}, false},
+		{"resets connections", func(l net.Listener) {
+			go func() {
+				for {
+					conn, err := l.Accept()
+					if err != nil {
+						return // the listener was closed
+					}
+					conn.(*net.TCPConn).SetLinger(0)
+					conn.Close()
+				}
+			}()
+		}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { listener.Close() })
+			c.behave(listener)
+			p := NewPool(Config{})
+			if got := p.Accepts(t.Context(), listener.Addr().String(), 0); got != c.accepts {
+				t.Errorf("got %v", got)
+			}
+			if h := p.hosts[listener.Addr().String()]; h != nil && h.open != len(h.idle) {
+				t.Errorf("%d connections are open, %d of them idle", h.open, len(h.idle))
+			}
+		})
+	}
+}
+
 // Guards against idle connections that are not reused, so that each request dials a new
 // one.
 func TestConnectionIsReused(t *testing.T) {
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -132,11 +132,64 @@
 func (p *Pool) Refuses(ctx context.Context, address string, limit int) bool {
 	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
 	defer cancel()
+	c, err := p.dialExtra(ctx, address)
+	if err != nil {
+		return isRefused(err)
+	}
+	p.keep(c, limit)
+	return false
+}
+
+const (
+	// acceptChecks is the number of connections that Accepts tries: one may be lost, reset
+	// by a server with too many, or accepted by a process that is just ending.
+	acceptChecks = 3
+	// acceptSettleTime is how long a new connection must stay open to show that its server
+	// lives. The kernel of a killed process closes its sockets one after the other, and
+	// resets the connections that wait to be accepted with the last of them.
+	acceptSettleTime = 50 * time.Millisecond
+)
+
+// Accepts reports whether a process listens at an address and goes on to do so. A
+// connection that is established by the check is kept as by Refuses.
+func (p *Pool) Accepts(ctx context.Context, address string, limit int) bool {
+	accepted := false
+	for range acceptChecks {
+		c, err := p.dialExtra(ctx, address)
+		if err != nil {
+			if isRefused(err) || ctx.Err() != nil {
+				return false
+			}
+			accepted = false
+			continue
+		}
+		select {
+		case err := <-c.readable:
+			c.close()
+			if err == nil {
+				return true
+			}
+			accepted = true
+		case <-time.After(acceptSettleTime):
+			p.keep(c, limit)
+			return true
+		}
+	}
+	return accepted
+}
+
+func isRefused(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+}
+
+// dialExtra establishes a connection whatever the number of those that are open.
+func (p *Pool) dialExtra(ctx context.Context, address string) (*conn, error) {
 	netConn, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+		return nil, err
 	}
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	h := p.hosts[address]
 	if h == nil {
 		h = &hostConns{}
@@ -144,16 +197,21 @@
 	}
 	h.open++
 	p.dials++
-	over := limit > 0 && h.open > limit
+	return newConn(p, address, netConn), nil
+}
+
+// keep makes a connection available to later requests, or closes it if more than limit are
+// open; 0 means no limit.
+func (p *Pool) keep(c *conn, limit int) {
+	p.mu.Lock()
+	over := limit > 0 && p.hosts[c.address].open > limit
 	p.mu.Unlock()
-	c := newConn(p, address, netConn)
 	if over {
 		c.close()
-		return false
+		return
 	}
 	c.expires = time.Now().Add(defaultIdleTimeout)
 	p.putIdle(c)
-	return false
 }
 
 // takeIdleOrReserve removes the most recently used idle connection from the pool and
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -35,6 +35,20 @@
 
 var errUnsealed = errors.New("answer is not certainly the backend server's")
 
+// errServerEnded means that a response was ended by its connection only, and that nothing
+// listens at the address of its server any more. The kernel of a killed process ends its
+// connections in the same way as a server ends such a response.
+var errServerEnded = fmt.Errorf("the server has ended, and its connection with it: %w", io.ErrUnexpectedEOF)
+
+// verifyEnd returns an error if a response that has been read to its end may be cut.
+func (c *clientRequest) verifyEnd(t *target, response *backend.Response) error {
+	if !response.UntilClose || c.g.Pool.Accepts(c.ctx, t.server.Address, c.connectionLimit()) {
+		return nil
+	}
+	c.g.Metrics.Add("end_not_verified", 1)
+	return errServerEnded
+}
+
 // deliver forwards a response to the client. A response that reports a failure is
 // returned instead, to be sent if no further attempt succeeds.
 func (c *clientRequest) deliver(t target, response *backend.Response, meta ResponseMeta, entry *attemptLog, started time.Time) (attempt.Outcome, *bufferedResponse, error) {
@@ -47,10 +61,13 @@
 		if !t.final && meta.Confidence >= 0 && c.escalate(meta.Confidence) {
 			return attempt.Escalated, nil, nil
 		}
-		return c.relayStream(response, entry, func() { c.g.countTimingEarly(c, &t, entry, started) })
+		return c.relayStream(&t, response, entry, func() { c.g.countTimingEarly(c, &t, entry, started) })
 	}
 	body, held, err := readBuffered(response.Body, response.Length, c.g.responseMemory)
 	c.heldMemory += held
+	if err == nil {
+		err = c.verifyEnd(&t, response)
+	}
 	if err != nil {
 		return c.endedOr(attempt.Broken), nil, err
 	}
@@ -126,7 +143,7 @@
 
 // relayStream forwards the events of a stream as they arrive. Each event is forwarded
 // whole and only once. evaluate is called when the time of the stream can be evaluated.
-func (c *clientRequest) relayStream(response *backend.Response, entry *attemptLog, evaluate func()) (attempt.Outcome, *bufferedResponse, error) {
+func (c *clientRequest) relayStream(t *target, response *backend.Response, entry *attemptLog, evaluate func()) (attempt.Outcome, *bufferedResponse, error) {
 	if !c.headerSent {
 		c.headerSent = true
 		h := c.w.Header()
@@ -144,7 +161,9 @@
 	for {
 		event, err := readEvent(reader)
 		if err == io.EOF && len(event) == 0 {
-			return attempt.Delivered, nil, nil
+			if err = c.verifyEnd(t, response); err == nil {
+				return attempt.Delivered, nil, nil
+			}
 		}
 		if err != nil {
 			return c.endedOr(attempt.Broken), nil, err
--- a/gateway/unframed_test.go
+++ b/gateway/unframed_test.go
@@ -81,3 +81,46 @@
 		})
 	}
 }
+
+// Guards against responses that look complete although their server ended in the middle,
+// without a reset of its connections.
+func TestResponsesThatEndWithTheirServer(t *testing.T) {
+	for _, c := range []struct {
+		name, path, first string
+		second            fake.Handler
+		status            int
+		body              string
+		cut               bool
+	}{
+		{"response, repeatable", "/look/a", "the wh", fake.Respond(200, "the whole body"), 200, "the whole body", false},
+		{"response, not repeatable", "/book/a", "the wh", fake.Respond(200, "the whole body"), 502, "", false},
+		{"stream", "/draft/a", events(1, 3), fake.Stream(6, true, 0), 200, events(1, 6), false},
+		{"stream, complete", "/draft/a", events(1, 6), fake.Stream(6, true, 0), 200, events(1, 6), false},
+		{"stream, before its first event", "/draft/a", "", fake.Stream(6, true, 0), 200, events(1, 6), false},
+		{"stream, not resumable", "/once/a", events(1, 3), fake.Stream(6, true, 0), 200, events(1, 3), true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			store := newStore(t)
+			service := "llm"
+			if c.path == "/look/a" || c.path == "/book/a" {
+				service = "app"
+			}
+			first := fake.NewBackendServer(t, "i-1", nil)
+			first.SetHandler(func(conn net.Conn, r fake.Request) bool {
+				first.Stop()
+				return unframed(c.first, false, streamHeader)(conn, r)
+			})
+			register(store, service, ownDC, first)
+			register(store, service, otherRegionDC, fake.NewBackendServer(t, "i-2", c.second))
+			e := start(t, store, "e1")
+			e.awaitServers(2)
+			a := e.send("POST", c.path, "prompt", "X-Model", "small")
+			if a.status != c.status || c.status == 200 && a.body != c.body {
+				t.Errorf("status %d, body %q, want %d, %q", a.status, a.body, c.status, c.body)
+			}
+			if (a.err != nil) != c.cut {
+				t.Errorf("error at the end of the response: %v", a.err)
+			}
+		})
+	}
+}
