backend: check whether a server has ended only after its exit is over

What callers saw: of 50 runs of TestAnswersOfKilledServer, two still had a cut answer that looked complete. In a trial the check for crashed servers, which blocks parts of prompts that crash them, missed 5 of 10 processes killed with 40 connections each.

Cause: the kernel closes the sockets of a killed process one after the other. A connection that is opened meanwhile may be established and then stay silent: the traced one was neither refused nor reset in 50 ms, because its half-open state was dropped together with the listener.

Change: both checks wait 50 ms before they connect, in place of after it, so that the listener is gone by then. An answer without length and chunks ends 50 ms later. A check that ends because the deadline passes no longer loses the answer.

--- a/backend/exchange_test.go
+++ b/backend/exchange_test.go
@@ -97,9 +97,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	listener.Close()
-	if !p.Refuses(t.Context(), listener.Addr().String(), 0) {
-		t.Error("an address without a listener does not count as crashed")
+	// The kernel of a killed process closes its connections before its listener.
+	time.AfterFunc(20*time.Millisecond, func() { listener.Close() })
+	for _, state := range []string{"is about to close", "is closed"} {
+		if !p.Refuses(t.Context(), listener.Addr().String(), 0) {
+			t.Errorf("an address whose listener %s does not count as crashed", state)
+		}
 	}
 	if p.hosts[listener.Addr().String()] != nil {
 		t.Error("the check left state behind")
@@ -141,7 +144,7 @@
 			c.behave(listener)
 			p := NewPool(Config{})
 			if got := p.Accepts(t.Context(), listener.Addr().String(), 0); got != c.accepts {
-				t.Errorf("got %v", got)
+				t.Errorf("accepts: %v", got)
 			}
 			if h := p.hosts[listener.Addr().String()]; h != nil && h.open != len(h.idle) {
 				t.Errorf("%d connections are open, %d of them idle", h.open, len(h.idle))
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -123,59 +123,55 @@
 	return newConn(p, address, netConn), nil
 }
 
-// crashCheckTimeout limits the dial of Refuses. The longest round trip takes 60 ms.
-const crashCheckTimeout = 150 * time.Millisecond
+const (
+	// exitTime is the time in which the kernel closes all sockets of a process that has
+	// ended. Until its listener is closed, a connection to it may still be established.
+	exitTime = 50 * time.Millisecond
+	// crashCheckTimeout limits the check of Refuses, which takes exitTime and a round trip
+	// of 60 ms at most.
+	crashCheckTimeout = 200 * time.Millisecond
+	// acceptDials is the number of connections that Accepts tries if the address is silent:
+	// a packet may be lost.
+	acceptDials = 3
+)
 
-// Refuses reports whether nothing listens at an address any more. A connection that is
-// established by the check is kept for later requests, unless limit connections are open;
-// 0 means no limit.
+// Refuses reports whether nothing listens any more at the address of a connection that has
+// just ended. A connection that is established by the check is kept for later requests,
+// unless limit connections are open; 0 means no limit.
 func (p *Pool) Refuses(ctx context.Context, address string, limit int) bool {
 	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
 	defer cancel()
-	c, err := p.dialExtra(ctx, address)
-	if err != nil {
-		return isRefused(err)
-	}
-	p.keep(c, limit)
-	return false
+	return isRefused(p.dialAfterExit(ctx, address, limit))
 }
 
-const (
-	// acceptChecks is the number of connections that Accepts tries: one may be lost, reset
-	// by a server with too many, or accepted by a process that is just ending.
-	acceptChecks = 3
-	// acceptSettleTime is how long a new connection must stay open to show that its server
-	// lives. The kernel of a killed process closes its sockets one after the other, and
-	// resets the connections that wait to be accepted with the last of them.
-	acceptSettleTime = 50 * time.Millisecond
-)
-
-// Accepts reports whether a process listens at an address and goes on to do so. A
-// connection that is established by the check is kept as by Refuses.
+// Accepts reports whether a process still listens at the address of a connection that has
+// just ended. A connection that is established by the check is kept as by Refuses.
 func (p *Pool) Accepts(ctx context.Context, address string, limit int) bool {
-	accepted := false
-	for range acceptChecks {
-		c, err := p.dialExtra(ctx, address)
-		if err != nil {
-			if isRefused(err) || ctx.Err() != nil {
-				return false
-			}
-			accepted = false
-			continue
-		}
-		select {
-		case err := <-c.readable:
-			c.close()
-			if err == nil {
-				return true
-			}
-			accepted = true
-		case <-time.After(acceptSettleTime):
-			p.keep(c, limit)
+	for range acceptDials {
+		err := p.dialAfterExit(ctx, address, limit)
+		if err == nil {
 			return true
 		}
+		if isRefused(err) {
+			return false
+		}
+	}
+	return false
+}
+
+// dialAfterExit establishes and keeps a connection to an address, after the time that a
+// process takes to end.
+func (p *Pool) dialAfterExit(ctx context.Context, address string, limit int) error {
+	select {
+	case <-time.After(exitTime):
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	c, err := p.dialExtra(ctx, address)
+	if err == nil {
+		p.keep(c, limit)
 	}
-	return accepted
+	return err
 }
 
 func isRefused(err error) bool {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"cmp"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -35,18 +36,23 @@
 
 var errUnsealed = errors.New("answer is not certainly the backend server's")
 
-// errServerEnded means that a response was ended by its connection only, and that nothing
-// listens at the address of its server any more. The kernel of a killed process ends its
+// errEndNotVerified means that a response was ended by its connection only, and that its
+// server does not accept connections any more. The kernel of a killed process ends its
 // connections in the same way as a server ends such a response.
-var errServerEnded = fmt.Errorf("the server has ended, and its connection with it: %w", io.ErrUnexpectedEOF)
+var errEndNotVerified = fmt.Errorf("the connection and the server have ended: %w", io.ErrUnexpectedEOF)
 
 // verifyEnd returns an error if a response that has been read to its end may be cut.
 func (c *clientRequest) verifyEnd(t *target, response *backend.Response) error {
-	if !response.UntilClose || c.g.Pool.Accepts(c.ctx, t.server.Address, c.connectionLimit()) {
+	if !response.UntilClose {
+		return nil
+	}
+	// The response is here; it is not lost because the deadline passes during the check.
+	ctx := context.WithoutCancel(c.ctx)
+	if c.g.Pool.Accepts(ctx, t.server.Address, c.connectionLimit()) {
 		return nil
 	}
 	c.g.Metrics.Add("end_not_verified", 1)
-	return errServerEnded
+	return errEndNotVerified
 }
 
 // deliver forwards a response to the client. A response that reports a failure is
