gateway: a resumed stream goes on after the client's last event or not at all

What callers saw: a server that is asked to go on after event 3 sends its run from the beginning, or from event 6. The caller got events of two runs in one stream, or a stream without events 4 and 5, and both looked complete; so did one whose second server only repeated what the caller had.

Cause: a server's word that it goes on at Last-Event-Id was not compared with the first event that it sends. Events that the caller had were skipped, and the rest of a different run was taken for the continuation.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -10,16 +10,28 @@
 	"hyssoploom/backend"
 )
 
-// streamState tracks which events of a stream the client has received.
+// streamState tracks which events of a stream the client has received, from one run of the
+// request after the other.
 type streamState struct {
 	started bool
 	// status and mediaType are those of the response head that the client has received.
 	status    int
 	mediaType string
-	lastID    string // id of the last forwarded event; empty before the first
-	last      int64
+	lastID    string // id of the client's last event; empty before the first
+	last      int64  // the number that lastID stands for
+	// steps is the number of times that the number of an event followed on another, and
+	// unitSteps the number of those at which it rose by one. An event 1 follows on the
+	// beginning.
+	steps, unitSteps int
+	// runBegun means that the current run has sent an event with a number.
+	runBegun bool
 }
 
+var (
+	errNotResumed    = errors.New("the server did not go on after the last event")
+	errEventsMissing = errors.New("the server went on later than after the last event")
+)
+
 // begin records the head of the response that the client receives.
 func (s *streamState) begin(response *backend.Response) {
 	s.started, s.status, s.mediaType = true, response.Status, mediaType(response)
@@ -41,21 +53,45 @@
 	return strings.ToLower(strings.TrimSpace(name))
 }
 
-// accept records the id of an event and reports whether the event is new to the client.
-func (s *streamState) accept(event []byte) bool {
+// beginRun tells that the next events are those of another run of the request.
+func (s *streamState) beginRun() { s.runBegun = false }
+
+// accept records the id of an event and reports whether the event is new to the client. It
+// returns an error if a run does not go on where the client's part of the stream ends.
+func (s *streamState) accept(event []byte) (bool, error) {
 	id := eventID(event)
 	if id == "" {
-		return true
+		return true, nil
 	}
 	n, err := strconv.ParseInt(id, 10, 64)
-	if err == nil {
-		if s.lastID != "" && n <= s.last {
-			return false
+	if err != nil {
+		s.lastID = id
+		return true, nil
+	}
+	if s.lastID != "" {
+		switch {
+		case !s.runBegun && n <= s.last:
+			return false, errNotResumed
+		case !s.runBegun && n > s.last+1 && s.isConsecutive():
+			return false, errEventsMissing
+		case n <= s.last:
+			return false, nil
+		}
+	}
+	if s.lastID != "" || n == 1 {
+		s.steps++
+		if n == s.last+1 {
+			s.unitSteps++
 		}
-		s.last = n
 	}
-	s.lastID = id
-	return true
+	s.runBegun, s.lastID, s.last = true, id, n
+	return true, nil
+}
+
+// isConsecutive reports whether the ids of the stream have risen by one so far. Servers
+// only promise that ids increase.
+func (s *streamState) isConsecutive() bool {
+	return s.steps > 0 && s.unitSteps == s.steps
 }
 
 // isProgress reports whether an accepted event is a part of the answer: it has an id, or
--- a/gateway/events_test.go
+++ b/gateway/events_test.go
@@ -55,7 +55,7 @@
 	last, any := int64(0), false
 	for _, e := range events {
 		numbered := s
-		if !s.accept(e) {
+		if accepted, err := s.accept(e); err != nil || !accepted {
 			continue
 		}
 		if s.last == numbered.last && s.lastID == numbered.lastID {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -156,6 +156,7 @@
 			return attempt.Ended, nil, err
 		}
 	}
+	c.stream.beginRun()
 	progress := &progressReader{source: response.Body, timeout: staleTimeout(c.route.GapTarget)}
 	reader := bufio.NewReader(progress)
 	for {
@@ -168,7 +169,10 @@
 		if err != nil {
 			return c.endedOr(attempt.Broken), nil, err
 		}
-		accepted := c.stream.accept(event)
+		accepted, err := c.stream.accept(event)
+		if err != nil {
+			return c.endedOr(attempt.Broken), nil, fmt.Errorf("event %s after %s: %w", eventID(event), c.stream.lastID, err)
+		}
 		isProgress := accepted && c.stream.isProgress(event)
 		if err := progress.record(isProgress); err != nil {
 			return c.endedOr(attempt.Broken), nil, err
--- a/gateway/resume_test.go
+++ b/gateway/resume_test.go
@@ -50,6 +50,11 @@
 	}
 }
 
+// otherRun is events of another run of the request.
+func otherRun(first, last int) string {
+	return strings.ReplaceAll(events(first, last), "token", "other")
+}
+
 // stream returns a handler that sends events as a complete stream, whatever the client
 // has received.
 func stream(events ...string) fake.Handler {
@@ -97,3 +102,22 @@
 		})
 	}
 }
+
+// Guards against pieces of two runs in one stream: a server that was asked to go on after
+// an event begins elsewhere.
+func TestResumedStreamGoesOnAfterTheLastEvent(t *testing.T) {
+	begun, rest := brokenOff(events(1, 3)), fake.Stream(6, true, 0)
+	checkResumes(t, "/draft/a", []resumeCase{
+		{"from the beginning", []fake.Handler{begun, stream(otherRun(1, 6)), rest}, "", events(1, 6), false},
+		{"from the beginning at all others", []fake.Handler{begun, stream(otherRun(1, 6))}, "", events(1, 3), true},
+		{"from the beginning, broken off", []fake.Handler{begun, brokenOff(otherRun(1, 2)), rest}, "", events(1, 6), false},
+		{"only what the client has", []fake.Handler{begun, stream(events(1, 2))}, "", events(1, 3), true},
+		{"from the last event", []fake.Handler{begun, stream(otherRun(3, 6)), rest}, "", events(1, 6), false},
+		{"after a gap", []fake.Handler{begun, stream(events(6, 8)), rest}, "", events(1, 6), false},
+		{"after a gap at all others", []fake.Handler{begun, stream(events(6, 8))}, "", events(1, 3), true},
+		{"after a gap, of a stream with gaps", []fake.Handler{brokenOff(events(2, 2), events(4, 4)), stream(events(6, 6), events(8, 8))}, "",
+			events(2, 2) + events(4, 4) + events(6, 6) + events(8, 8), false},
+		{"nothing more to send", []fake.Handler{begun, stream()}, "", events(1, 3), false},
+		{"comments before it", []fake.Handler{begun, stream(": hello\n\n", events(4, 6))}, "", events(1, 3) + ": hello\n\n" + events(4, 6), false},
+	})
+}
