gateway: a stream that the client continues begins after the client's last event

What callers saw: a client continues a stream with Last-Event-Id 2; a server that sends its run from the beginning is passed on, so that events 1 and 2 come twice and the number goes back.

Cause: the gateway counted only the events that it had forwarded itself. What the client has was passed on to the server and not kept.

Change: on resumable routes the client's Last-Event-Id is the position of the stream from the start, so that the checks of resumed runs hold for it. On other routes the header has no meaning and is passed on as before.

--- a/gateway/buffer_internal_test.go
+++ b/gateway/buffer_internal_test.go
@@ -117,19 +117,20 @@
 // Guards against events that count as progress although they are no part of the answer.
 func TestIsProgress(t *testing.T) {
 	for _, c := range []struct {
-		lastID, event string
-		want          bool
+		hasIDs bool
+		event  string
+		want   bool
 	}{
-		{"", "id: 1\ndata: a\n\n", true},
-		{"", "data: a\n\n", true},
-		{"", ": comment\n\n", false},
-		{"", "\n", false},
-		{"3", "id: 4\n\n", true},
-		{"3", "data: a\n\n", false},
+		{false, "id: 1\ndata: a\n\n", true},
+		{false, "data: a\n\n", true},
+		{false, ": comment\n\n", false},
+		{false, "\n", false},
+		{true, "id: 4\n\n", true},
+		{true, "data: a\n\n", false},
 	} {
-		s := streamState{lastID: c.lastID}
+		s := streamState{hasIDs: c.hasIDs}
 		if got := s.isProgress([]byte(c.event)); got != c.want {
-			t.Errorf("after id %q, %q: %v", c.lastID, c.event, got)
+			t.Errorf("events with ids %v, %q: %v", c.hasIDs, c.event, got)
 		}
 	}
 }
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -14,6 +14,7 @@
 // request after the other.
 type streamState struct {
 	started bool
+	hasIDs  bool // an event of this response had an id
 	// status and mediaType are those of the response head that the client has received.
 	status    int
 	mediaType string
@@ -32,6 +33,14 @@
 	errEventsMissing = errors.New("the server went on later than after the last event")
 )
 
+// continueAfter records the last event that the client received from an earlier stream. An
+// id that is not a number says nothing about the events that follow.
+func (s *streamState) continueAfter(id string) {
+	if n, err := strconv.ParseInt(id, 10, 64); err == nil {
+		s.lastID, s.last = id, n
+	}
+}
+
 // begin records the head of the response that the client receives.
 func (s *streamState) begin(response *backend.Response) {
 	s.started, s.status, s.mediaType = true, response.Status, mediaType(response)
@@ -63,6 +72,7 @@
 	if id == "" {
 		return true, nil
 	}
+	s.hasIDs = true
 	n, err := strconv.ParseInt(id, 10, 64)
 	if err != nil {
 		s.lastID = id
@@ -101,7 +111,7 @@
 	if eventID(event) != "" {
 		return true
 	}
-	if s.lastID != "" {
+	if s.hasIDs {
 		return false
 	}
 	for line := range bytes.Lines(event) {
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -157,6 +157,9 @@
 	}
 	c.deadline = c.received.Add(timeout)
 	c.service = config.Services[c.chooseService()]
+	if c.route.Resumable {
+		c.stream.continueAfter(c.meta.LastEvent)
+	}
 	c.prompt = hashPrefixes(c.meta.Parts)
 	c.suspectParts = hashSuspectParts(c.r.RequestURI, &c.meta)
 	if c.meta.Model == AnyModel && len(c.route.Models) > 0 {
--- a/gateway/resume_test.go
+++ b/gateway/resume_test.go
@@ -72,7 +72,9 @@
 func brokenOff(events ...string) fake.Handler {
 	return func(conn net.Conn, r fake.Request) bool {
 		fake.WriteHeader(conn, r, "Transfer-Encoding: chunked", streamHeader)
-		fake.WriteChunk(conn, strings.Join(events, ""))
+		if len(events) > 0 { // an empty chunk would be the end of the body
+			fake.WriteChunk(conn, strings.Join(events, ""))
+		}
 		return false
 	}
 }
@@ -121,3 +123,24 @@
 		{"comments before it", []fake.Handler{begun, stream(": hello\n\n", events(4, 6))}, "", events(1, 3) + ": hello\n\n" + events(4, 6), false},
 	})
 }
+
+// Guards against events that the client has received from another stream already, before
+// it asked to go on after the last of them.
+func TestStreamContinuedByTheClient(t *testing.T) {
+	rest := fake.Stream(6, true, 0)
+	checkResumes(t, "/draft/a", []resumeCase{
+		{"goes on", []fake.Handler{rest}, "2", events(3, 6), false},
+		{"from the beginning", []fake.Handler{stream(otherRun(1, 6)), rest}, "2", events(3, 6), false},
+		{"from the beginning at all servers", []fake.Handler{stream(otherRun(1, 6))}, "2", "", true},
+		{"from the last event", []fake.Handler{stream(otherRun(2, 6)), rest}, "2", events(3, 6), false},
+		{"broken off before an event", []fake.Handler{brokenOff(), rest}, "2", events(3, 6), false},
+		{"broken off after an event", []fake.Handler{brokenOff(events(3, 3)), rest}, "2", events(3, 6), false},
+		{"broken off, then from the beginning", []fake.Handler{brokenOff(), stream(otherRun(1, 6)), rest}, "2", events(3, 6), false},
+		{"nothing more to send", []fake.Handler{rest}, "6", "", false},
+		{"last event is no number", []fake.Handler{stream(events(1, 6))}, "x", events(1, 6), false},
+	})
+	// On a route whose streams are not resumable the header has no meaning.
+	checkResumes(t, "/once/a", []resumeCase{
+		{"not resumable", []fake.Handler{stream(events(1, 6))}, "2", events(1, 6), false},
+	})
+}
