gateway: a stream whose server sends events out of order is broken off

What callers saw: a server sends events 1, 2, 4, 3, 5. The caller got 1, 2, 4, 5, and the stream looked complete.

Cause: an event that was not new to the caller was skipped, whatever the reason. That was meant for servers that repeat events when a stream is resumed; within a run, a lower number means that the events before it were not all there.

Change: within a run each number must be higher than the one before, otherwise the stream has broken off. It is resumed only if the ids that the caller has leave no gap; else it is cut, because no server can send what is missing. No event is skipped any more, so the log record says nothing of skipped ones.

--- a/cli/explain.go
+++ b/cli/explain.go
@@ -77,7 +77,6 @@
 	ResumedAfter string `json:"resumed_after"`
 	FirstEvent   string `json:"first_event"`
 	LastEvent    string `json:"last_event"`
-	Dropped      int    `json:"dropped"`
 	UntilClose   bool   `json:"until_close"`
 }
 
@@ -161,9 +160,6 @@
 		if a.FirstEvent != "" {
 			fmt.Fprintf(out, " with ids %s to %s", a.FirstEvent, a.LastEvent)
 		}
-		if a.Dropped > 0 {
-			fmt.Fprintf(out, ", %d more not forwarded", a.Dropped)
-		}
 		if a.UntilClose {
 			fmt.Fprint(out, ", ended by its connection")
 		}
--- a/cli/explain_test.go
+++ b/cli/explain_test.go
@@ -11,7 +11,7 @@
 const explainLog = `not a log line
   26.05 edge-1 {"time":"2026-05-13T05:40:28.000Z","level":"warn","process":"edge-1","error":"timeout","message":"fleet: Lost the store."}
 {"time":"2026-05-13T05:40:28.500Z","level":"warn","process":"edge-2","message":"fleet: Lost the store."}
-{"time":"2026-05-13T05:40:30.000Z","level":"info","process":"edge-1","request":"r1","route":"draft","workspace":"club","outcome":"answer_lost","status":502,"ms":900,"config":7,"config_age_ms":300,"attempts":[{"server":"i-1","model":"small","outcome":"unsure","confidence":12,"first_ms":80,"wait_ms":5,"read_ms":40,"at_ms":0,"took_ms":81},{"server":"i-2","model":"large","outcome":"broken","first_ms":200,"events":3,"resumed_after":"4","first_event":"5","last_event":"7","dropped":2,"until_close":true,"wait_ms":0,"read_ms":150,"at_ms":81,"took_ms":819,"error":"connection reset"}],"message":"gateway: Request ended."}
+{"time":"2026-05-13T05:40:30.000Z","level":"info","process":"edge-1","request":"r1","route":"draft","workspace":"club","outcome":"answer_lost","status":502,"ms":900,"config":7,"config_age_ms":300,"attempts":[{"server":"i-1","model":"small","outcome":"unsure","confidence":12,"first_ms":80,"wait_ms":5,"read_ms":40,"at_ms":0,"took_ms":81},{"server":"i-2","model":"large","outcome":"broken","first_ms":200,"events":3,"resumed_after":"4","first_event":"5","last_event":"7","until_close":true,"wait_ms":0,"read_ms":150,"at_ms":81,"took_ms":819,"error":"connection reset"}],"message":"gateway: Request ended."}
 {"time":"2026-05-13T05:40:50.000Z","level":"info","process":"edge-1","message":"fleet: Regained the store."}
 `
 
@@ -29,7 +29,7 @@
 	for _, want := range []string{
 		"edge-1 took request r1 on route draft of workspace club", "configuration 7, proven 300 ms",
 		"attempt 1 on i-1 with model small, expected wait 5 ms and reading 40 ms", "unsure, head after 80 ms, 0 events, confidence 12",
-		"reading 150 ms, to go on after event 4", "+900 ms  broken, head after 200 ms, 3 events with ids 5 to 7, 2 more not forwarded, ended by its connection: connection reset", "answer_lost, status 502", "fleet: Lost the store. error=timeout",
+		"reading 150 ms, to go on after event 4", "+900 ms  broken, head after 200 ms, 3 events with ids 5 to 7, ended by its connection: connection reset", "answer_lost, status 502", "fleet: Lost the store. error=timeout",
 	} {
 		if !strings.Contains(stdout.String(), want) {
 			t.Errorf("output lacks %q:\n%s", want, stdout.String())
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -44,11 +44,10 @@
 	Events  int   `json:"events,omitempty"`
 	// ResumedAfter is the id of the event after which the server was asked to go on.
 	// FirstEvent and LastEvent are the ids of the first and the last event that were
-	// forwarded, and Dropped is the number of events that were not.
+	// forwarded.
 	ResumedAfter string `json:"resumed_after,omitempty"`
 	FirstEvent   string `json:"first_event,omitempty"`
 	LastEvent    string `json:"last_event,omitempty"`
-	Dropped      int    `json:"dropped,omitempty"`
 	// UntilClose means that the end of the connection is the end of the answer.
 	UntilClose bool `json:"until_close,omitempty"`
 	// WaitMS is the expected wait at the server and PrefillMS the expected time to read
@@ -81,7 +80,7 @@
 			sleep(c.ctx, crashcause.SettleTime)
 			c.g.evaluateNow()
 		}
-		if c.rejectedByBlock() {
+		if c.rejectedByBlock() || !c.stream.mayResume() {
 			return 0, false
 		}
 		target, ok := c.selectServer()
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -24,6 +24,8 @@
 	// unitSteps the number of those at which it rose by one. An event 1 follows on the
 	// beginning.
 	steps, unitSteps int
+	// incomplete means that the client may lack an event before the last one.
+	incomplete bool
 	// runBegun means that the current run has sent an event with a number.
 	runBegun bool
 }
@@ -31,6 +33,7 @@
 var (
 	errNotResumed    = errors.New("the server did not go on after the last event")
 	errEventsMissing = errors.New("the server went on later than after the last event")
+	errOutOfOrder    = errors.New("the server sent an event after a later one")
 )
 
 // continueAfter records the last event that the client received from an earlier stream. An
@@ -65,27 +68,31 @@
 // beginRun tells that the next events are those of another run of the request.
 func (s *streamState) beginRun() { s.runBegun = false }
 
-// accept records the id of an event and reports whether the event is new to the client. It
-// returns an error if a run does not go on where the client's part of the stream ends.
-func (s *streamState) accept(event []byte) (bool, error) {
+// mayResume reports whether another run may go on with the stream.
+func (s *streamState) mayResume() bool { return !s.incomplete }
+
+// accept records the id of an event that is to be forwarded. It returns an error if the
+// event does not follow on those that the client has.
+func (s *streamState) accept(event []byte) error {
 	id := eventID(event)
 	if id == "" {
-		return true, nil
+		return nil
 	}
 	s.hasIDs = true
 	n, err := strconv.ParseInt(id, 10, 64)
 	if err != nil {
 		s.lastID = id
-		return true, nil
+		return nil
 	}
 	if s.lastID != "" {
 		switch {
-		case !s.runBegun && n <= s.last:
-			return false, errNotResumed
-		case !s.runBegun && n > s.last+1 && s.isConsecutive():
-			return false, errEventsMissing
+		case n <= s.last && s.runBegun:
+			s.incomplete = s.incomplete || !s.isConsecutive()
+			return errOutOfOrder
 		case n <= s.last:
-			return false, nil
+			return errNotResumed
+		case n > s.last+1 && !s.runBegun && s.isConsecutive():
+			return errEventsMissing
 		}
 	}
 	if s.lastID != "" || n == 1 {
@@ -95,7 +102,7 @@
 		}
 	}
 	s.runBegun, s.lastID, s.last = true, id, n
-	return true, nil
+	return nil
 }
 
 // isConsecutive reports whether the ids of the stream have risen by one so far. Servers
--- a/gateway/events_test.go
+++ b/gateway/events_test.go
@@ -55,7 +55,7 @@
 	last, any := int64(0), false
 	for _, e := range events {
 		numbered := s
-		if accepted, err := s.accept(e); err != nil || !accepted {
+		if s.accept(e) != nil {
 			continue
 		}
 		if s.last == numbered.last && s.lastID == numbered.lastID {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -141,8 +141,7 @@
 	}
 }
 
-// relayStream forwards the events of a stream as they arrive. Each event is forwarded
-// whole and only once. evaluate is called when the time of the stream can be evaluated.
+// relayStream forwards the events of a stream as they arrive, each of them whole. evaluate is called when the time of the stream can be evaluated.
 func (c *clientRequest) relayStream(t *target, response *backend.Response, entry *attemptLog, evaluate func()) (attempt.Outcome, *bufferedResponse, error) {
 	if !c.headerSent {
 		c.headerSent = true
@@ -169,18 +168,13 @@
 		if err != nil {
 			return c.endedOr(attempt.Broken), nil, err
 		}
-		accepted, err := c.stream.accept(event)
-		if err != nil {
+		if err := c.stream.accept(event); err != nil {
 			return c.endedOr(attempt.Broken), nil, fmt.Errorf("event %s after %s: %w", eventID(event), c.stream.lastID, err)
 		}
-		isProgress := accepted && c.stream.isProgress(event)
+		isProgress := c.stream.isProgress(event)
 		if err := progress.record(isProgress); err != nil {
 			return c.endedOr(attempt.Broken), nil, err
 		}
-		if !accepted {
-			entry.Dropped++
-			continue
-		}
 		entry.Events++
 		if id := eventID(event); id != "" {
 			entry.FirstEvent, entry.LastEvent = cmp.Or(entry.FirstEvent, id), id
--- a/gateway/resume_test.go
+++ b/gateway/resume_test.go
@@ -144,3 +144,23 @@
 		{"not resumable", []fake.Handler{stream(events(1, 6))}, "2", events(1, 6), false},
 	})
 }
+
+// Guards against an event that is left out because it comes after a later one, while the
+// stream looks complete.
+func TestEventsOutOfOrder(t *testing.T) {
+	rest := fake.Stream(6, true, 0)
+	late := events(1, 2) + events(4, 4) + events(3, 3) + events(5, 6)
+	checkResumes(t, "/draft/a", []resumeCase{
+		{"late event", []fake.Handler{stream(late), rest}, "", events(1, 2) + events(4, 4), true},
+		{"event twice", []fake.Handler{stream(events(1, 3), events(3, 6)), rest}, "", events(1, 6), false},
+		{"begins again", []fake.Handler{stream(events(1, 3), events(1, 6)), rest}, "", events(1, 6), false},
+		{"begins again after it was resumed", []fake.Handler{brokenOff(events(1, 2)), stream(events(3, 4), events(3, 6)), rest}, "", events(1, 6), false},
+		{"late event after it was resumed", []fake.Handler{brokenOff(events(1, 2)), stream(events(3, 3), events(5, 5), events(4, 4)), rest}, "",
+			events(1, 3) + events(5, 5), true},
+		{"gap within a run", []fake.Handler{stream(events(1, 2), events(4, 6))}, "", events(1, 2) + events(4, 6), false},
+	})
+	checkResumes(t, "/once/a", []resumeCase{
+		{"late event, not resumable", []fake.Handler{stream(late), rest}, "", events(1, 2) + events(4, 4), true},
+		{"event twice, not resumable", []fake.Handler{stream(events(1, 3), events(3, 6)), rest}, "", events(1, 3), true},
+	})
+}
