gateway: a stream without numbered events is not joined with another run

What callers saw: a server sends data without ids and breaks off; the request was sent again, without Last-Event-Id, and the caller got the data of both runs as one complete stream. The same with ids that are not numbers, whose order nobody checked.

Cause: the last id stood for what the caller has. An empty one meant both that the caller has nothing and that what it has cannot be named.

Change: the state of a stream knows whether the caller has a part of the answer after which no server can be asked to go on. Such a stream is cut when it breaks off.

Evidence: TestStreamsWithoutNumbersAreNotResumed, 3 of 7 cases failed before.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -24,9 +24,10 @@
 	// unitSteps the number of those at which it rose by one. An event 1 follows on the
 	// beginning.
 	steps, unitSteps int
-	// incomplete means that the client may lack an event before the last one.
-	incomplete bool
-	// runBegun means that the current run has sent an event with a number.
+	// incomplete means that the client may lack an event before the last one, and unplaced
+	// that it has a part of the answer after which no server can be asked to go on.
+	incomplete, unplaced bool
+	// runBegun means that the current run has sent an event with an id.
 	runBegun bool
 }
 
@@ -69,19 +70,22 @@
 func (s *streamState) beginRun() { s.runBegun = false }
 
 // mayResume reports whether another run may go on with the stream.
-func (s *streamState) mayResume() bool { return !s.incomplete }
+func (s *streamState) mayResume() bool { return !s.incomplete && !s.unplaced }
 
 // accept records the id of an event that is to be forwarded. It returns an error if the
 // event does not follow on those that the client has.
 func (s *streamState) accept(event []byte) error {
 	id := eventID(event)
 	if id == "" {
+		s.unplaced = s.unplaced || s.isProgress(event)
 		return nil
 	}
-	s.hasIDs = true
 	n, err := strconv.ParseInt(id, 10, 64)
 	if err != nil {
-		s.lastID = id
+		if s.lastID != "" && !s.runBegun {
+			return errNotResumed
+		}
+		s.hasIDs, s.unplaced, s.runBegun, s.lastID = true, true, true, id
 		return nil
 	}
 	if s.lastID != "" {
@@ -101,7 +105,7 @@
 			s.unitSteps++
 		}
 	}
-	s.runBegun, s.lastID, s.last = true, id, n
+	s.hasIDs, s.unplaced, s.runBegun, s.lastID, s.last = true, false, true, id, n
 	return nil
 }
 
--- a/gateway/resume_test.go
+++ b/gateway/resume_test.go
@@ -164,3 +164,18 @@
 		{"event twice, not resumable", []fake.Handler{stream(events(1, 3), events(3, 6)), rest}, "", events(1, 3), true},
 	})
 }
+
+// Guards against the data of two runs in one stream whose events have no number by which
+// the second server could go on.
+func TestStreamsWithoutNumbersAreNotResumed(t *testing.T) {
+	const data, ready, first = "data: a\n\n", ": ready\n\n", "id: first\ndata: a\n\n"
+	checkResumes(t, "/draft/a", []resumeCase{
+		{"without ids", []fake.Handler{stream(data, data)}, "", data + data, false},
+		{"without ids, broken off", []fake.Handler{brokenOff(data), stream(data, data)}, "", data, true},
+		{"only a comment, broken off", []fake.Handler{brokenOff(ready), stream(data)}, "", ready + data, false},
+		{"data before the first id, broken off", []fake.Handler{brokenOff(data, events(1, 2)), fake.Stream(4, true, 0)}, "", data + events(1, 4), false},
+		{"ids that are no numbers", []fake.Handler{stream(first, "id: second\n\n")}, "", first + "id: second\n\n", false},
+		{"ids that are no numbers, broken off", []fake.Handler{brokenOff(first), stream(first, "id: second\n\n")}, "", first, true},
+		{"a resumed run with ids that are no numbers", []fake.Handler{brokenOff(events(1, 2)), stream(first), fake.Stream(4, true, 0)}, "", events(1, 4), false},
+	})
+}
