gateway: a cut stream ends with a reset for clients of HTTP/1.0

What callers saw: to a client of HTTP/1.0 a stream that its server broke off, or whose gateway was killed, looks complete: there are no chunks, and the end of the connection is the end of the stream.

Cause: the same as of answers that end with their server, on the other side: the closing of a connection stood both for the end of a stream and for the end of who sends it.

Change: while a stream to such a client is not complete, its socket lingers for no time, so that closing it, also by the kernel after the end of the process, sends a reset.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -167,6 +167,7 @@
 	}
 	g.server = &http.Server{
 		Handler:           g,
+		ConnContext:       withConn,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -71,8 +71,10 @@
 	position   float64
 	headerSent bool // the response headers have been sent
 	stream     streamState
-	attempts   []attemptLog
-	heldMemory int64 // taken from Gateway.responseMemory
+	// streamComplete tells that the stream that has begun is complete.
+	streamComplete func()
+	attempts       []attemptLog
+	heldMemory     int64 // taken from Gateway.responseMemory
 	// crashes counts the servers that crashed before they answered the request.
 	crashes int
 	// blockedFor is how long a block still rejects the request; 0 if none does.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -146,6 +146,7 @@
 	if !c.headerSent {
 		c.headerSent = true
 		c.stream.begin(response)
+		c.streamComplete = resetUnlessComplete(c.r)
 		h := c.w.Header()
 		for name, values := range c.g.Protocol.ClientHeader(response.Header) {
 			h[name] = values
@@ -162,6 +163,7 @@
 		event, err := readEvent(reader)
 		if err == io.EOF && len(event) == 0 {
 			if err = c.verifyEnd(t, response); err == nil {
+				c.streamComplete()
 				return attempt.Delivered, nil, nil
 			}
 		}
