entry, route: a partial answer is continued only by engines that resume

What callers saw: an engine breaks off an answer; the rest came from one that does not resume. It answered from the beginning, so that the first part of the answer came twice, or refused the request, so that the answer failed although another engine could have completed it.

Before another attempt the entry checks that some engine with the version resumes, and then picks any engine with the version.

Change: a request that resumes is only sent to an engine that reports that it does; the picker has a filter for it.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -138,6 +138,7 @@
 		Model: run.stage.model, Version: run.stage.version, Session: run.sessionID,
 		DataCentre: e.settings.DataCentre, Region: e.region(), Tried: run.tried,
 		BodyBytes: len(run.body), AnswerTime: e.answerTime.mean(),
+		Resume: run.tokens > 0,
 	}
 	return e.pick(request)
 }
--- a/entry/endpoints.go
+++ b/entry/endpoints.go
@@ -64,6 +64,7 @@
 		out.Running, out.Queued, out.Limit = load.Running, load.Queued, load.Limit
 		out.Cold, out.FirstToken = load.Cold, load.FirstToken
 		out.ReportAge = time.Since(status.LoadAt)
+		out.Resumes = load.Resumes
 	}
 	return out, true
 }
--- a/invariants/answer_test.go
+++ b/invariants/answer_test.go
@@ -145,6 +145,40 @@
 	}
 }
 
+// Guards against an answer that is continued by an engine that cannot resume it: it fails,
+// or its beginning comes twice, although another engine could have completed it.
+func TestPartialAnswerGoesToAnEngineThatResumes(t *testing.T) {
+	const tokens = 12
+	for _, ignores := range []bool{true, false} {
+		t.Run(fmt.Sprintf("others ignore the request to resume %v", ignores), func(t *testing.T) {
+			t.Parallel()
+			spec := oneDataCentreSpec(engineSpec("small-1", "small", tokens, time.Millisecond), engineSpec("small-2", "small", tokens, time.Millisecond),
+				engineSpec("small-3", "small", tokens, time.Millisecond), engineSpec("small-4", "small", tokens, time.Millisecond))
+			for i := range 3 {
+				spec.Backends[i].Engine.Resumes, spec.Backends[i].Engine.IgnoresResume = false, ignores
+			}
+			f := startFleet(t, spec)
+			for _, name := range []string{"small-1", "small-2", "small-3"} {
+				f.Backends[name].Engine.SetFaults(standin.EngineFaults{TruncateAfter: 5})
+			}
+			resumed := 0
+			for i := range 8 {
+				id := fmt.Sprintf("request-%d", i)
+				r := f.send(chat(id, "entry-1", "small", id, true))
+				if r.status != 200 || r.content() != expectedAnswer(id, tokens) {
+					t.Errorf("%s: status %d, %q", id, r.status, r.body)
+				}
+				if len(f.engineRuns()[id]) > 1 {
+					resumed++
+				}
+			}
+			if resumed == 0 {
+				t.Error("no answer was resumed")
+			}
+		})
+	}
+}
+
 // Guards against a caller that does not read its stream and thereby blocks other
 // streams on the same link, or lets the engine generate without bound.
 func TestCallerDoesNotRead(t *testing.T) {
--- a/route/filters.go
+++ b/route/filters.go
@@ -7,6 +7,7 @@
 type target struct {
 	modelVersion string // "model@version"; empty for a service
 	service      string
+	resume       bool
 	tried        map[string]bool
 }
 
@@ -14,7 +15,7 @@
 	if r.Service != "" {
 		return target{service: r.Service, tried: r.Tried}
 	}
-	return target{modelVersion: r.Model + "@" + r.Version, tried: r.Tried}
+	return target{modelVersion: r.Model + "@" + r.Version, resume: r.Resume, tried: r.Tried}
 }
 
 // filter selects the endpoints that may serve the request.
@@ -30,6 +31,7 @@
 	{"leaving", func(e *Endpoint, _ *target) bool { return !e.Leaving }},
 	{"draining", func(e *Endpoint, _ *target) bool { return !e.Draining }},
 	{"not_loaded", servesTarget},
+	{"cannot_resume", func(e *Endpoint, t *target) bool { return e.Resumes || !t.resume }},
 	{"tried", func(e *Endpoint, t *target) bool { return !t.tried[e.Name] }},
 }
 
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -44,6 +44,7 @@
 		{"draining", func(e *Endpoint, _ *Request) { e.Draining = true }},
 		{"not_loaded", func(e *Endpoint, _ *Request) { e.Loaded = []string{"m@2", "m@10", "m"} }},
 		{"not_loaded", func(_ *Endpoint, r *Request) { r.Service = "booking" }},
+		{"cannot_resume", func(_ *Endpoint, r *Request) { r.Resume = true }},
 		{"tried", func(_ *Endpoint, r *Request) { r.Tried = map[string]bool{"a": true} }},
 		{"", func(e *Endpoint, r *Request) { e.Service, r.Service, e.Loaded = "booking", "booking", nil }},
 		{"", func(_ *Endpoint, r *Request) { r.Tried = map[string]bool{"b": true} }},
--- a/route/types.go
+++ b/route/types.go
@@ -32,6 +32,8 @@
 	FirstToken time.Duration
 	// ReportAge is the age of the load report.
 	ReportAge time.Duration
+	// Resumes means that the engine can go on with an answer of another one.
+	Resumes bool
 }
 
 // Request holds the properties of a request that the choice depends on.
@@ -43,6 +45,8 @@
 	Session string
 	// DataCentre and Region are those of the entry.
 	DataCentre, Region string
+	// Resume means that the caller has a part of the answer already.
+	Resume bool
 	// Tried contains the endpoints of earlier attempts.
 	Tried map[string]bool
 	// BodyBytes is the size of the request body, which raises the cost of another
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -43,6 +43,9 @@
 	// Resumes makes the engine accept requests to continue a stream that another
 	// engine began.
 	Resumes bool
+	// IgnoresResume makes an engine that does not resume ignore the fields of such
+	// requests, as one that does not know them: it answers from the beginning.
+	IgnoresResume bool
 	// ChecksFencing makes the engine reject an order whose fencing number is lower
 	// than one it has seen.
 	ChecksFencing bool
--- a/standin/engine_http.go
+++ b/standin/engine_http.go
@@ -111,6 +111,9 @@
 	}
 	run := &EngineRun{RequestID: r.Header.Get("X-Request-Id"), Model: model, Version: version,
 		Priority: c.Priority, From: c.ResumeFrom}
+	if !e.config.Resumes {
+		c.ResumeFrom, run.From = 0, 0
+	}
 	restarted, status := e.admit(run)
 	if status != 0 {
 		writeEngineError(w, status, http.StatusText(status))
@@ -131,6 +134,8 @@
 	switch {
 	case c.ResumeFrom == 0:
 		return ""
+	case !e.config.Resumes && e.config.IgnoresResume:
+		return ""
 	case !e.config.Resumes:
 		return "this engine does not resume"
 	case c.ResumeFrom < 0 || c.ResumeFrom > a.count:
