dialect: an answer that ends with its service is not complete

What callers saw: a plain service without length and chunks in its answers is killed while it answers; the agent stored the part that had come as the answer of the booking, and each repeat of the request got it again.

Engines, raters and stores end their answers by their own marks or with the end of a JSON document, so that only plain services are affected.

Change: the check moves to internal/liveness and is made there too; the outcome of such a call is unknown. HEAD requests have no body that the end of a connection could end.

--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"hyssoploom/internal/liveness"
 )
 
 // maxInlineBodyBytes is the size up to which a body is written before the response is
@@ -74,7 +76,7 @@
 	}
 	return &Response{
 		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
-		UntilClose: response.ContentLength < 0 && len(response.TransferEncoding) == 0, Body: body,
+		UntilClose: liveness.EndsWithConnection(response), Body: body,
 	}, nil
 }
 
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -9,9 +9,9 @@
 	"fmt"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
+	"hyssoploom/internal/liveness"
 	"hyssoploom/internal/sockets"
 )
 
@@ -123,17 +123,9 @@
 	return newConn(p, address, netConn), nil
 }
 
-const (
-	// exitTime is the time in which the kernel closes all sockets of a process that has
-	// ended. Until its listener is closed, a connection to it may still be established.
-	exitTime = 50 * time.Millisecond
-	// crashCheckTimeout limits the check of Refuses, which takes exitTime and a round trip
-	// of 60 ms at most.
-	crashCheckTimeout = 200 * time.Millisecond
-	// acceptDials is the number of connections that Accepts tries if the address is silent:
-	// a packet may be lost.
-	acceptDials = 3
-)
+// crashCheckTimeout limits the check of Refuses. A process takes 50 ms to end, and the
+// longest round trip 60 ms.
+const crashCheckTimeout = 200 * time.Millisecond
 
 // Refuses reports whether nothing listens any more at the address of a connection that has
 // just ended. A connection that is established by the check is kept for later requests,
@@ -141,41 +133,24 @@
 func (p *Pool) Refuses(ctx context.Context, address string, limit int) bool {
 	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
 	defer cancel()
-	return isRefused(p.dialAfterExit(ctx, address, limit))
+	return liveness.Refused(liveness.Connect(ctx, p.connect(address, limit)))
 }
 
 // Accepts reports whether a process still listens at the address of a connection that has
 // just ended. A connection that is established by the check is kept as by Refuses.
 func (p *Pool) Accepts(ctx context.Context, address string, limit int) bool {
-	for range acceptDials {
-		err := p.dialAfterExit(ctx, address, limit)
-		if err == nil {
-			return true
-		}
-		if isRefused(err) {
-			return false
-		}
-	}
-	return false
+	return liveness.Listens(ctx, p.connect(address, limit))
 }
 
-// dialAfterExit establishes and keeps a connection to an address, after the time that a
-// process takes to end.
-func (p *Pool) dialAfterExit(ctx context.Context, address string, limit int) error {
-	select {
-	case <-time.After(exitTime):
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	c, err := p.dialExtra(ctx, address)
-	if err == nil {
-		p.keep(c, limit)
+// connect returns a function that establishes a connection and keeps it.
+func (p *Pool) connect(address string, limit int) func(context.Context) error {
+	return func(ctx context.Context) error {
+		c, err := p.dialExtra(ctx, address)
+		if err == nil {
+			p.keep(c, limit)
+		}
+		return err
 	}
-	return err
-}
-
-func isRefused(err error) bool {
-	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
 }
 
 // dialExtra establishes a connection whatever the number of those that are open.
--- a/dialect/backend_test.go
+++ b/dialect/backend_test.go
@@ -1,11 +1,13 @@
 package dialect
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -183,3 +185,34 @@
 		t.Errorf("header: %v", header)
 	}
 }
+
+// Guards against a response that is reported as complete although its service was killed
+// in the middle of it: only the end of the connection ends it.
+func TestServiceThatEndsWithItsResponse(t *testing.T) {
+	for _, ends := range []bool{false, true} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { listener.Close() })
+		go func() {
+			for {
+				conn, err := listener.Accept()
+				if err != nil {
+					return // the listener was closed
+				}
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					if ends {
+						listener.Close()
+					}
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nbody")
+				}
+				conn.Close()
+			}
+		}()
+		r, err := NewHTTPService("http://"+listener.Addr().String(), nil).Call(t.Context(), ServiceRequest{Method: http.MethodPost, Path: "/"})
+		if (err != nil) != ends || errors.Is(err, ErrRefusedConnection) || !ends && string(r.Body) != "body" {
+			t.Errorf("service ends: %v, got %q, %v", ends, r.Body, err)
+		}
+	}
+}
--- a/dialect/service.go
+++ b/dialect/service.go
@@ -2,11 +2,17 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"net/url"
 	"strings"
+
+	"hyssoploom/internal/liveness"
 )
 
 // maxReplyBytes limits the response body of a service.
@@ -55,9 +61,30 @@
 	if len(body) > maxReplyBytes {
 		return ServiceResponse{}, fmt.Errorf("answer of service exceeds %d bytes", maxReplyBytes)
 	}
+	if liveness.EndsWithConnection(resp) && !liveness.Listens(ctx, s.connect) {
+		return ServiceResponse{}, errors.New("answer of service ended with the service")
+	}
 	return ServiceResponse{Status: resp.StatusCode, Header: forwardedHeader(resp.Header), Body: body}, nil
 }
 
+// connect establishes a connection to the service and closes it.
+func (s *HTTPService) connect(ctx context.Context) error {
+	u, err := url.Parse(s.base)
+	if err != nil {
+		return err
+	}
+	port := cmp.Or(u.Port(), "80")
+	if u.Scheme == "https" {
+		port = cmp.Or(u.Port(), "443")
+	}
+	dialer := net.Dialer{Timeout: backendDialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", net.JoinHostPort(u.Hostname(), port))
+	if err != nil {
+		return err
+	}
+	return conn.Close()
+}
+
 // forwardedHeader copies h without hop-by-hop fields, including those listed in
 // Connection, and without the caller's credentials and Content-Length.
 func forwardedHeader(h http.Header) http.Header {
