gateway: an engine that has started again is not taken for the one that ended

Cause: that something listens at an address says nothing about which process it is. A process that was away cannot tell how long ago the connection ended.

Change: at the end of a stream without length and chunks the gateway asks the engine for its report, whose field born must be the start of which the store told. An engine that does not state it counts as running if it answers. Plain services have no report; for them it remains that something listens.

--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -89,6 +89,11 @@
 	ReadResponse(status int, h http.Header, serverID string) ResponseMeta
 	// ClientHeader returns the headers of a response as sent to the client.
 	ClientHeader(h http.Header) http.Header
+	// ReportTarget is the path at which an engine reports on itself.
+	ReportTarget() string
+	// ReadReport decodes the time at which an engine was started from its report, as a Unix
+	// time in milliseconds; 0 if the report does not state it.
+	ReadReport(body []byte) (startedAtMS int64)
 	// SetErrorHeader sets the headers of an error response that the gateway generates.
 	SetErrorHeader(h http.Header, id string, retryAfter time.Duration)
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"cmp"
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -28,25 +27,6 @@
 
 var errUnsealed = errors.New("answer is not certainly the backend server's")
 
-// errEndNotVerified means that a response was ended by its connection only, and that its
-// server does not accept connections any more. The kernel of a killed process ends its
-// connections in the same way as a server ends such a response.
-var errEndNotVerified = fmt.Errorf("the connection and the server have ended: %w", io.ErrUnexpectedEOF)
-
-// verifyEnd returns an error if a response that has been read to its end may be cut.
-func (c *clientRequest) verifyEnd(t *target, response *backend.Response) error {
-	if !response.UntilClose {
-		return nil
-	}
-	// The response is here; it is not lost because the deadline passes during the check.
-	ctx := context.WithoutCancel(c.ctx)
-	if c.g.Pool.Accepts(ctx, t.server.Address, c.connectionLimit()) {
-		return nil
-	}
-	c.g.Metrics.Add("end_not_verified", 1)
-	return errEndNotVerified
-}
-
 // deliver forwards a response to the client. A response that reports a failure is
 // returned instead, to be sent if no further attempt succeeds.
 func (c *clientRequest) deliver(t target, response *backend.Response, meta ResponseMeta, entry *attemptLog, started time.Time) (attempt.Outcome, *bufferedResponse, error) {
--- a/gateway/unframed_test.go
+++ b/gateway/unframed_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"testing"
@@ -124,3 +125,38 @@
 		})
 	}
 }
+
+// Guards against a stream that looks complete although its server was killed, and started
+// again before it was asked whether it still runs.
+func TestStreamWhoseServerStartsAgain(t *testing.T) {
+	const born = 1700000000000 // of the record
+	for _, c := range []struct {
+		name   string
+		report fake.Handler
+		body   string
+	}{
+		{"still runs", fake.Respond(200, fmt.Sprintf(`{"born":%d}`, born)), events(1, 3)},
+		{"started again", fake.Respond(200, fmt.Sprintf(`{"born":%d}`, born+1500)), events(1, 6)},
+		{"does not state its start", fake.Respond(200, "{}"), events(1, 3)},
+		{"has no report", fake.Respond(404, ""), events(1, 3)},
+		{"does not answer", fake.Close, events(1, 6)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			store := newStore(t)
+			register(store, "llm", ownDC, fake.NewBackendServer(t, "i-1", func(conn net.Conn, r fake.Request) bool {
+				if r.Target == "/report" {
+					return c.report(conn, r)
+				}
+				return unframed(events(1, 3), false, streamHeader)(conn, r)
+			}))
+			register(store, "llm", otherRegionDC, fake.NewBackendServer(t, "i-2", fake.Stream(6, true, 0)))
+			e := start(t, store, "e1")
+			e.awaitServers(2)
+			a := e.send("POST", "/draft/a", "prompt", "X-Model", "small")
+			if a.status != 200 || a.err != nil || a.body != c.body {
+				t.Errorf("status %d, error %v, body %q, want %q", a.status, a.err, a.body, c.body)
+			}
+		})
+	}
+}
