--- a/gateway/streamruns_test.go
+++ b/gateway/streamruns_test.go
@@ -93,7 +93,8 @@
 	}},
 	{"begins again", func(conn net.Conn, r fake.Request, run, after int) streamRun {
 		fake.WriteHeader(conn, r, streamHeader, "Transfer-Encoding: chunked")
-		fake.WriteChunk(conn, runEvent(run, after+1)+runEvent(run, after+1)+"0\r\n\r\n")
+		fake.WriteChunk(conn, runEvent(run, after+1)+runEvent(run, after+1))
+		fmt.Fprint(conn, "0\r\n\r\n")
 		return streamRun{after + 1, after + 1, true, false}
 	}},
 	{"not found", func(conn net.Conn, r fake.Request, run, after int) streamRun {
