--- a/gateway/verifyend.go
+++ b/gateway/verifyend.go
@@ -34,23 +34,27 @@
 	}
 	// The response is here; it is not lost because the deadline passes during the check.
 	ctx := context.WithoutCancel(c.ctx)
-	runs := false
+	isRunning := c.isListening
 	if c.route.Kind == fleet.Stream {
-		runs = c.engineRuns(ctx, t.server)
-	} else {
-		runs = c.g.Pool.Accepts(ctx, t.server.Address, c.connectionLimit())
+		isRunning = c.isEngineRunning
 	}
-	if runs {
+	if isRunning(ctx, t.server) {
 		return nil
 	}
 	c.g.Metrics.Add("end_not_verified", 1)
 	return errEndNotVerified
 }
 
-// engineRuns reports whether the engine that has just ended a connection still runs, and
+// isListening reports whether a process listens at the address of a server that has just
+// ended a connection.
+func (c *clientRequest) isListening(ctx context.Context, s *fleet.BackendServer) bool {
+	return c.g.Pool.Accepts(ctx, s.Address, c.connectionLimit())
+}
+
+// isEngineRunning reports whether the engine that has just ended a connection still runs, and
 // has not been started again since. An engine that does not state its start counts as
 // running if it answers.
-func (c *clientRequest) engineRuns(ctx context.Context, s *fleet.BackendServer) bool {
+func (c *clientRequest) isEngineRunning(ctx context.Context, s *fleet.BackendServer) bool {
 	var startedAtMS int64
 	ask := func(ctx context.Context) (err error) {
 		startedAtMS, err = c.askForStart(ctx, s.Address)
