--- a/gateway/resume_test.go
+++ b/gateway/resume_test.go
@@ -23,7 +23,7 @@
 	cut       bool
 }
 
-// check sends the request of each case and compares what the client gets.
+// checkResumes sends the request of each case and compares what the client gets.
 func checkResumes(t *testing.T, path string, cases []resumeCase) {
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
