--- a/review/standins-2/badpart.go
+++ b/review/standins-2/badpart.go
@@ -26,6 +26,12 @@
 	"sessionAffinity": true, "resumable": true, "allowedRegions": []string{},
 }
 
+// engineService is the service of the streaming route.
+var engineService = map[string]any{
+	"name": "redactor", "healthPath": "/health", "maxConnections": 360, "protocol": "h1", "tls": false, "coldStartS": 0, "coldPerS": 0,
+	"engine": map[string]any{"slots": 64, "kvCapacityTokens": 400647, "stride": 6, "models": []map[string]any{{"name": "m0", "cost": 0.1}}},
+}
+
 // firstKey is the key that all configurations hold.
 const firstKey = "key-1"
 
@@ -43,10 +49,7 @@
 // begins to write an answer on it. Sound requests share their caller and their other parts.
 func badPart(recordPath, trouble string) int {
 	w := newWorld(aljibeHub, recordPath)
-	w.store.put("op/config", configuration(7, []map[string]any{streamRoute}, []map[string]any{{
-		"name": "redactor", "healthPath": "/health", "maxConnections": 360, "protocol": "h1", "tls": false, "coldStartS": 0, "coldPerS": 0,
-		"engine": map[string]any{"slots": 64, "kvCapacityTokens": 400647, "stride": 6, "models": []map[string]any{{"name": "m0", "cost": 0.1}}},
-	}}, firstKey))
+	w.store.put("op/config", configuration(7, []map[string]any{streamRoute}, []map[string]any{engineService}, firstKey))
 	config := runnerConfig{Events: 10, EventMS: 30}
 	if trouble != "0" {
 		config.BadPart = badPartID
--- a/review/standins-2/fleet.go
+++ b/review/standins-2/fleet.go
@@ -96,7 +96,7 @@
 	w             *world
 	config        runnerConfig
 	service, zone string
-	down          time.Duration // between a crash and the next start
+	down          time.Duration // between a crash and the next start; not started again if negative
 	slots         int
 
 	mu   sync.Mutex
@@ -116,6 +116,9 @@
 		defer close(r.gone)
 		for n := 1; !w.isEnding(); n++ {
 			r.run(fmt.Sprintf("%s-%d", config.ID, n), started)
+			if r.down < 0 {
+				return
+			}
 			if !w.isEnding() {
 				time.Sleep(r.down)
 			}
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -19,6 +19,7 @@
 		"bad-part":   badPart,
 		"cut-answer": cutAnswer,
 		"drill":      drill,
+		"cut-stream": cutStream,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fatal(fmt.Errorf("usage: %s CASE RECORD", os.Args[0]))
--- a/review/standins-2/runner.go
+++ b/review/standins-2/runner.go
@@ -27,6 +27,8 @@
 	// the time between the two halves of such an answer.
 	Unframed bool
 	HalfMS   int
+	// Plain is set for runners of a plain service, which know no reports.
+	Plain bool
 }
 
 // report is a line that a runner prints for each request that reaches it.
@@ -97,6 +99,9 @@
 
 // answer answers a request and reports whether the channel stays open.
 func (r *runner) answer(conn net.Conn, q *http.Request) bool {
+	if r.Plain && q.Header.Get("X-Request-Id") == "" {
+		return r.write(conn, q, "400 Bad Request", "", "X-Not-Executed: 1")
+	}
 	if q.Method == http.MethodGet && q.URL.Path == "/report" {
 		body := fmt.Sprintf(`{"stage":"both","models":[],"busy":false,"sequence":0,"waiting":0,"running":0,"kvUsed":0,"kvTotal":400000,"handles":0,"born":%d}`, r.Born)
 		return r.write(conn, q, "200 OK", body, "Content-Type: application/json")
@@ -157,7 +162,11 @@
 func (r *runner) stream(conn net.Conn, q *http.Request) bool {
 	last, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
 	time.Sleep(time.Duration(r.EventMS) * time.Millisecond)
-	head := r.head(q, "200 OK", "X-Response-Seal: s."+r.ID, "Content-Type: text/event-stream", "Transfer-Encoding: chunked")
+	head, framed, end := r.head(q, "200 OK", "X-Response-Seal: s."+r.ID, "Content-Type: text/event-stream", "Transfer-Encoding: chunked"), chunk, "0\r\n\r\n"
+	if r.Unframed {
+		head = r.head(q, "200 OK", "X-Response-Seal: s."+r.ID, "Content-Type: text/event-stream", "Connection: close")
+		framed, end = func(s string) string { return s }, ""
+	}
 	if r.BadPart != "" && hasPart(q.Header.Get("X-Prompt-Prefix"), r.BadPart) {
 		// It begins to write the answer, and is gone in the middle of its second event.
 		_, _ = io.WriteString(conn, head+chunk(event(last+1))+fmt.Sprintf("%x\r\nid: %d\nda", len(event(last+2)), last+2))
@@ -168,16 +177,16 @@
 		return false
 	}
 	for id := last + 1; id <= r.Events; id++ {
-		if _, err := io.WriteString(conn, chunk(event(id))); err != nil {
+		if _, err := io.WriteString(conn, framed(event(id))); err != nil {
 			return false
 		}
 		time.Sleep(time.Duration(r.EventMS) * time.Millisecond)
 	}
-	_, err := io.WriteString(conn, "0\r\n\r\n")
+	_, err := io.WriteString(conn, end)
 	if err == nil {
 		r.report("ended", q)
 	}
-	return err == nil
+	return err == nil && !r.Unframed
 }
 
 // hasPart tells whether a part other than the last one is in a prompt.
