--- a/review/standins-2/cutanswer.go
+++ b/review/standins-2/cutanswer.go
@@ -15,17 +15,20 @@
 	crashTime  = 2 * time.Second
 )
 
+// plainService is the service of plainConfiguration.
+const plainService = "booking-app"
+
 // plainConfiguration returns a version of the configuration with the routes of a plain service.
 func plainConfiguration(version int, keys ...string) map[string]any {
 	route := func(name, kind string) map[string]any {
 		return map[string]any{
 			"name": "r-" + name, "host": "crew.example", "prefix": "/" + name + "/", "kind": kind, "timeoutMs": 6000, "targetLatencyMs": 400,
-			"priority": 2, "service": "booking-app", "maxAttempts": 3, "public": false, "sessionAffinity": false, "resumable": false, "allowedRegions": []string{},
+			"priority": 2, "service": plainService, "maxAttempts": 3, "public": false, "sessionAffinity": false, "resumable": false, "allowedRegions": []string{},
 		}
 	}
 	return configuration(version,
 		[]map[string]any{route("look", "idempotent"), route("book", "non_idempotent")},
-		[]map[string]any{{"name": "booking-app", "healthPath": "/health", "maxConnections": 110, "protocol": "h1", "tls": false, "coldStartS": 0, "coldPerS": 0}}, keys...)
+		[]map[string]any{{"name": plainService, "healthPath": "/health", "maxConnections": 110, "protocol": "h1", "tls": false, "coldStartS": 0, "coldPerS": 0}}, keys...)
 }
 
 // cutAnswer plays a runner that crashes in the middle of answers without a length while the entry
@@ -35,7 +38,7 @@
 	w.store.put("op/config", plainConfiguration(7, firstKey))
 	var runners []*runnerProcess
 	for i, z := range w.site.zones {
-		runners = append(runners, w.startRunner("booking-app", z[0], 6, crashTime, runnerConfig{ID: fmt.Sprintf("i-%d", i), Unframed: true, HalfMS: 800}))
+		runners = append(runners, w.startRunner(plainService, z[0], 6, crashTime, runnerConfig{ID: fmt.Sprintf("i-%d", i), Unframed: true, HalfMS: 800}))
 	}
 	w.startEntries()
 	time.Sleep(time.Second)
--- a/review/standins-2/drill.go
+++ b/review/standins-2/drill.go
@@ -25,7 +25,7 @@
 	w := newWorld(aljibeHub, recordPath)
 	w.store.put("op/config", plainConfiguration(7, firstKey, removedKey))
 	for i, z := range w.site.zones {
-		w.startRunner("booking-app", z[0], 6, time.Second, runnerConfig{ID: fmt.Sprintf("i-%d", i)})
+		w.startRunner(plainService, z[0], 6, time.Second, runnerConfig{ID: fmt.Sprintf("i-%d", i)})
 	}
 	w.startEntries()
 	requests := 0
--- a/review/standins-2/fleet.go
+++ b/review/standins-2/fleet.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -96,6 +97,8 @@
 	w             *world
 	config        runnerConfig
 	service, zone string
+	version       string
+	draining      atomic.Bool
 	down          time.Duration // between a crash and the next start; not started again if negative
 	slots         int
 
@@ -106,10 +109,15 @@
 
 // startRunner keeps a runner running; after a crash it is started again with a new id.
 func (w *world) startRunner(service, zone string, slots int, down time.Duration, config runnerConfig) *runnerProcess {
+	return w.startVersion(service, zone, "v1", slots, down, config)
+}
+
+// startVersion is startRunner with a version of the runner's software.
+func (w *world) startVersion(service, zone, version string, slots int, down time.Duration, config runnerConfig) *runnerProcess {
 	if config.Address == "" {
 		config.Address = freeAddress()
 	}
-	r := &runnerProcess{w: w, config: config, service: service, zone: zone, slots: slots, down: down, gone: make(chan struct{})}
+	r := &runnerProcess{w: w, config: config, service: service, zone: zone, version: version, slots: slots, down: down, gone: make(chan struct{})}
 	w.runners = append(w.runners, r)
 	started := make(chan struct{}, 1000)
 	go func() {
@@ -205,9 +213,13 @@
 // intervals of silence.
 func (r *runnerProcess) register(config runnerConfig, ended <-chan struct{}) {
 	for sequence := 1; ; sequence++ {
+		state := "ready"
+		if r.draining.Load() {
+			state = "draining"
+		}
 		r.w.store.put("servers/"+config.ID, map[string]any{
-			"service": r.service, "address": config.Address, "zone": r.zone, "version": "v1", "slots": r.slots,
-			"state": "ready", "coldRemainingMs": 0, "sequence": sequence, "born": config.Born,
+			"service": r.service, "address": config.Address, "zone": r.zone, "version": r.version, "slots": r.slots,
+			"state": state, "coldRemainingMs": 0, "sequence": sequence, "born": config.Born,
 		})
 		select {
 		case <-ended:
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -16,10 +16,11 @@
 		return
 	}
 	cases := map[string]func(recordPath, trouble string) int{
-		"bad-part":   badPart,
-		"cut-answer": cutAnswer,
-		"drill":      drill,
-		"cut-stream": cutStream,
+		"bad-part":    badPart,
+		"cut-answer":  cutAnswer,
+		"drill":       drill,
+		"bad-version": badVersion,
+		"cut-stream":  cutStream,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fatal(fmt.Errorf("usage: %s CASE RECORD", os.Args[0]))
--- a/review/standins-2/runner.go
+++ b/review/standins-2/runner.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -27,15 +28,21 @@
 	// the time between the two halves of such an answer.
 	Unframed bool
 	HalfMS   int
+	// Failure is the status of the answer to every second request, or resetFailure; none fails if it
+	// is empty.
+	Failure string
 	// Plain is set for runners of a plain service, which know no reports.
 	Plain bool
 }
 
+// resetFailure stands for a channel that is closed without an answer.
+const resetFailure = "reset"
+
 // report is a line that a runner prints for each request that reaches it.
 type report struct {
 	AtMS    int64  `json:"at_ms"` // Unix time
 	Runner  string `json:"runner"`
-	What    string `json:"what"` // arrives, runs, crashes, ended
+	What    string `json:"what"` // arrives, runs, fails, crashes, ended
 	Request string `json:"request"`
 	Parts   string `json:"parts,omitempty"`
 	After   string `json:"last_event_id,omitempty"`
@@ -43,7 +50,8 @@
 
 type runner struct {
 	runnerConfig
-	mu sync.Mutex // of the output
+	mu     sync.Mutex // of the output
+	served atomic.Int64
 }
 
 // runRunner is the process of a runner: a real process, so that it is the kernel that ends its
@@ -118,6 +126,13 @@
 		return r.unframed(conn, q)
 	}
 	time.Sleep(60 * time.Millisecond)
+	if r.Failure != "" && r.served.Add(1)%2 == 0 {
+		r.report("fails", q)
+		if r.Failure == resetFailure {
+			return false
+		}
+		return r.write(conn, q, r.Failure, "failed", "X-Response-Seal: s."+r.ID)
+	}
 	return r.write(conn, q, "200 OK", wholeBody(q), "X-Response-Seal: s."+r.ID)
 }
 
--- a/review/standins-2/store.go
+++ b/review/standins-2/store.go
@@ -89,6 +89,13 @@
 	s.write(key, encoded, 0)
 }
 
+// value returns the value of a key, nil if there is none.
+func (s *store) value(key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.items[key].Value
+}
+
 // remove deletes a key as the operator and the runners do.
 func (s *store) remove(key string) {
 	s.mu.Lock()
