--- a/review/standins-2/fleet.go
+++ b/review/standins-2/fleet.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -319,6 +321,7 @@
 	e.cmd = exec.Command("target/hyssoploom", "gateway")
 	e.cmd.Env = append(os.Environ(), "HYSSOPLOOM_CONFIG="+e.settings)
 	e.cmd.Stdout, e.cmd.Stderr = log, log
+	e.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // it ends with the case
 	if err := e.cmd.Start(); err != nil {
 		unable(err)
 	}
@@ -413,11 +416,26 @@
 	return l
 }
 
-// freeAddress returns a loopback address with a free port.
+// usedPorts holds the ports that freeAddress has returned.
+var usedPorts = make(map[int]bool)
+
+// freeAddress returns a loopback address with a free port. The port is below those that the system
+// gives to outgoing channels, which could take it before its process does.
 func freeAddress() string {
-	l := listen()
-	defer l.Close()
-	return l.Addr().String()
+	for range 1000 {
+		port := 12000 + rand.IntN(18000)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		if usedPorts[port] {
+			continue
+		}
+		if l, err := net.Listen("tcp", address); err == nil {
+			usedPorts[port] = true
+			_ = l.Close() // nothing has connected
+			return address
+		}
+	}
+	unable(errors.New("no free port"))
+	return ""
 }
 
 func fatal(err error) {
