--- a/review/standins-3/rig.go
+++ b/review/standins-3/rig.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -65,6 +66,7 @@
 	}
 	defer record.Close()
 	r := &rig{dir: dir, record: record, trouble: os.Getenv("TROUBLE") != "0", start: time.Now()}
+	r.endOnSignal()
 	defer func() {
 		r.endAll()
 		f := recover()
@@ -86,6 +88,25 @@
 	return exitHeld
 }
 
+// caseTimeout limits a case, also if a stand-in hangs.
+const caseTimeout = 110 * time.Second
+
+// endOnSignal ends all processes when the case is stopped or takes too long.
+func (r *rig) endOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		select {
+		case <-signals:
+		case <-time.After(caseTimeout):
+		}
+		r.note("could not run: stopped, or took too long")
+		r.endAll()
+		os.RemoveAll(r.dir)
+		os.Exit(exitNotRun)
+	}()
+}
+
 // note writes a line to the record, with the time since the start of the case.
 func (r *rig) note(format string, args ...any) {
 	r.mu.Lock()
--- a/review/standins-3/runner.go
+++ b/review/standins-3/runner.go
@@ -61,8 +61,9 @@
 	mu        sync.Mutex
 	coldUntil time.Time
 	arrivals  []time.Time
-	// bad makes all answers failures. SIGUSR2 sets it.
-	bad bool
+	// bad makes every second answer a failure. SIGUSR2 sets it.
+	bad   bool
+	calls int
 }
 
 func runRunner(args []string) {
@@ -146,7 +147,8 @@
 		return r.stream(conn, q, id)
 	}
 	r.mu.Lock()
-	bad := r.bad
+	r.calls++
+	bad := r.bad && r.calls%2 == 0
 	r.mu.Unlock()
 	if bad {
 		time.Sleep(r.work)
