backend, dialect: a reset during an upload is not the end of an answer

What callers saw: a backend server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written. The part was delivered as a whole answer (MIXED; for streams ORDER).

Cause: the kernel reports the error of a connection once, to whichever call asks first. If that is the write of the body, the read that follows returns a plain end. backend/ took it for the end of an answer without a length; net/http, which dialect/ uses, does the same.

An end that is read after a write has got the error of the connection is returned as that error. EPIPE is none: the kernel reports it after the peer has ended its sending side, and an answer that ends so is whole whatever becomes of the upload. While a write goes on, the state of the socket tells whether the peer has ended its sending side; if not, the connection has failed and the write returns at once.

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"hyssoploom/internal/intact"
 )
 
 const readBufferBytes = 8 << 10
@@ -19,7 +21,8 @@
 	pool    *Pool
 	address string
 	netConn net.Conn
-	counter *countingReader // reads from netConn
+	stream  *intact.Conn    // reads from and writes to netConn
+	counter *countingReader // reads from stream
 	reader  *bufio.Reader   // buffers counter
 
 	readable  chan error    // receives nil when the next byte has arrived, or the read error
@@ -32,11 +35,13 @@
 }
 
 func newConn(pool *Pool, address string, netConn net.Conn) *conn {
-	counter := &countingReader{source: netConn, limit: unlimited}
+	stream := intact.NewConn(netConn)
+	counter := &countingReader{source: stream, limit: unlimited}
 	c := &conn{
 		pool:     pool,
 		address:  address,
 		netConn:  netConn,
+		stream:   stream,
 		counter:  counter,
 		reader:   bufio.NewReaderSize(counter, readBufferBytes),
 		readable: make(chan error, 1),
--- /dev/null
+++ b/backend/cutanswer_test.go
@@ -0,0 +1,69 @@
+package backend
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"testing"
+	"time"
+)
+
+// part is the beginning of an answer that has neither a length nor chunks.
+const part = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\npart"
+
+// Guards against a part of an answer that passes for the whole, because the server resets the
+// connection while the body of the request is being written.
+func TestAnswerResetDuringUpload(t *testing.T) {
+	for _, bytes := range []int{40 << 10, 400 << 10, 3 << 20} {
+		for _, pause := range []time.Duration{0, 2 * time.Millisecond} {
+			t.Run(fmt.Sprintf("%d bytes, %v", bytes, pause), func(t *testing.T) {
+				t.Parallel()
+				address := serve(t, func(conn net.Conn, _ int) {
+					readHead(conn)
+					io.WriteString(conn, part)
+					time.Sleep(pause)
+					conn.(*net.TCPConn).SetLinger(0)
+				})
+				p, complete := NewPool(Config{}), 0
+				const exchanges = 100
+				for range exchanges {
+					if _, err := exchange(t, p, address, postRequest("1", bytes)); err == nil {
+						complete++
+					}
+				}
+				if complete > 0 {
+					t.Errorf("%d of %d parts passed for whole answers", complete, exchanges)
+				}
+			})
+		}
+	}
+}
+
+// Guards against the loss of a whole answer that comes before the request has been read, or
+// its delay until then.
+func TestWholeAnswerDuringUpload(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		end  func(*net.TCPConn)
+	}{
+		{"reads on", func(conn *net.TCPConn) { conn.CloseWrite(); io.Copy(io.Discard, conn) }},
+		{"reads on late", func(conn *net.TCPConn) { conn.CloseWrite(); time.Sleep(time.Second); io.Copy(io.Discard, conn) }},
+		{"resets later", func(conn *net.TCPConn) { conn.CloseWrite(); time.Sleep(20 * time.Millisecond); conn.SetLinger(0) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			address := serve(t, func(conn net.Conn, _ int) {
+				readHead(conn)
+				io.WriteString(conn, part)
+				c.end(conn.(*net.TCPConn))
+			})
+			begun := time.Now()
+			if body, err := exchange(t, NewPool(Config{}), address, postRequest("1", largeBody)); body != "part" || err != nil {
+				t.Errorf("%q, %v", body, err)
+			}
+			if took := time.Since(begun); took > 500*time.Millisecond {
+				t.Errorf("the answer took %v", took)
+			}
+		})
+	}
+}
--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -105,7 +105,7 @@
 	c.setBodyPause(c.pool.config.MaxBodyPause)
 	bodyWritten := make(chan error, 1)
 	go func() {
-		_, err := c.netConn.Write(r.Body)
+		_, err := c.stream.Write(r.Body)
 		bodyWritten <- err
 	}()
 	return bodyWritten, nil
@@ -127,7 +127,7 @@
 
 // write writes to the connection. The error wraps ErrNotSent if no byte was written.
 func (c *conn) write(b []byte) error {
-	n, err := c.netConn.Write(b)
+	n, err := c.stream.Write(b)
 	if err != nil && n == 0 {
 		return fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
@@ -154,7 +154,7 @@
 }
 
 // Body is the body of a response. Read returns io.EOF only at the end of a complete
-// body.
+// body; one that ends with its connection is complete if the server still runs.
 type Body struct {
 	conn        *conn
 	reader      io.ReadCloser
--- a/dialect/backend_http.go
+++ b/dialect/backend_http.go
@@ -9,6 +9,8 @@
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
+
+	"hyssoploom/internal/intact"
 )
 
 const (
@@ -36,7 +38,7 @@
 // redirects, because status 307 and 308 would send the request body again.
 func newBackendClient(keepAlive bool) *http.Client {
 	return &http.Client{
-		Transport: tracingTransport{&http.Transport{
+		Transport: tracingTransport{intact.Transport(&http.Transport{
 			DialContext:         (&net.Dialer{Timeout: backendDialTimeout}).DialContext,
 			MaxIdleConnsPerHost: 256,
 			IdleConnTimeout:     30 * time.Second,
@@ -44,7 +46,7 @@
 			DisableCompression:  true,
 
 			MaxResponseHeaderBytes: maxHeadBytes,
-		}},
+		})},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/dialect/httpcall.go
+++ b/dialect/httpcall.go
@@ -12,6 +12,8 @@
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
+
+	"hyssoploom/internal/intact"
 )
 
 // Defaults and limits of the HTTP clients.
@@ -56,8 +58,8 @@
 func newAPIClient(base string, opts []ClientOption) *apiClient {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	c := &apiClient{base: base, timeout: DefaultCallTimeout, watchMargin: DefaultWatchMargin,
-		client: &http.Client{Transport: tracingTransport{&http.Transport{DialContext: dialer.DialContext,
-			MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: maxHeadBytes}},
+		client: &http.Client{Transport: tracingTransport{intact.Transport(&http.Transport{DialContext: dialer.DialContext,
+			MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: maxHeadBytes})},
 			// The protocols have no redirects; following one would send a write twice.
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}}
 	for _, o := range opts {
--- a/dialect/rater.go
+++ b/dialect/rater.go
@@ -11,6 +11,8 @@
 	"net/http"
 	"net/url"
 	"time"
+
+	"hyssoploom/internal/intact"
 )
 
 // RaterPath is the URL path of a rating request.
@@ -72,7 +74,7 @@
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.MaxIdleConnsPerHost = 64 // ratings come in bursts
 	return &HTTPRater{url: u.JoinPath(RaterPath).String(), timeout: timeout,
-		client: &http.Client{Transport: tracingTransport{transport}}}, nil
+		client: &http.Client{Transport: tracingTransport{intact.Transport(transport)}}}, nil
 }
 
 // Rate requests the rating of one answer. Its errors are of type *RaterError.
