--- a/gateway/brokenanswers_test.go
+++ b/gateway/brokenanswers_test.go
@@ -23,6 +23,13 @@
 	{"/look/a", "the whole body"}, {"/book/a", "the whole body"}, {"/draft/a", events(1, 6)}, {"/once/a", events(1, 6)},
 }
 
+// newEarlyServer starts a server that answers before it has read the request.
+func newEarlyServer(t *testing.T, handler fake.Handler) *fake.BackendServer {
+	server := fake.NewBackendServer(t, "i-1", nil)
+	server.SetEarly(func(fake.Request) fake.Handler { return handler })
+	return server
+}
+
 // startForUploads starts an entry that accepts bodies of maxBody, with the given servers of
 // the service of a route.
 func startForUploads(t *testing.T, path string, servers ...*fake.BackendServer) *entry {
@@ -42,7 +49,7 @@
 func TestAnswersResetDuringUpload(t *testing.T) {
 	for _, c := range routesWithWholeAnswer {
 		t.Run(c.path, func(t *testing.T) {
-			broken := fake.NewEarlyBackendServer(t, "i-1", func(conn net.Conn, r fake.Request) bool {
+			broken := newEarlyServer(t, func(conn net.Conn, r fake.Request) bool {
 				if r.Target == "/report" {
 					return fake.Respond(200, "{}")(conn, r)
 				}
@@ -71,7 +78,7 @@
 func TestWholeAnswersDuringUpload(t *testing.T) {
 	for _, c := range routesWithWholeAnswer {
 		t.Run(c.path, func(t *testing.T) {
-			e := startForUploads(t, c.path, fake.NewEarlyBackendServer(t, "i-1", func(conn net.Conn, r fake.Request) bool {
+			e := startForUploads(t, c.path, newEarlyServer(t, func(conn net.Conn, r fake.Request) bool {
 				if r.Target == "/report" {
 					return fake.Respond(200, "{}")(conn, r)
 				}
