entry: an answer with a status under 200 is refused, stored ones too

What callers saw: the entry of the product's own line closed the connection without an answer when a service had answered with status 000: WriteHeader panics on a status under 100. For a call with an idempotency key the agent had stored it, so that each duplicate met the same. A 101 reached the caller.

Cause: the entry takes the status that an agent or a record holds for that of an answer.

Change: such an answer becomes 502 answer_broken, with the outcome unknown.

--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -179,24 +179,27 @@
 	f := startSmallFleet(t, standin.EngineConfig{Tokens: 4})
 	f.runner.SetFaults(standin.BookingFaults{Delay: 500 * time.Millisecond})
 	first := make(chan response, 1)
-	go func() { first <- f.postBooking("entry-1") }()
+	go func() { first <- f.postBooking("entry-1", "visit-7") }()
 	eventually(t, "the runner has received the call", func() bool { return len(f.runner.Calls()) == 1 })
 	f.agents["booking"].Signal(t, syscall.SIGSTOP)
 
-	duplicate := f.postBooking("entry-2")
+	duplicate := f.postBooking("entry-2", "visit-7")
 	if duplicate.status != http.StatusConflict || duplicate.run() != "unknown" {
 		t.Errorf("duplicate while the agent is frozen: %d %s", duplicate.status, duplicate.body)
 	}
 	f.agents["booking"].Signal(t, syscall.SIGCONT)
 	<-first
-	eventually(t, "the answer is stored", func() bool { return f.postBooking("entry-2").status == http.StatusCreated })
+	eventually(t, "the answer is stored", func() bool { return f.postBooking("entry-2", "visit-7").status == http.StatusCreated })
 	if n := len(f.runner.Calls()); n != 1 {
 		t.Errorf("the runner was called %d times, want 1", n)
 	}
 }
 
-func (f *smallFleet) postBooking(entry string) response {
-	return f.post(entry, "/services/booking/bookings", "key-aljibe", `{"crew":2}`, "Idempotency-Key", "visit-7")
+// booking is the body of a booking.
+const booking = `{"crew":2}`
+
+func (f *smallFleet) postBooking(entry, key string) response {
+	return f.post(entry, "/services/booking/bookings", "key-aljibe", booking, "Idempotency-Key", key)
 }
 
 // Guards against a dispatch that was pending when its entry was frozen and is sent
@@ -207,7 +210,7 @@
 	eventually(t, "the record is in force", func() bool { return f.inForce() })
 	f.store.SetDelay(300 * time.Millisecond)
 	done := make(chan response, 1)
-	go func() { done <- f.postBooking("entry-1") }()
+	go func() { done <- f.postBooking("entry-1", "visit-7") }()
 	eventually(t, "the reservation is in the store", func() bool {
 		kvs, _, err := f.store.List(context.Background(), "once/")
 		return err == nil && len(kvs) == 1
@@ -221,7 +224,7 @@
 	if calls > 1 || calls == 1 && r.run() == "not_run" {
 		t.Errorf("answer %d %s after %d calls", r.status, r.body, calls)
 	}
-	again := f.postBooking("entry-2")
+	again := f.postBooking("entry-2", "visit-7")
 	if again.run() == "not_run" && len(f.runner.Calls()) > 0 || len(f.runner.Calls()) > 1 {
 		t.Errorf("second request: %d %s after %d calls", again.status, again.body, len(f.runner.Calls()))
 	}
--- a/entry/service.go
+++ b/entry/service.go
@@ -364,6 +364,13 @@
 }
 
 func (s *serviceCall) writeAnswer(w http.ResponseWriter, a *serviceAnswer) *apiError {
+	if a.status < http.StatusOK {
+		// Agents that do not check the heads of answers pass such statuses on and store them.
+		return &apiError{
+			Status: http.StatusBadGateway, Code: "answer_broken", Run: Unknown,
+			Message: fmt.Sprintf("the call was answered with status %d, which is no answer", a.status),
+		}
+	}
 	for name, values := range a.header {
 		w.Header()[name] = values
 	}
