--- a/dialect/broken_test.go
+++ b/dialect/broken_test.go
@@ -1,7 +1,6 @@
 package dialect
 
 import (
-	"bufio"
 	"errors"
 	"io"
 	"net"
@@ -9,33 +8,14 @@
 	"testing"
 	"time"
 
+	"hyssoploom/internal/fakenet"
 	"hyssoploom/internal/intact"
 )
 
-// serveRaw runs answer for each connection to a loopback listener, after the head of its first
-// request. It returns the URL of the listener.
+// serveRaw starts a server that runs answer for each connection, after the head of its first
+// request. It returns its URL.
 func serveRaw(t *testing.T, answer func(*net.TCPConn)) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return // the listener was closed
-			}
-			go func() {
-				defer conn.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					answer(conn.(*net.TCPConn))
-				}
-			}()
-		}
-	}()
-	return "http://" + listener.Addr().String()
+	return fakenet.ServeRaw(t, func(conn *net.TCPConn, _ *http.Request) { answer(conn) })
 }
 
 // Guards against a part of an answer that passes for the whole, because the service resets
--- a/e2e/broken_test.go
+++ b/e2e/broken_test.go
@@ -1,7 +1,6 @@
 package e2e
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -10,6 +9,7 @@
 	"testing"
 	"time"
 
+	"hyssoploom/internal/fakenet"
 	"hyssoploom/ledger"
 	"hyssoploom/once"
 )
@@ -26,27 +26,10 @@
 // serveBroken starts a service that sends the head of a request's path, and "forged" as the
 // body. It returns its URL.
 func serveBroken(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return // the listener was closed
-			}
-			go func() {
-				defer conn.Close()
-				if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					io.Copy(io.Discard, r.Body)
-					io.WriteString(conn, brokenHeads[r.URL.Path]+"forged")
-				}
-			}()
-		}
-	}()
-	return "http://" + listener.Addr().String()
+	return fakenet.ServeRaw(t, func(conn *net.TCPConn, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		io.WriteString(conn, brokenHeads[r.URL.Path]+"forged")
+	})
 }
 
 // storeAnswer stores an answer to the booking of postBooking with a key, as an agent does.
--- a/internal/fakenet/fakenet.go
+++ b/internal/fakenet/fakenet.go
@@ -1,5 +1,5 @@
-// Package fakenet provides an in-memory network for tests of links. A test can
-// drop, delay, duplicate or reorder each frame.
+// Package fakenet provides an in-memory network for tests of links, of which a test can
+// drop, delay, duplicate or reorder each frame, and servers that answer with raw bytes.
 package fakenet
 
 import (
