--- a/gateway/brokenanswers_test.go
+++ b/gateway/brokenanswers_test.go
@@ -19,7 +19,8 @@
 	return "llm"
 }
 
-// routesWithWholeAnswer are a route of each kind with the whole answer of their servers.
+// routesWithWholeAnswer are a route of each kind with the whole answer of its servers. Half of
+// the answer of a stream ends between two events.
 var routesWithWholeAnswer = []struct{ path, whole string }{
 	{"/look/a", "the whole body"}, {"/book/a", "the whole body"}, {"/draft/a", events(1, 6)}, {"/once/a", events(1, 6)},
 }
@@ -69,7 +70,7 @@
 				}
 				sent.Add(1)
 				fake.WriteHeader(conn, r, streamHeader)
-				io.WriteString(conn, c.whole[:len(c.whole)/2]) // whole events of a stream
+				io.WriteString(conn, c.whole[:len(c.whole)/2])
 				conn.(*net.TCPConn).SetLinger(0)
 				return false
 			}))
@@ -111,7 +112,7 @@
 }
 
 // brokenHeads are beginnings of answers that are none, by name. "ID" stands for the id of the
-// request. What a client gets of them begins with "forged".
+// request. A forged answer stands behind each of them.
 var brokenHeads = map[string]string{
 	"status 000, length":                 "HTTP/1.1 000 \r\nX-Request-Id: ID\r\nX-Response-Seal: s\r\nContent-Length: 0\r\n\r\n",
 	"status 000, chunks":                 "HTTP/1.1 000 \r\nX-Request-Id: ID\r\nX-Response-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
