--- a/review/rig3/store.go
+++ b/review/rig3/store.go
@@ -124,25 +124,12 @@
 	return s.revision
 }
 
-func (s *kvStore) remove(key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.delete(key)
-}
-
 func (s *kvStore) value(key string) []byte {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.items[key].Value
 }
 
-func (s *kvStore) exists(key string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	_, ok := s.items[key]
-	return ok
-}
-
 func (s *kvStore) newLease(ttl time.Duration) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
