--- a/review/rig3/strayanswer.go
+++ b/review/rig3/strayanswer.go
@@ -13,7 +13,7 @@
 func init() { cases["stray-answer"] = strayAnswer }
 
 const (
-	strayRunners, strayFaulty = 4, 2
+	strayRunners, strayFaulty = 8, 4
 	// strayShare is the share of its answers that a faulty runner sends twice.
 	strayShare = 0.03
 	strayWork  = 100 * time.Millisecond
