--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -1,9 +1,10 @@
 // Rig3 plays the scripted cases of the third review against processes of the system: it holds
 // stand-ins of the platform's store, of runners and of clients.
 //
-//	rig3 CASE FOLDER
+//	rig3 CASE RECORD
 //
-// CASE is the name of a case. FOLDER gets record.txt. With TROUBLE=0 in the environment the
+// CASE is the name of a case. RECORD is the file that gets the
+// record. With TROUBLE=0 in the environment the
 // disruption is left out. It exits with 1 if the rule was broken, 0 if it held, and 2 if the
 // case could not run.
 package main
@@ -11,7 +12,6 @@
 import (
 	"fmt"
 	"os"
-	"path/filepath"
 )
 
 // trial is what a case has at hand.
@@ -30,10 +30,10 @@
 
 func run(args []string) int {
 	if len(args) != 2 || cases[args[0]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: rig3 CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: rig3 CASE RECORD")
 		return 2
 	}
-	log, err := newRecord(filepath.Join(args[1], "record.txt"))
+	log, err := newRecord(args[1])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
--- a/review/rig3/strayanswer.go
+++ b/review/rig3/strayanswer.go
@@ -17,18 +17,26 @@
 	// strayShare is the share of its answers that a faulty runner sends twice.
 	strayShare = 0.03
 	strayWork  = 100 * time.Millisecond
+	// strayTime is how long runners are faulty, from strayBegin on. The store is down from
+	// strayDown on.
+	strayDown, strayBegin, strayTime = 5 * time.Second, 7 * time.Second, 5 * time.Second
 )
 
 // duplicates is a faulty runner that sends second copies of answers late, where the next answer
 // on the channel is expected: of rejections of health requests, and at most strayShare of all.
 type duplicates struct {
 	*runner
+	// sound is unset while the runner is faulty; answers and extras count what it sends then.
+	sound           atomic.Bool
 	answers, extras atomic.Int64
 }
 
 func (d *duplicates) handle(c *runnerConn, r *runnerRequest) bool {
-	answers := d.answers.Add(1)
-	if c.rejectedHealth && r.id != "" && float64(d.extras.Load()+1) <= strayShare*float64(answers) {
+	faulty, answers := !d.sound.Load(), d.answers.Load()
+	if faulty {
+		answers = d.answers.Add(1)
+	}
+	if faulty && c.rejectedHealth && r.id != "" && float64(d.extras.Load()+1) <= strayShare*float64(answers) {
 		d.extras.Add(1)
 		d.log.add(d.id, "sends a second copy of its answer to a health request, where that to %s is expected", r.id)
 		if _, err := c.Write([]byte(c.answered)); err != nil {
@@ -61,6 +69,7 @@
 		r.handle = func(c *runnerConn, req *runnerRequest) bool { return r.run(c, req, strayWork) }
 		if t.trouble && i < strayFaulty {
 			d := &duplicates{runner: r}
+			d.sound.Store(true)
 			r.handle = d.handle
 			faulty = append(faulty, d)
 		}
@@ -75,7 +84,15 @@
 	}
 	begun := time.Now()
 	if t.trouble {
-		time.AfterFunc(5*time.Second, func() { t.add("store", "is down"); store.setDown(true) })
+		setSound := func(sound bool) {
+			t.add("runners", "the faulty ones are sound: %t", sound)
+			for _, d := range faulty {
+				d.sound.Store(sound)
+			}
+		}
+		time.AfterFunc(strayBegin, func() { setSound(false) })
+		time.AfterFunc(strayBegin+strayTime, func() { setSound(true) })
+		time.AfterFunc(strayDown, func() { t.add("store", "is down"); store.setDown(true) })
 		time.AfterFunc(13*time.Second, func() { t.add("store", "is up"); store.setDown(false) })
 	}
 	var clients sync.WaitGroup
@@ -108,7 +125,7 @@
 	clients.Wait()
 	held := t.checkOnce(replies)
 	for _, d := range faulty {
-		t.say("%s sent %d of %d answers twice", d.id, d.extras.Load(), d.answers.Load())
+		t.say("%s sent %d of the %d answers of its faulty time twice", d.id, d.extras.Load(), d.answers.Load())
 	}
 	return held, nil
 }
